--- /dev/null
+++ b/crates/bench/src/load/mod.rs
@@ -0,0 +1,8 @@
+//! Clients.
+//!
+//! - [`client`]: HTTP connections. [`schedule`]: when which request is made.
+//! - [`driver`]: makes the requests and records them.
+
+pub mod client;
+pub mod driver;
+pub mod schedule;
--- /dev/null
+++ b/crates/bundle/src/store.rs
@@ -0,0 +1,140 @@
+//! Which version is in force on a node.
+//!
+//! The store never goes back: it accepts only versions above the one in force
+//! and not below the floor, which a starting node learns from its peers.
+
+use std::sync::Arc;
+
+use crate::check::check_bundle;
+use crate::delta::BundleDelta;
+use crate::error::BundleError;
+use crate::model::{Bundle, Stamp};
+use crate::sign::{SignOff, SignedBundle};
+
+/// What became of an offered bundle.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Offer {
+    /// It is now in force.
+    Accepted(Stamp),
+    /// It is now in force and replaces another bundle of the same version
+    /// number, published at the same time.
+    AcceptedOverRival {
+        /// The version now in force.
+        winner: Stamp,
+        /// The version that lost.
+        loser: Stamp,
+    },
+    /// It was in force already.
+    Same,
+}
+
+/// The bundle in force, the floor and the last rivalry.
+#[derive(Debug, Clone)]
+pub struct BundleStore {
+    deployment: String,
+    sign_off: SignOff,
+    current: Option<Arc<SignedBundle>>,
+    current_stamp: Stamp,
+    latest_delta: Option<Arc<BundleDelta>>,
+    floor: Stamp,
+    last_loser: Option<Stamp>,
+}
+
+impl BundleStore {
+    /// An empty store that accepts bundles of `deployment` signed off by `sign_off`.
+    pub fn new(deployment: impl Into<String>, sign_off: SignOff) -> Self {
+        BundleStore {
+            deployment: deployment.into(),
+            sign_off,
+            current: None,
+            current_stamp: Stamp::default(),
+            latest_delta: None,
+            floor: Stamp::default(),
+            last_loser: None,
+        }
+    }
+
+    /// Raises the floor to what a peer has in force. Peers are authenticated nodes.
+    pub fn learn_floor(&mut self, stamp: Stamp) {
+        self.floor = self.floor.max(stamp);
+    }
+
+    /// The highest version known to be in force somewhere.
+    pub fn floor(&self) -> Stamp {
+        self.floor.max(self.current_stamp)
+    }
+
+    /// Version in force; the default stamp when none is.
+    pub fn stamp(&self) -> Stamp {
+        self.current_stamp
+    }
+
+    /// The bundle in force with its signatures.
+    pub fn current(&self) -> Option<Arc<SignedBundle>> {
+        self.current.clone()
+    }
+
+    /// The delta that leads to the version in force, when its parent was held.
+    pub fn latest_delta(&self) -> Option<Arc<BundleDelta>> {
+        self.latest_delta.clone()
+    }
+
+    /// The last version that lost to another of the same number.
+    pub fn last_loser(&self) -> Option<Stamp> {
+        self.last_loser
+    }
+
+    /// True when a bundle is in force and no higher version is known.
+    pub fn may_serve(&self) -> bool {
+        self.current.is_some() && self.current_stamp >= self.floor
+    }
+
+    /// Offers a whole bundle.
+    pub fn offer(&mut self, signed: SignedBundle) -> Result<Offer, BundleError> {
+        let stamp = signed.bundle.stamp();
+        if stamp == self.current_stamp {
+            return Ok(Offer::Same);
+        }
+        self.refuse_older(stamp)?;
+        if signed.bundle.deployment != self.deployment {
+            return Err(BundleError::WrongDeployment { found: signed.bundle.deployment });
+        }
+        self.sign_off.verify(&stamp, &signed.signatures)?;
+        check_bundle(&signed.bundle).map_err(|mistakes| BundleError::Invalid(mistakes.to_string()))?;
+        Ok(self.install(signed, stamp))
+    }
+
+    /// Offers a delta; fails with [`BundleError::ParentNotHeld`] when the whole bundle is needed.
+    pub fn offer_delta(&mut self, delta: &BundleDelta) -> Result<Offer, BundleError> {
+        if delta.result == self.current_stamp {
+            return Ok(Offer::Same);
+        }
+        self.refuse_older(delta.result)?;
+        let missing = BundleError::ParentNotHeld { version: delta.result.version };
+        let parent = self.current.clone().ok_or(missing)?;
+        self.offer(delta.apply(&parent.bundle)?)
+    }
+
+    fn refuse_older(&self, offered: Stamp) -> Result<(), BundleError> {
+        let floor = self.floor();
+        if offered < floor { Err(BundleError::Older { offered, floor }) } else { Ok(()) }
+    }
+
+    fn install(&mut self, signed: SignedBundle, stamp: Stamp) -> Offer {
+        let previous = self.current_stamp;
+        self.latest_delta =
+            self.current.as_ref().and_then(|parent| BundleDelta::between(&parent.bundle, &signed)).map(Arc::new);
+        self.current = Some(Arc::new(signed));
+        self.current_stamp = stamp;
+        if previous.version == stamp.version {
+            self.last_loser = Some(previous);
+            return Offer::AcceptedOverRival { winner: stamp, loser: previous };
+        }
+        Offer::Accepted(stamp)
+    }
+
+    /// The bundle in force, if any.
+    pub fn bundle(&self) -> Option<&Bundle> {
+        self.current.as_deref().map(|signed| &signed.bundle)
+    }
+}
--- /dev/null
+++ b/crates/checked/src/lib.rs
@@ -0,0 +1,251 @@
+//! Reads a TOML table field by field and reports every mistake at once.
+//!
+//! Use it for files that an operator writes: each getter records a [`Mistake`]
+//! (field, value, reason) and returns a default, so that reading goes on; unknown
+//! fields are mistakes. [`Reader::finish`] fails when anything was recorded.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+
+pub use toml::{Table, Value};
+
+/// One mistake in a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// Path of the field, such as `kinds[2].importance`.
+    pub field: String,
+    /// The value found, as TOML text; empty when the field is missing.
+    pub value: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "field={} value={:?} reason={:?}", self.field, self.value, self.reason)
+    }
+}
+
+/// All mistakes of one file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistakes(pub Vec<Mistake>);
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, mistake) in self.0.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("\n")?;
+            }
+            write!(formatter, "{mistake}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Mistakes {}
+
+/// Reads one table and its sub-tables.
+#[derive(Debug)]
+pub struct Reader {
+    table: Table,
+    path: String,
+    known: BTreeSet<String>,
+    mistakes: Vec<Mistake>,
+}
+
+impl Reader {
+    /// Parses TOML text. A syntax error is a single mistake of the whole file.
+    pub fn parse(text: &str) -> Result<Self, Mistakes> {
+        let table = text.parse::<Table>().map_err(|error| {
+            Mistakes(vec![Mistake {
+                field: "(file)".into(),
+                value: String::new(),
+                reason: error.message().to_string(),
+            }])
+        })?;
+        Ok(Self::from_table(table))
+    }
+
+    /// Reads a parsed table.
+    pub fn from_table(table: Table) -> Self {
+        Self::of(table, String::new())
+    }
+
+    fn of(table: Table, path: String) -> Self {
+        Reader { table, path, known: BTreeSet::new(), mistakes: Vec::new() }
+    }
+
+    fn field_path(&self, field: &str) -> String {
+        if self.path.is_empty() { field.to_string() } else { format!("{}.{field}", self.path) }
+    }
+
+    fn take(&mut self, field: &str) -> Option<Value> {
+        self.known.insert(field.to_string());
+        self.table.get(field).cloned()
+    }
+
+    /// Records a mistake in `field` of this table.
+    pub fn mistake(&mut self, field: &str, reason: impl Into<String>) {
+        let value = self.table.get(field).map(Value::to_string).unwrap_or_default();
+        let field = self.field_path(field);
+        self.mistakes.push(Mistake { field, value, reason: reason.into() });
+    }
+
+    /// True when the field is present.
+    pub fn has(&self, field: &str) -> bool {
+        self.table.contains_key(field)
+    }
+
+    /// Required text that is not empty.
+    pub fn text(&mut self, field: &str) -> String {
+        match self.take(field) {
+            Some(Value::String(text)) if !text.is_empty() => text,
+            Some(_) => self.wrong(field, "expected text that is not empty"),
+            None => self.wrong(field, "is missing"),
+        }
+    }
+
+    /// Optional text.
+    pub fn text_or(&mut self, field: &str, default: &str) -> String {
+        match self.take(field) {
+            Some(Value::String(text)) => text,
+            Some(_) => self.wrong(field, "expected text"),
+            None => default.to_string(),
+        }
+    }
+
+    /// Required name: letters, digits, `-`, `_` and `.`, at most 63 characters.
+    pub fn name(&mut self, field: &str) -> String {
+        let text = self.text(field);
+        let fits = text.len() <= 63 && text.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        if !fits {
+            self.mistake(field, "a name has at most 63 letters, digits, '-', '_' or '.'");
+        }
+        text
+    }
+
+    /// Required whole number within `range`.
+    pub fn integer(&mut self, field: &str, range: std::ops::RangeInclusive<u64>) -> u64 {
+        match self.take(field) {
+            Some(value) => self.integer_of(field, value, range),
+            None => self.wrong(field, "is missing"),
+        }
+    }
+
+    /// Optional whole number within `range`.
+    pub fn integer_or(&mut self, field: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> u64 {
+        match self.take(field) {
+            Some(value) => self.integer_of(field, value, range),
+            None => default,
+        }
+    }
+
+    fn integer_of(&mut self, field: &str, value: Value, range: std::ops::RangeInclusive<u64>) -> u64 {
+        let number = value.as_integer().and_then(|number| u64::try_from(number).ok());
+        match number.filter(|number| range.contains(number)) {
+            Some(number) => number,
+            None => {
+                let reason = format!("expected a whole number from {} to {}", range.start(), range.end());
+                self.wrong(field, &reason)
+            }
+        }
+    }
+
+    /// Optional duration given in milliseconds.
+    pub fn millis_or(&mut self, field: &str, default: u64, range: std::ops::RangeInclusive<u64>) -> Duration {
+        Duration::from_millis(self.integer_or(field, default, range))
+    }
+
+    /// Optional truth value.
+    pub fn boolean_or(&mut self, field: &str, default: bool) -> bool {
+        match self.take(field) {
+            Some(Value::Boolean(truth)) => truth,
+            Some(_) => self.wrong(field, "expected true or false"),
+            None => default,
+        }
+    }
+
+    /// Required value parsed from text, such as an address.
+    pub fn parsed<T: std::str::FromStr>(&mut self, field: &str, what: &str) -> Option<T> {
+        let missing = !self.has(field);
+        let text = self.text(field);
+        let parsed = text.parse().ok();
+        if parsed.is_none() && !missing && !text.is_empty() {
+            self.mistake(field, format!("expected {what}"));
+        }
+        parsed
+    }
+
+    /// Optional list of texts.
+    pub fn texts(&mut self, field: &str) -> Vec<String> {
+        let values = match self.take(field) {
+            Some(Value::Array(values)) => values,
+            Some(_) => return self.wrong(field, "expected a list of texts"),
+            None => return Vec::new(),
+        };
+        let texts: Vec<String> = values.iter().filter_map(Value::as_str).map(str::to_string).collect();
+        if texts.len() != values.len() {
+            self.mistake(field, "expected a list of texts");
+        }
+        texts
+    }
+
+    /// A sub-table read by `read`; an absent one is read as empty.
+    pub fn section<T>(&mut self, field: &str, read: impl FnOnce(&mut Reader) -> T) -> T {
+        let table = match self.take(field) {
+            Some(Value::Table(table)) => table,
+            Some(_) => {
+                self.mistake(field, "expected a table");
+                Table::new()
+            }
+            None => Table::new(),
+        };
+        let path = self.field_path(field);
+        self.read_table(table, path, read)
+    }
+
+    /// A list of tables, each read by `read`.
+    pub fn sections<T>(&mut self, field: &str, mut read: impl FnMut(&mut Reader) -> T) -> Vec<T> {
+        let values = match self.take(field) {
+            Some(Value::Array(values)) => values,
+            Some(_) => return self.wrong(field, "expected a list of tables"),
+            None => return Vec::new(),
+        };
+        let mut items = Vec::new();
+        for (index, value) in values.into_iter().enumerate() {
+            let path = format!("{}[{index}]", self.field_path(field));
+            match value {
+                Value::Table(table) => items.push(self.read_table(table, path, &mut read)),
+                _ => self.mistake(field, "expected a list of tables"),
+            }
+        }
+        items
+    }
+
+    fn read_table<T>(&mut self, table: Table, path: String, read: impl FnOnce(&mut Reader) -> T) -> T {
+        let mut reader = Reader::of(table, path);
+        let item = read(&mut reader);
+        reader.report_unknown_fields();
+        self.mistakes.append(&mut reader.mistakes);
+        item
+    }
+
+    fn wrong<T: Default>(&mut self, field: &str, reason: &str) -> T {
+        self.mistake(field, reason);
+        T::default()
+    }
+
+    fn report_unknown_fields(&mut self) {
+        let unknown: Vec<String> = self.table.keys().filter(|key| !self.known.contains(*key)).cloned().collect();
+        for field in unknown {
+            self.mistake(&field, "unknown field");
+        }
+    }
+
+    /// Ends reading: fails with every mistake found, unknown fields included.
+    pub fn finish(mut self) -> Result<(), Mistakes> {
+        self.report_unknown_fields();
+        if self.mistakes.is_empty() { Ok(()) } else { Err(Mistakes(self.mistakes)) }
+    }
+}
--- /dev/null
+++ b/crates/checked/tests/reader.rs
@@ -0,0 +1,40 @@
+//! Every mistake of a file is named at once.
+
+use olivegate_checked::Reader;
+
+fn fields(text: &str, read: impl FnOnce(&mut Reader)) -> Vec<(String, String)> {
+    let mut reader = Reader::parse(text).unwrap();
+    read(&mut reader);
+    let mistakes = reader.finish().unwrap_err().0;
+    mistakes.into_iter().map(|mistake| (mistake.field, mistake.reason)).collect()
+}
+
+#[test]
+fn all_mistakes_are_reported_with_their_paths() {
+    let text = "port = 70000\nname = \"a b\"\n[deep]\ntimes = [1]\nextra = 1\n[[rows]]\nsize = \"x\"\n";
+    let found = fields(text, |reader| {
+        reader.integer("port", 1..=65_535);
+        reader.name("name");
+        reader.text("absent");
+        reader.section("deep", |deep| deep.texts("times"));
+        reader.sections("rows", |row| row.integer("size", 1..=9));
+    });
+    let names: Vec<&str> = found.iter().map(|(field, _)| field.as_str()).collect();
+    assert_eq!(names, ["port", "name", "absent", "deep.times", "deep.extra", "rows[0].size"]);
+    assert_eq!(found[4].1, "unknown field");
+}
+
+#[test]
+fn syntax_errors_are_one_mistake() {
+    let mistakes = Reader::parse("a = = 1").unwrap_err();
+    assert_eq!(mistakes.0.len(), 1);
+    assert_eq!(mistakes.0[0].field, "(file)");
+}
+
+#[test]
+fn defaults_fill_absent_optional_fields() {
+    let mut reader = Reader::parse("").unwrap();
+    assert_eq!(reader.integer_or("wait", 5, 1..=9), 5);
+    assert!(reader.boolean_or("on", true));
+    assert_eq!(reader.finish(), Ok(()));
+}
--- /dev/null
+++ b/crates/node/src/control_loops/membership.rs
@@ -0,0 +1,99 @@
+//! Datagrams and the failure detector.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use olivegate_control::Datagram;
+use olivegate_membership::{MemberState, Output};
+use tokio::time::MissedTickBehavior;
+
+use crate::clock;
+use crate::control_loops::bundle;
+use crate::state::{Node, lock};
+
+/// Time between two ticks of the detector.
+const TICK: Duration = Duration::from_millis(25);
+/// Time limit for fetching all records of a peer.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest datagram accepted, in bytes.
+const RECEIVE_BUFFER: usize = 64 << 10;
+
+/// Drives the detector.
+pub async fn tick(node: Node) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let outputs = lock(&node.membership).tick(clock::now());
+        carry_out(&node, outputs);
+    }
+}
+
+/// Receives datagrams.
+pub async fn receive(node: Node) {
+    let mut buffer = vec![0; RECEIVE_BUFFER];
+    loop {
+        let Ok((length, from)) = node.datagrams.recv_from(&mut buffer).await else {
+            continue;
+        };
+        node.metrics.control_bytes.with_label_values(&["received"]).inc_by(length as u64);
+        match Datagram::from_bytes(&buffer[..length], &node.settings.key) {
+            Ok(datagram) => on_datagram(&node, datagram, from),
+            Err(error) => log::debug!("event=datagram_refused from={from} error={error:?}"),
+        }
+    }
+}
+
+fn on_datagram(node: &Node, datagram: Datagram, from: SocketAddr) {
+    match datagram {
+        Datagram::Membership { message, bundle: stamp } => {
+            let sender = message.from.clone();
+            let outputs = lock(&node.membership).on_message(message, from, clock::now());
+            carry_out(node, outputs);
+            bundle::on_version(node, &sender, stamp);
+        }
+        Datagram::Delta { from, delta } => bundle::on_delta(node, &from, delta),
+        Datagram::Version { from, stamp } => bundle::on_version(node, &from, stamp),
+    }
+}
+
+/// Carries out what the membership core asks for.
+pub fn carry_out(node: &Node, outputs: Vec<Output>) {
+    for output in outputs {
+        match output {
+            Output::Send { to, message } => {
+                let stamp = lock(&node.bundles).stamp();
+                send(node, to, &Datagram::Membership { message, bundle: stamp });
+            }
+            Output::Sync { from } => {
+                tokio::spawn(sync(node.clone(), from));
+            }
+            Output::Changed { name, state } => {
+                log::info!("event=member_changed member={name} state={state:?}");
+                node.member_changes.send_modify(|count| *count += 1);
+                if state == MemberState::Alive {
+                    bundle::announce(node);
+                }
+            }
+        }
+    }
+}
+
+/// Sends a datagram to a member's announced control address; a full socket buffer drops it.
+pub fn send(node: &Node, to: SocketAddr, datagram: &Datagram) {
+    let bytes = datagram.to_bytes(&node.settings.key);
+    node.metrics.control_bytes.with_label_values(&["sent"]).inc_by(bytes.len() as u64);
+    if let Err(error) = node.datagrams.try_send_to(&bytes, node.dial(to)) {
+        log::debug!("event=datagram_not_sent to={to} error={error}");
+    }
+}
+
+async fn sync(node: Node, from: SocketAddr) {
+    let address = node.dial(from);
+    let fetched = node.control.call(address, SYNC_TIMEOUT, |client, rpc| async move { client.members(rpc).await });
+    let Ok(records) = fetched.await else {
+        return;
+    };
+    let outputs = lock(&node.membership).merge(records, clock::now());
+    carry_out(&node, outputs);
+}
--- /dev/null
+++ b/crates/node/src/control_loops/seats.rs
@@ -0,0 +1,236 @@
+//! Takes and hands over seats of the claim group.
+//!
+//! Each seat belongs, by rendezvous hashing, to a usable member, seats spread over the
+//! zones. A node that finds itself responsible for a seat that it doesn't hold starts
+//! a new incarnation and recovers; the previous holder's votes stop counting by then.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use olivegate_claims::{
+    Claim, ClaimKey, Claimant, Incarnation, IncarnationVector, RecoveryReply, Seat, SeatIndex, SeatMode, Vote,
+};
+use olivegate_membership::{MemberRecord, Membership, SeatHeld};
+use olivegate_routing::rendezvous;
+use olivegate_types::{Moment, ZoneName};
+
+use crate::clock;
+use crate::state::{Node, lock};
+
+/// Time between two looks at the seats.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Time limit for a recovery call.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a node must be responsible for a seat before it takes it.
+const SETTLING_TIME: Duration = Duration::from_millis(300);
+/// Longest memory of a claim assumed before a bundle is in force.
+const DEFAULT_CLAIM_MEMORY: Duration = Duration::from_secs(600);
+
+/// Seats held by this node and the incarnations it knows.
+#[derive(Debug)]
+pub struct SeatTable {
+    held: BTreeMap<SeatIndex, Seat>,
+    known: IncarnationVector,
+    responsible_since: BTreeMap<SeatIndex, Moment>,
+}
+
+impl SeatTable {
+    /// No seat held, of a group of `seats`.
+    pub fn new(seats: usize) -> Self {
+        SeatTable {
+            held: BTreeMap::new(),
+            known: IncarnationVector::unknown(seats),
+            responsible_since: BTreeMap::new(),
+        }
+    }
+
+    /// Incarnations known here.
+    pub fn known(&self) -> &IncarnationVector {
+        &self.known
+    }
+
+    /// Learns incarnations.
+    pub fn learn(&mut self, vector: &IncarnationVector) {
+        self.known.merge(vector);
+    }
+
+    /// The vote of a seat held here.
+    pub fn on_claim(&mut self, seat: SeatIndex, claim: &Claim, now: Moment) -> Option<Vote> {
+        let vote = self.held.get_mut(&seat)?.on_claim(claim, now);
+        self.known.merge(&vote.vector);
+        Some(vote)
+    }
+
+    /// Drops an unused claim at a seat held here.
+    pub fn on_abandon(&mut self, seat: SeatIndex, key: ClaimKey, claimant: &Claimant) {
+        if let Some(seat) = self.held.get_mut(&seat) {
+            seat.on_abandon(key, claimant);
+        }
+    }
+
+    /// Another seat announces itself to a seat held here.
+    pub fn on_recover(
+        &mut self,
+        seat: SeatIndex,
+        recovering: SeatIndex,
+        incarnation: &Incarnation,
+        now: Moment,
+    ) -> RecoveryReply {
+        match self.held.get_mut(&seat) {
+            Some(held) => held.on_recover(recovering, incarnation, now),
+            None => RecoveryReply::NotReady,
+        }
+    }
+
+    /// Seats held, for heartbeats and status.
+    pub fn announced(&self) -> Vec<SeatHeld> {
+        let live = self.held.values().filter(|seat| seat.mode() != SeatMode::Retired);
+        let announced = |seat: &Seat| SeatHeld {
+            index: seat.index().0,
+            counter: seat.incarnation().counter,
+            voting: seat.mode() == SeatMode::Voting,
+        };
+        live.map(announced).collect()
+    }
+
+    /// Seats held with their state and number of claims, for status.
+    pub fn status(&self) -> Vec<(SeatIndex, SeatMode, usize)> {
+        self.held.values().map(|seat| (seat.index(), seat.mode(), seat.claim_count())).collect()
+    }
+
+    /// True when no seat that votes is held.
+    pub fn holds_no_vote(&self) -> bool {
+        self.held.values().all(|seat| seat.mode() != SeatMode::Voting)
+    }
+
+    /// Starts seats for which this node has been responsible long enough.
+    fn take_seats(&mut self, node: &Node, responsible: &[SeatIndex], now: Moment) {
+        self.responsible_since.retain(|seat, _| responsible.contains(seat));
+        for seat in responsible {
+            let since = *self.responsible_since.entry(*seat).or_insert(now);
+            let holds = self.held.get(seat).is_some_and(|held| held.mode() != SeatMode::Retired);
+            if !holds && now.since(since) >= SETTLING_TIME {
+                let started = self.start(node, *seat, now);
+                self.held.insert(*seat, started);
+            }
+        }
+    }
+
+    fn start(&self, node: &Node, seat: SeatIndex, now: Moment) -> Seat {
+        let known = self.known.get(seat).map_or(0, |incarnation| incarnation.counter);
+        let counter = clock::unix_ms().max(known + 1);
+        let incarnation = Incarnation { counter, holder: node.name().clone() };
+        log::info!("event=seat_recovering seat={} incarnation={counter}", seat.0);
+        let memory = node.bundle().map_or(DEFAULT_CLAIM_MEMORY, |bundle| {
+            Duration::from_millis(u64::from(bundle.bundle().limits.claim_memory_ms))
+        });
+        Seat::recovering(seat, self.known.len(), incarnation, memory, node.settings.new_deployment, now)
+    }
+
+    /// Recovering seats with their incarnations.
+    fn recovering(&self) -> Vec<(SeatIndex, Incarnation)> {
+        let recovering = self.held.values().filter(|seat| seat.mode() == SeatMode::Recovering);
+        recovering.map(|seat| (seat.index(), seat.incarnation().clone())).collect()
+    }
+
+    fn on_reply(&mut self, seat: SeatIndex, reply: RecoveryReply, now: Moment) {
+        let Some(held) = self.held.get_mut(&seat) else {
+            return;
+        };
+        let before = held.mode();
+        held.on_recovery_reply(reply, now);
+        self.known.merge(held.vector());
+        if before != held.mode() {
+            let claims = held.claim_count();
+            log::info!("event=seat_changed seat={} mode={:?} claims={claims}", seat.0, held.mode());
+        }
+    }
+}
+
+/// The member responsible for a seat: seats go round the zones in order of name.
+fn responsible_for(membership: &Membership, seat: SeatIndex) -> Option<&MemberRecord> {
+    let usable = membership.usable();
+    let mut zones: Vec<&ZoneName> = usable.iter().map(|record| &record.zone).collect();
+    zones.sort();
+    zones.dedup();
+    let zone = zones.get(usize::from(seat.0) % zones.len().max(1))?;
+    let key = format!("seat {}", seat.0);
+    let in_zone = usable.iter().filter(|record| record.zone == **zone);
+    rendezvous::owner(&key, in_zone, |record| record.name.as_str()).copied()
+}
+
+/// The member that holds a seat: the voting one of the latest incarnation, else the
+/// one responsible.
+pub fn holder_of(node: &Node, seat: SeatIndex) -> Option<MemberRecord> {
+    let membership = lock(&node.membership);
+    let everyone = std::iter::once(membership.own()).chain(membership.others());
+    let announced = everyone.filter(|record| record.is_answering()).flat_map(|record| {
+        let held = record.seats.iter().filter(|held| held.index == seat.0);
+        held.map(move |held| (held.voting, held.counter, record))
+    });
+    let latest = announced.max_by_key(|(voting, counter, _)| (*voting, *counter));
+    let holder = latest.map(|(_, _, record)| record).or_else(|| responsible_for(&membership, seat));
+    holder.cloned()
+}
+
+/// Keeps this node's seats.
+pub async fn keep(node: Node) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if !node.is_ready() {
+            continue;
+        }
+        let now = clock::now();
+        let responsible = seats_of(&node);
+        let recovering = {
+            let mut table = lock(&node.seats);
+            table.take_seats(&node, &responsible, now);
+            for seat in table.held.values_mut() {
+                seat.expire(now);
+            }
+            table.recovering()
+        };
+        for (seat, incarnation) in recovering {
+            recover(&node, seat, incarnation).await;
+        }
+        let announced = lock(&node.seats).announced();
+        lock(&node.membership).set_seats(announced);
+    }
+}
+
+fn seats_of(node: &Node) -> Vec<SeatIndex> {
+    let membership = lock(&node.membership);
+    let all = (0..node.settings.seats).map(|index| SeatIndex(index as u8));
+    let own = |seat: &SeatIndex| responsible_for(&membership, *seat).is_some_and(|r| r.name == *node.name());
+    all.filter(own).collect()
+}
+
+async fn recover(node: &Node, recovering: SeatIndex, incarnation: Incarnation) {
+    let others = (0..node.settings.seats).map(|index| SeatIndex(index as u8)).filter(|seat| *seat != recovering);
+    for seat in others {
+        let Some(holder) = holder_of(node, seat) else {
+            continue;
+        };
+        let reply = ask(node, &holder, seat, recovering, &incarnation).await;
+        if let Some(reply) = reply {
+            lock(&node.seats).on_reply(recovering, reply, clock::now());
+        }
+    }
+}
+
+async fn ask(
+    node: &Node,
+    holder: &MemberRecord,
+    seat: SeatIndex,
+    recovering: SeatIndex,
+    incarnation: &Incarnation,
+) -> Option<RecoveryReply> {
+    if holder.name == *node.name() {
+        return Some(lock(&node.seats).on_recover(seat, recovering, incarnation, clock::now()));
+    }
+    let incarnation = incarnation.clone();
+    let asked = node.control.call(node.dial(holder.control), RECOVERY_TIMEOUT, |client, rpc| async move {
+        client.recover(rpc, seat, recovering, incarnation).await
+    });
+    asked.await.ok()
+}
--- /dev/null
+++ b/crates/node/src/edge/forward.rs
@@ -0,0 +1,155 @@
+//! Calls to a gate on another node.
+
+use std::time::Duration;
+
+use hyper::{Request, Response, StatusCode};
+use olivegate_membership::MemberRecord;
+use olivegate_types::{NodeName, Outcome, Refusal, RefusalReason, header};
+
+use crate::body::AnyBody;
+use crate::clock;
+use crate::gate::GateCall;
+use crate::gate::dispatch::{GateReply, GateResult};
+use crate::reply::{header_text, header_value, insert};
+use crate::state::{Node, lock};
+
+/// The gate is given this much less time than is left, so that its own refusal arrives in time.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(4);
+/// Time to come back when a gate can't be reached.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Status of a reply that the gate itself made, with the outcome header saying which.
+pub const GATE_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+
+/// Header on a gate's reply: time spent waiting and in the instance, in microseconds.
+pub const OUTSIDE_US: &str = "x-olivegate-outside-us";
+
+/// Sends the call to its gate and reads the reply.
+pub async fn forward(node: &Node, gate: &MemberRecord, call: GateCall) -> GateReply {
+    let deadline = call.deadline;
+    let started = clock::now();
+    let sending = send(node, gate, call);
+    let lost = peer_lost(node, &gate.name);
+    let result = tokio::select! {
+        result = tokio::time::timeout_at(clock::instant_of(deadline), sending) => result.unwrap_or(Err(Broken::MaybeRan)),
+        () = lost => Err(Broken::MaybeRan),
+    };
+    match result {
+        Ok(response) => read_reply(response),
+        Err(Broken::NotSent) => {
+            contact_failed(node, &gate.name);
+            let refusal = Refusal::new(RefusalReason::GateUnreachable, UNREACHABLE_RETRY_AFTER);
+            unreported(GateResult::Refused(refusal), Duration::ZERO)
+        }
+        Err(Broken::MaybeRan) => {
+            contact_failed(node, &gate.name);
+            unreported(GateResult::Broken, clock::now() - started)
+        }
+    }
+}
+
+enum Broken {
+    NotSent,
+    MaybeRan,
+}
+
+fn unreported(result: GateResult, outside: Duration) -> GateReply {
+    GateReply { result, level: 1.0, occupancy: 0.0, outside }
+}
+
+async fn send(node: &Node, gate: &MemberRecord, call: GateCall) -> Result<Response<AnyBody>, Broken> {
+    let connection = node.peers.get(node.dial(gate.data)).await;
+    let mut connection = connection.map_err(|_| Broken::NotSent)?;
+    let request = build_request(node, call);
+    match connection.try_send_request(request).await {
+        Ok(response) => Ok(response.map(crate::body::incoming)),
+        Err(mut error) => Err(if error.take_message().is_some() { Broken::NotSent } else { Broken::MaybeRan }),
+    }
+}
+
+fn build_request(node: &Node, call: GateCall) -> Request<AnyBody> {
+    let mut request = Request::new(call.body);
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.uri;
+    let headers = request.headers_mut();
+    *headers = call.headers;
+    headers.remove("host");
+    insert(headers, header::CONTEXT, &call.context.to_header(&node.settings.key));
+    insert(headers, header::INSTANCE, call.instance.name.as_str());
+    insert(headers, header::KIND, call.kind.name.as_str());
+    insert(headers, header::ATTEMPT, &call.attempt.to_string());
+    let remaining = call.deadline.since(clock::now()).saturating_sub(DEADLINE_MARGIN);
+    insert(headers, header::REMAINING_US, &remaining.as_micros().to_string());
+    request
+}
+
+/// Ends when the peer is suspected or held for dead.
+async fn peer_lost(node: &Node, peer: &NodeName) {
+    let mut changes = node.member_changes.subscribe();
+    while node.is_answering(peer) {
+        if changes.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+fn contact_failed(node: &Node, peer: &NodeName) {
+    let outputs = lock(&node.membership).on_contact_failure(peer, clock::now());
+    crate::control_loops::membership::carry_out(node, outputs);
+}
+
+fn read_reply(mut response: Response<AnyBody>) -> GateReply {
+    let headers = response.headers_mut();
+    let level = header_value(headers, header::ADMISSION_LEVEL).unwrap_or(1.0);
+    let occupancy = header_value(headers, header::OCCUPANCY).unwrap_or(0.0);
+    let outside = Duration::from_micros(header_value(headers, OUTSIDE_US).unwrap_or(0));
+    let made_by_gate = response.status() == GATE_STATUS;
+    let headers = response.headers_mut();
+    let outcome = header_text(headers, header::OUTCOME).and_then(Outcome::parse);
+    let result = match (made_by_gate, outcome) {
+        (true, Some(Outcome::NotRun)) => GateResult::Refused(read_refusal(headers)),
+        (true, Some(Outcome::Unknown)) => GateResult::Broken,
+        _ => {
+            for name in [header::ADMISSION_LEVEL, header::OCCUPANCY, OUTSIDE_US, header::OUTCOME] {
+                headers.remove(name);
+            }
+            GateResult::Answered(response)
+        }
+    };
+    GateReply { result, level, occupancy, outside }
+}
+
+fn read_refusal(headers: &hyper::HeaderMap) -> Refusal {
+    let reason = header_text(headers, header::REASON).and_then(RefusalReason::parse);
+    let millis = header_value(headers, header::RETRY_AFTER_MS).unwrap_or(300);
+    Refusal::new(reason.unwrap_or(RefusalReason::GateUnreachable), Duration::from_millis(millis))
+}
+
+/// The reply of this node's gate to an edge on another node.
+pub fn write_reply(reply: GateReply) -> Response<AnyBody> {
+    let mut response = match reply.result {
+        GateResult::Answered(response) => response,
+        GateResult::Refused(refusal) => {
+            let mut response = Response::new(crate::body::empty());
+            *response.status_mut() = GATE_STATUS;
+            let headers = response.headers_mut();
+            insert(headers, header::OUTCOME, Outcome::NotRun.as_str());
+            insert(headers, header::REASON, refusal.reason.as_str());
+            insert(headers, header::RETRY_AFTER_MS, &refusal.retry_after.as_millis().to_string());
+            response
+        }
+        GateResult::Broken => {
+            let mut response = Response::new(crate::body::empty());
+            *response.status_mut() = GATE_STATUS;
+            insert(response.headers_mut(), header::OUTCOME, Outcome::Unknown.as_str());
+            response
+        }
+    };
+    let headers = response.headers_mut();
+    for name in ["connection", "keep-alive", "transfer-encoding"] {
+        headers.remove(name);
+    }
+    insert(headers, header::ADMISSION_LEVEL, &format!("{:.4}", reply.level));
+    insert(headers, header::OCCUPANCY, &format!("{:.3}", reply.occupancy));
+    insert(headers, OUTSIDE_US, &reply.outside.as_micros().to_string());
+    response
+}
--- /dev/null
+++ b/crates/node/src/fetch.rs
@@ -0,0 +1,52 @@
+//! Small HTTP reads from the platform's services and back ends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::error::NodeError;
+
+/// An answer to a read.
+#[derive(Debug)]
+pub struct Fetched {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: hyper::HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Reads `path` of the service at `address`; the body may have `limit` bytes.
+pub async fn get(
+    address: SocketAddr,
+    path: &str,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Fetched, Report<NodeError>> {
+    let reading = tokio::time::timeout(timeout, read(address, path, limit));
+    reading.await.change_context(NodeError::Platform)?
+}
+
+async fn read(address: SocketAddr, path: &str, limit: usize) -> Result<Fetched, Report<NodeError>> {
+    let stream = TcpStream::connect(address).await.change_context(NodeError::Platform)?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.change_context(NodeError::Platform)?;
+    let driver = tokio::spawn(connection);
+    let request = Request::get(path)
+        .header("host", address.to_string())
+        .header("connection", "close")
+        .body(Empty::<Bytes>::new())
+        .change_context(NodeError::Platform)?;
+    let response = sender.send_request(request).await.change_context(NodeError::Platform)?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, limit).collect().await.map_err(|_| Report::new(NodeError::Platform))?;
+    drop(driver);
+    Ok(Fetched { status: parts.status.as_u16(), headers: parts.headers, body: body.to_bytes() })
+}
--- /dev/null
+++ b/crates/node/src/gate/dispatch.rs
@@ -0,0 +1,242 @@
+//! One call, from its arrival at the gate to the head of the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::client::conn::http1::SendRequest;
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use olivegate_bundle::{IndexedBundle, Kind};
+use olivegate_overload::{ClassKey, Demand};
+use olivegate_types::{Moment, Refusal, RefusalReason, RequestContext, header};
+
+use crate::body::{AnyBody, GuardedBody};
+use crate::clock;
+use crate::directory::Instance;
+use crate::explain::Decision;
+use crate::gate::slots::{InstanceGate, Slot};
+use crate::reply::{header_text, insert};
+use crate::state::Node;
+
+/// Times that a stale idle connection is replaced before the instance counts as unreachable.
+const STALE_CONNECTIONS: usize = 3;
+/// Time to come back after a refusal that has nothing to do with load.
+const LOCAL_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// A call as it reaches the gate.
+pub struct GateCall {
+    /// Context of the call.
+    pub context: RequestContext,
+    /// Bundle that governs it.
+    pub bundle: Arc<IndexedBundle>,
+    /// Kind of this hop.
+    pub kind: Kind,
+    /// The chosen instance.
+    pub instance: Instance,
+    /// Number of the attempt within the hop.
+    pub attempt: u32,
+    /// Deadline on this node's clock.
+    pub deadline: Moment,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, already free of hop-by-hop and reserved ones.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: AnyBody,
+}
+
+/// What became of a call at the gate.
+pub enum GateResult {
+    /// The instance answered.
+    Answered(Response<AnyBody>),
+    /// The call was not run.
+    Refused(Refusal),
+    /// The exchange broke off after the request may have reached the instance.
+    Broken,
+}
+
+/// Result with what the edge learns from it.
+pub struct GateReply {
+    /// The result.
+    pub result: GateResult,
+    /// Admitted fraction of the call's class at this gate and deeper.
+    pub level: f64,
+    /// Occupancy of the instance.
+    pub occupancy: f64,
+    /// Time spent waiting for a slot and in the instance.
+    pub outside: Duration,
+}
+
+/// What is held until the answer's body ended: the slot, and the connection to give back.
+struct Exchange {
+    gate: Arc<InstanceGate>,
+    connection: Option<SendRequest<AnyBody>>,
+    _slot: Slot,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.gate.connections().give_back(connection);
+        }
+    }
+}
+
+/// Takes a call through the queue to its instance.
+pub async fn dispatch(node: &Node, call: GateCall) -> GateReply {
+    let class = class_of(&call.context);
+    let hop = call.context.hop;
+    let gate = node.gates.gate(&call.instance, call.bundle.bundle());
+    let mut outside = Duration::ZERO;
+    let result = run(node, &gate, &class, call, &mut outside).await;
+    let now = clock::now();
+    let deeper = crate::state::lock(&node.levels).level(&class, hop + 1, now);
+    GateReply { result, level: gate.level(&class).min(deeper), occupancy: gate.occupancy(), outside }
+}
+
+/// Class under which a call is shed.
+pub fn class_of(context: &RequestContext) -> ClassKey {
+    ClassKey { root_kind: context.root_kind.clone(), group: context.group.clone(), importance: context.importance }
+}
+
+fn refused(reason: RefusalReason) -> GateResult {
+    GateResult::Refused(Refusal::new(reason, LOCAL_RETRY_AFTER))
+}
+
+async fn run(
+    node: &Node,
+    gate: &Arc<InstanceGate>,
+    class: &ClassKey,
+    call: GateCall,
+    outside: &mut Duration,
+) -> GateResult {
+    if let Some(reason) = obstacle(node, &call) {
+        return refused(reason);
+    }
+    let arrived = clock::now();
+    let expected = gate.expected(&call.kind.name, Duration::from_millis(u64::from(call.kind.expected_ms)));
+    let demand = Demand {
+        importance: call.context.importance,
+        group: call.context.group.clone(),
+        weight: call.bundle.weight(&call.context.group),
+        hop: call.context.hop,
+        rank: call.context.rank,
+        deadline: call.deadline,
+        expected,
+    };
+    let slot = match gate.acquire(demand, class).await {
+        Ok(slot) => slot,
+        Err(refusal) => {
+            *outside = clock::now() - arrived;
+            return GateResult::Refused(refusal);
+        }
+    };
+    let waited = clock::now() - arrived;
+    *outside = waited;
+    let decision = Decision::Dispatched { instance: call.instance.name.clone(), waited };
+    node.note(call.context.request, call.context.hop, decision);
+    exchange(node, gate, slot, call, outside).await
+}
+
+/// Reasons not to dispatch that are checked on arrival and again last before the write.
+fn obstacle(node: &Node, call: &GateCall) -> Option<RefusalReason> {
+    let now = clock::now();
+    if now >= call.deadline {
+        return Some(RefusalReason::DeadlineExceeded);
+    }
+    if !node.is_view_fresh() {
+        return Some(RefusalReason::GateUnreachable);
+    }
+    node.read_directory().is_leaving(&call.instance.name, now).then_some(RefusalReason::InstanceLeaving)
+}
+
+async fn exchange(
+    node: &Node,
+    gate: &Arc<InstanceGate>,
+    slot: Slot,
+    mut call: GateCall,
+    outside: &mut Duration,
+) -> GateResult {
+    let mut request = build_request(node, &mut call);
+    for _ in 0..STALE_CONNECTIONS {
+        let Ok((mut connection, reused)) = gate.connections().take().await else {
+            gate.on_failure();
+            return refused(RefusalReason::InstanceUnreachable);
+        };
+        if let Some(reason) = obstacle(node, &call) {
+            return refused(reason);
+        }
+        node.metrics.dispatches.inc();
+        let sent = clock::now();
+        let answer =
+            tokio::time::timeout_at(clock::instant_of(call.deadline), connection.try_send_request(request));
+        match answer.await {
+            Ok(Ok(response)) => {
+                let service = clock::now() - sent;
+                *outside += service;
+                let exchange = Exchange { gate: gate.clone(), connection: Some(connection), _slot: slot };
+                return answered(node, gate, &call, response, exchange, service);
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(unsent) if reused => request = unsent,
+                Some(_) => {
+                    gate.on_failure();
+                    return refused(RefusalReason::InstanceUnreachable);
+                }
+                None => {
+                    gate.on_failure();
+                    return GateResult::Broken;
+                }
+            },
+            Err(_) => return GateResult::Broken,
+        }
+    }
+    refused(RefusalReason::InstanceUnreachable)
+}
+
+fn build_request(node: &Node, call: &mut GateCall) -> Request<AnyBody> {
+    let body = std::mem::replace(&mut call.body, crate::body::empty());
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let headers = request.headers_mut();
+    *headers = std::mem::take(&mut call.headers);
+    insert(headers, "host", &call.instance.address.to_string());
+    insert(headers, header::CONTEXT, &call.context.to_header(&node.settings.key));
+    insert(headers, header::REQUEST_ID, &call.context.request.to_string());
+    insert(headers, header::DISPATCHED_BY, &node.addresses.caller.to_string());
+    insert(headers, header::ATTEMPT, &call.attempt.to_string());
+    let remaining = call.deadline.since(clock::now()).as_millis().to_string();
+    insert(headers, header::DEADLINE_MS, &remaining);
+    request
+}
+
+fn answered(
+    node: &Node,
+    gate: &Arc<InstanceGate>,
+    call: &GateCall,
+    response: Response<hyper::body::Incoming>,
+    exchange: Exchange,
+    service: Duration,
+) -> GateResult {
+    let is_set = |name| header_text(response.headers(), name) == Some("true");
+    if is_set(header::LEAVING) {
+        node.write_directory().note_leaving(&call.instance.name, clock::now());
+    }
+    if is_set(header::NOT_STARTED) {
+        if is_set(header::LEAVING) {
+            return refused(RefusalReason::InstanceLeaving);
+        }
+        gate.on_refused();
+        return refused(RefusalReason::BackEndRefused);
+    }
+    gate.on_answer(&call.kind.name, service);
+    let (mut parts, body) = response.into_parts();
+    for name in [header::OUTCOME, header::REASON, header::RETRY_AFTER_MS] {
+        parts.headers.remove(name);
+    }
+    let longest = Duration::from_millis(u64::from(call.bundle.bundle().limits.max_deadline_ms));
+    let body = GuardedBody::new(crate::body::incoming(body), exchange, call.deadline + longest);
+    GateResult::Answered(Response::from_parts(parts, http_body_util::BodyExt::boxed_unsync(body)))
+}
--- /dev/null
+++ b/crates/node/src/gate/slots.rs
@@ -0,0 +1,237 @@
+//! The queue of an instance with the futures that wait in it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use olivegate_overload::{
+    AdaptiveLimit, Admission, ClassKey, Demand, GateLevels, InstanceQueue, Settings, TicketId,
+};
+use olivegate_types::{KindName, Moment, Refusal, RefusalReason};
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::gate::connections::ConnectionPool;
+use crate::state::lock;
+
+/// Weight of a new observation of a kind's service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+
+type Grant = Result<(), RefusalReason>;
+
+struct QueueState {
+    queue: InstanceQueue,
+    waiters: HashMap<TicketId, oneshot::Sender<Grant>>,
+    levels: GateLevels,
+    service_times: HashMap<KindName, Duration>,
+    max_wait: Duration,
+}
+
+/// Queue, limit and connections of one instance.
+pub struct InstanceGate {
+    address: SocketAddr,
+    state: Mutex<QueueState>,
+    connections: ConnectionPool,
+}
+
+/// A slot of the instance; dropped when the call has left it.
+pub struct Slot {
+    gate: Arc<InstanceGate>,
+    ticket: TicketId,
+}
+
+/// A ticket that waits or holds a slot; released when dropped.
+struct Ticket {
+    gate: Arc<InstanceGate>,
+    ticket: Option<TicketId>,
+}
+
+/// What a gate shows of itself.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GateStatus {
+    /// Calls that hold a slot.
+    pub in_flight: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// Calls that may hold a slot.
+    pub limit: u32,
+}
+
+impl InstanceGate {
+    /// The gate of the instance at `address` with `slots`.
+    pub fn new(address: SocketAddr, settings: Settings, slots: u32) -> Self {
+        let state = QueueState {
+            queue: InstanceQueue::new(settings, AdaptiveLimit::new(slots, false)),
+            waiters: HashMap::new(),
+            levels: GateLevels::default(),
+            service_times: HashMap::new(),
+            max_wait: settings.max_wait,
+        };
+        InstanceGate { address, state: Mutex::new(state), connections: ConnectionPool::new(address) }
+    }
+
+    /// Address of the instance.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections to the instance.
+    pub fn connections(&self) -> &ConnectionPool {
+        &self.connections
+    }
+
+    /// Follows a new bundle.
+    pub fn configure(&self, settings: Settings, slots: u32) {
+        let mut state = lock(&self.state);
+        state.max_wait = settings.max_wait;
+        state.queue.configure(settings, slots);
+    }
+
+    /// Counts for status.
+    pub fn status(&self) -> GateStatus {
+        let state = lock(&self.state);
+        GateStatus {
+            in_flight: state.queue.in_flight(),
+            waiting: state.queue.waiting(),
+            limit: state.queue.current_limit(),
+        }
+    }
+
+    /// Calls in flight and waiting, over the limit.
+    pub fn occupancy(&self) -> f64 {
+        lock(&self.state).queue.occupancy()
+    }
+
+    /// Admission level of a class at this instance.
+    pub fn level(&self, class: &ClassKey) -> f64 {
+        lock(&self.state).levels.level(class)
+    }
+
+    /// Observed service time of a kind; `default` before the first observation.
+    pub fn expected(&self, kind: &KindName, default: Duration) -> Duration {
+        lock(&self.state).service_times.get(kind).copied().unwrap_or(default)
+    }
+
+    /// Notes that the instance answered a call of `kind` after `service`.
+    pub fn on_answer(&self, kind: &KindName, service: Duration) {
+        let mut state = lock(&self.state);
+        let in_flight = state.queue.in_flight();
+        state.queue.limit_mut().on_success(in_flight);
+        let mean = state.service_times.entry(kind.clone()).or_insert(service);
+        *mean = mean.mul_f64(1.0 - SERVICE_TIME_WEIGHT) + service.mul_f64(SERVICE_TIME_WEIGHT);
+    }
+
+    /// Notes that the instance refused before starting.
+    pub fn on_refused(&self) {
+        lock(&self.state).queue.limit_mut().on_refused(clock::now());
+    }
+
+    /// Notes a broken connection.
+    pub fn on_failure(&self) {
+        lock(&self.state).queue.limit_mut().on_failure(clock::now());
+    }
+
+    /// Waits for a slot, or is refused.
+    pub async fn acquire(self: &Arc<Self>, demand: Demand, class: &ClassKey) -> Result<Slot, Refusal> {
+        let now = clock::now();
+        let (ticket, waiting) = match self.arrive(demand.clone(), class, now) {
+            Ok(arrived) => arrived,
+            Err(refusal) => return Err(refusal),
+        };
+        let mut guard = Ticket { gate: self.clone(), ticket: Some(ticket) };
+        if let Some(waiting) = waiting {
+            self.wait(waiting, &demand, class, now).await?;
+        }
+        guard.ticket = None;
+        Ok(Slot { gate: self.clone(), ticket })
+    }
+
+    fn arrive(
+        &self,
+        demand: Demand,
+        class: &ClassKey,
+        now: Moment,
+    ) -> Result<(TicketId, Option<oneshot::Receiver<Grant>>), Refusal> {
+        let mut state = lock(&self.state);
+        match state.queue.arrive(demand, now) {
+            Admission::Dispatch(ticket) => {
+                state.levels.note(class, true, now);
+                Ok((ticket, None))
+            }
+            Admission::Wait { ticket, displaced } => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiters.insert(ticket, sender);
+                if let Some(displaced) = displaced.and_then(|ticket| state.waiters.remove(&ticket)) {
+                    let _ = displaced.send(Err(RefusalReason::Displaced));
+                }
+                Ok((ticket, Some(receiver)))
+            }
+            Admission::Refuse(refusal) => {
+                state.levels.note(class, false, now);
+                Err(refusal)
+            }
+        }
+    }
+
+    async fn wait(
+        &self,
+        waiting: oneshot::Receiver<Grant>,
+        demand: &Demand,
+        class: &ClassKey,
+        arrived: Moment,
+    ) -> Result<(), Refusal> {
+        let until = self.wait_until(demand, arrived);
+        let granted = tokio::time::timeout_at(clock::instant_of(until), waiting).await;
+        let reason = match granted {
+            Ok(Ok(Ok(()))) => None,
+            Ok(Ok(Err(reason))) => Some(reason),
+            Ok(Err(_)) | Err(_) => Some(RefusalReason::QueueTimeout),
+        };
+        let mut state = lock(&self.state);
+        state.levels.note(class, reason.is_none(), clock::now());
+        match reason {
+            None => Ok(()),
+            Some(reason) => Err(state.queue.refusal(reason, demand)),
+        }
+    }
+
+    /// Point at which a waiting call gives up: it could no longer be answered in time,
+    /// or, below the protected importance, its wait is twice what the objective allows.
+    fn wait_until(&self, demand: &Demand, arrived: Moment) -> Moment {
+        let by_deadline = demand.deadline.saturating_sub(demand.expected);
+        if demand.importance.is_protected() {
+            return by_deadline;
+        }
+        by_deadline.min(arrived + lock(&self.state).max_wait * 2)
+    }
+
+    /// Gives up a ticket, whether it waits or holds a slot, and wakes the next.
+    fn release(&self, ticket: TicketId) {
+        let now = clock::now();
+        let mut state = lock(&self.state);
+        state.waiters.remove(&ticket);
+        if !state.queue.cancel(ticket) {
+            state.queue.finish(ticket, now);
+        }
+        while let Some(next) = state.queue.next(now) {
+            if let Some(waiter) = state.waiters.remove(&next) {
+                let _ = waiter.send(Ok(()));
+            }
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.gate.release(ticket);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.gate.release(self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/node/src/ports/caller.rs
@@ -0,0 +1,60 @@
+//! Plain HTTP/1.1 from callers and back ends.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::edge;
+use crate::ports::accept;
+use crate::state::Node;
+
+/// Time for a caller to send its request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest request head, in bytes.
+const MAX_HEAD: usize = 16 << 10;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 64;
+
+/// Serves the port until the node stops.
+pub async fn serve(node: Node, listener: TcpListener) {
+    let stop = node.stop.clone();
+    accept(listener, stop, |stream| connection(node.clone(), stream)).await;
+}
+
+async fn connection(node: Node, stream: TcpStream) {
+    let stop = node.stop.clone();
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move {
+            let in_flight = node.stop.enter();
+            let mut response = edge::handle(&node, request).await;
+            if node.stop.is_stopping() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            drop(in_flight);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = stop.stopped() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_ended error={error}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/ports/control.rs
@@ -0,0 +1,86 @@
+//! Control calls from other nodes.
+
+use futures::StreamExt;
+use olivegate_bundle::Stamp;
+use olivegate_claims::answers::KeptAnswer;
+use olivegate_claims::{Claim, ClaimKey, Claimant, Incarnation, RecoveryReply, SeatIndex, Vote};
+use olivegate_control::Control;
+use olivegate_control::transport::server_transport;
+use olivegate_membership::MemberRecord;
+use olivegate_types::RequestId;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::clock;
+use crate::ports::accept;
+use crate::state::{Node, lock};
+
+/// Calls of one connection that run at a time.
+const CONCURRENT_CALLS: usize = 256;
+
+#[derive(Clone)]
+struct Server {
+    node: Node,
+}
+
+/// Serves the port until the node has stopped.
+pub async fn serve(node: Node, listener: TcpListener) {
+    let never = crate::stop::StopSignal::default();
+    accept(listener, never, |stream| connection(node.clone(), stream)).await;
+}
+
+async fn connection(node: Node, stream: TcpStream) {
+    let transport = server_transport(stream, node.settings.key.clone());
+    let server = Server { node };
+    let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+    calls.for_each_concurrent(CONCURRENT_CALLS, |call| call).await;
+}
+
+impl Control for Server {
+    async fn members(self, _: Context) -> Vec<MemberRecord> {
+        lock(&self.node.membership).snapshot()
+    }
+
+    async fn take_retry_credit(self, _: Context, request: RequestId) -> bool {
+        lock(&self.node.ledger).take(request)
+    }
+
+    async fn claim(self, _: Context, seat: SeatIndex, claim: Claim) -> Option<Vote> {
+        if !self.node.is_view_fresh() {
+            return None;
+        }
+        lock(&self.node.seats).on_claim(seat, &claim, clock::now())
+    }
+
+    async fn abandon(self, _: Context, seat: SeatIndex, key: ClaimKey, claimant: Claimant) {
+        lock(&self.node.seats).on_abandon(seat, key, &claimant);
+    }
+
+    async fn recover(
+        self,
+        _: Context,
+        seat: SeatIndex,
+        recovering: SeatIndex,
+        incarnation: Incarnation,
+    ) -> RecoveryReply {
+        lock(&self.node.seats).on_recover(seat, recovering, &incarnation, clock::now())
+    }
+
+    async fn kept_answer(self, _: Context, key: ClaimKey) -> Option<KeptAnswer> {
+        lock(&self.node.answers).get(&key, clock::now())
+    }
+
+    async fn bundle_stamp(self, _: Context) -> Stamp {
+        lock(&self.node.bundles).stamp()
+    }
+
+    async fn bundle(self, _: Context) -> Option<Vec<u8>> {
+        let current = lock(&self.node.bundles).current();
+        current.map(|signed| signed.to_bytes())
+    }
+
+    async fn explain(self, _: Context, request: RequestId) -> Vec<String> {
+        lock(&self.node.explain).lines(request, self.node.name())
+    }
+}
--- /dev/null
+++ b/crates/node/src/ports/data.rs
@@ -0,0 +1,127 @@
+//! HTTP/2 from other nodes' edges to this node's gates.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use olivegate_types::{InstanceName, KindName, Refusal, RefusalReason, RequestContext, header};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::body::{self, AnyBody};
+use crate::clock;
+use crate::edge::forward::write_reply;
+use crate::gate::dispatch::GateResult;
+use crate::gate::{GateCall, GateReply, dispatch};
+use crate::ports::accept;
+use crate::reply::{FinalAnswer, header_text, header_value};
+use crate::state::Node;
+
+/// Flow-control window of one body, in bytes.
+const STREAM_WINDOW: u32 = 1 << 20;
+/// Flow-control window of a connection, in bytes.
+const CONNECTION_WINDOW: u32 = 8 << 20;
+/// Most calls of one connection at a time.
+const MAX_STREAMS: u32 = 10_000;
+/// Time to come back when an instance is not known here.
+const UNKNOWN_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Serves the port until the node stops.
+pub async fn serve(node: Node, listener: TcpListener) {
+    let stop = node.stop.clone();
+    accept(listener, stop, |stream| connection(node.clone(), stream)).await;
+}
+
+async fn connection(node: Node, stream: TcpStream) {
+    let stop = node.stop.clone();
+    let service = service_fn(move |request| {
+        let node = node.clone();
+        async move {
+            let in_flight = node.stop.enter();
+            let response = handle(&node, request).await;
+            let guarded = response.map(|inner| guard(inner, in_flight));
+            Ok::<_, Infallible>(guarded)
+        }
+    });
+    let serving = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        () = stop.stopped() => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=data_connection_ended error={error}");
+    }
+}
+
+/// Longest time for an answer's body, after which it is broken off.
+const LONGEST_BODY: Duration = Duration::from_secs(120);
+
+fn guard(inner: AnyBody, in_flight: crate::stop::InFlight) -> AnyBody {
+    let guarded = body::GuardedBody::new(inner, in_flight, clock::now() + LONGEST_BODY);
+    http_body_util::BodyExt::boxed_unsync(guarded)
+}
+
+async fn handle(node: &Node, request: Request<Incoming>) -> Response<AnyBody> {
+    match read_call(node, request) {
+        Ok(call) => write_reply(dispatch(node, call).await),
+        Err(ReadError::Bad(reason)) => {
+            FinalAnswer::bad_request(StatusCode::BAD_REQUEST, reason).into_response(None)
+        }
+        Err(ReadError::Refused(reason)) => {
+            let refusal = Refusal::new(reason, UNKNOWN_INSTANCE_RETRY_AFTER);
+            let result = GateResult::Refused(refusal);
+            write_reply(GateReply { result, level: 1.0, occupancy: 0.0, outside: Duration::ZERO })
+        }
+    }
+}
+
+enum ReadError {
+    Bad(&'static str),
+    Refused(RefusalReason),
+}
+
+fn read_call(node: &Node, request: Request<Incoming>) -> Result<GateCall, ReadError> {
+    let arrived = clock::now();
+    let (mut parts, incoming) = request.into_parts();
+    let headers = &parts.headers;
+    let context = header_text(headers, header::CONTEXT).ok_or(ReadError::Bad("context is missing"))?;
+    let context = RequestContext::from_header(context, &node.settings.key);
+    let context = context.map_err(|_| ReadError::Bad("context was not made by this deployment"))?;
+    let instance = header_text(headers, header::INSTANCE).ok_or(ReadError::Bad("instance is missing"))?;
+    let instance = InstanceName::new(instance);
+    let kind = header_text(headers, header::KIND).ok_or(ReadError::Bad("kind is missing"))?;
+    let kind = KindName::new(kind);
+    let remaining: u64 = header_value(headers, header::REMAINING_US).ok_or(ReadError::Bad("time is missing"))?;
+    let attempt = header_value(headers, header::ATTEMPT).unwrap_or(0);
+    let bundle = node.bundle_of(context.bundle_version).ok_or(ReadError::Refused(RefusalReason::NodeNotReady))?;
+    let unknown = ReadError::Refused(RefusalReason::GateUnreachable);
+    let kind = bundle.bundle().kind(&kind).cloned().ok_or(unknown)?;
+    let instance = node.instance(&instance).ok_or(ReadError::Refused(RefusalReason::GateUnreachable))?;
+    for name in [header::INSTANCE, header::KIND, header::REMAINING_US] {
+        parts.headers.remove(name);
+    }
+    Ok(GateCall {
+        context,
+        bundle,
+        kind,
+        instance,
+        attempt,
+        deadline: arrived + Duration::from_micros(remaining),
+        method: parts.method,
+        uri: parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default(),
+        headers: parts.headers,
+        body: body::incoming(incoming),
+    })
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,235 @@
+//! The settings file of a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use olivegate_bundle::SignOff;
+use olivegate_checked::{Mistakes, Reader, Table, Value};
+use olivegate_types::{DeploymentKey, NodeName, ZoneName};
+
+/// Flags of the command line that go before the file.
+#[derive(Debug, Clone, Default)]
+pub struct Overrides {
+    /// `node`.
+    pub node: Option<String>,
+    /// `zone`.
+    pub zone: Option<String>,
+    /// `listen.caller`.
+    pub caller: Option<String>,
+    /// `listen.data`.
+    pub data: Option<String>,
+    /// `listen.control`.
+    pub control: Option<String>,
+    /// `listen.admin`.
+    pub admin: Option<String>,
+    /// `claims.new_deployment = true`.
+    pub new_deployment: bool,
+}
+
+/// Addresses that the node binds.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenAddresses {
+    /// Calls from callers and back ends.
+    pub caller: SocketAddr,
+    /// Calls from other nodes.
+    pub data: SocketAddr,
+    /// Control messages, TCP and UDP.
+    pub control: SocketAddr,
+    /// Status, metrics, explanations.
+    pub admin: SocketAddr,
+}
+
+/// The platform's read-only services.
+#[derive(Debug, Clone, Copy)]
+pub struct PlatformAddresses {
+    /// Configuration service.
+    pub configuration: SocketAddr,
+    /// List of live and leaving machines.
+    pub members: SocketAddr,
+    /// Time between two reads.
+    pub poll: Duration,
+}
+
+/// A peer address that is reached under another one from here.
+#[derive(Debug, Clone, Copy)]
+pub struct ReachableAs {
+    /// The address that the peer announces.
+    pub announced: SocketAddr,
+    /// The address to dial.
+    pub dial: SocketAddr,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Name of this node.
+    pub node: NodeName,
+    /// Zone of this node.
+    pub zone: ZoneName,
+    /// The deployment's shared key.
+    pub key: DeploymentKey,
+    /// Addresses to bind.
+    pub listen: ListenAddresses,
+    /// Who signs off bundles.
+    pub sign_off: SignOff,
+    /// Platform services.
+    pub platform: PlatformAddresses,
+    /// Control addresses of some other nodes.
+    pub seeds: Vec<SocketAddr>,
+    /// Number of seats of the claim group.
+    pub seats: usize,
+    /// True for the first start of a new deployment: no request was ever served before.
+    pub new_deployment: bool,
+    /// Worker threads; 1 runs everything on one thread.
+    pub worker_threads: usize,
+    /// Longest time that a stop waits for calls in flight.
+    pub stop_timeout: Duration,
+    /// Address translations.
+    pub reachable_as: Vec<ReachableAs>,
+}
+
+/// Shortest accepted secret, in characters.
+const SHORTEST_SECRET: usize = 16;
+
+impl NodeSettings {
+    /// Reads and checks settings text; `overrides` go before the file.
+    pub fn from_toml(text: &str, overrides: &Overrides) -> Result<Self, Mistakes> {
+        let mut table = parse(text)?;
+        apply_overrides(&mut table, overrides);
+        let mut reader = Reader::from_table(table);
+        let settings = read(&mut reader);
+        reader.finish()?;
+        settings.ok_or_else(|| Mistakes(Vec::new()))
+    }
+
+    /// The address to dial for an announced one.
+    pub fn dial(&self, announced: SocketAddr) -> SocketAddr {
+        let translation = self.reachable_as.iter().find(|reach| reach.announced == announced);
+        translation.map_or(announced, |reach| reach.dial)
+    }
+}
+
+fn parse(text: &str) -> Result<Table, Mistakes> {
+    Reader::parse(text)?;
+    Ok(text.parse().unwrap_or_default())
+}
+
+fn apply_overrides(table: &mut Table, overrides: &Overrides) {
+    let texts = [
+        ("", "node", &overrides.node),
+        ("", "zone", &overrides.zone),
+        ("listen", "caller", &overrides.caller),
+        ("listen", "data", &overrides.data),
+        ("listen", "control", &overrides.control),
+        ("listen", "admin", &overrides.admin),
+    ];
+    for (section, field, text) in texts {
+        if let Some(text) = text {
+            set(table, section, field, Value::String(text.clone()));
+        }
+    }
+    if overrides.new_deployment {
+        set(table, "claims", "new_deployment", Value::Boolean(true));
+    }
+}
+
+fn set(table: &mut Table, section: &str, field: &str, value: Value) {
+    if section.is_empty() {
+        table.insert(field.to_string(), value);
+        return;
+    }
+    let entry = table.entry(section.to_string()).or_insert_with(|| Value::Table(Table::new()));
+    if let Value::Table(section) = entry {
+        section.insert(field.to_string(), value);
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<NodeSettings> {
+    let deployment = reader.name("deployment");
+    let node = NodeName::new(reader.name("node"));
+    let zone = ZoneName::new(reader.name("zone"));
+    let secret = reader.text("secret");
+    if !secret.is_empty() && secret.len() < SHORTEST_SECRET {
+        reader.mistake("secret", format!("a secret has at least {SHORTEST_SECRET} characters"));
+    }
+    let listen = reader.section("listen", read_listen);
+    let sign_off = reader.section("sign_off", read_sign_off);
+    let platform = reader.section("platform", read_platform);
+    let seeds = reader.section("membership", read_seeds);
+    let (seats, new_deployment) = reader.section("claims", read_claims);
+    let (worker_threads, stop_timeout) = reader.section("runtime", |runtime| {
+        let threads = runtime.integer_or("worker_threads", 1, 1..=256) as usize;
+        (threads, runtime.millis_or("stop_timeout_ms", 10_000, 100..=120_000))
+    });
+    let reachable_as = reader.sections("reachable_as", read_reach).into_iter().flatten().collect();
+    Some(NodeSettings {
+        deployment,
+        node,
+        zone,
+        key: DeploymentKey::from_secret(&secret),
+        listen: listen?,
+        sign_off,
+        platform: platform?,
+        seeds,
+        seats,
+        new_deployment,
+        worker_threads,
+        stop_timeout,
+        reachable_as,
+    })
+}
+
+const ADDRESS: &str = "an address such as 127.0.0.1:8080";
+
+fn read_listen(reader: &mut Reader) -> Option<ListenAddresses> {
+    let caller = reader.parsed("caller", ADDRESS);
+    let data = reader.parsed("data", ADDRESS);
+    let control = reader.parsed("control", ADDRESS);
+    let admin = reader.parsed("admin", ADDRESS);
+    Some(ListenAddresses { caller: caller?, data: data?, control: control?, admin: admin? })
+}
+
+fn read_platform(reader: &mut Reader) -> Option<PlatformAddresses> {
+    let configuration = reader.parsed("configuration", ADDRESS);
+    let members = reader.parsed("members", ADDRESS);
+    let poll = reader.millis_or("poll_ms", 500, 50..=60_000);
+    Some(PlatformAddresses { configuration: configuration?, members: members?, poll })
+}
+
+fn read_sign_off(reader: &mut Reader) -> SignOff {
+    let texts = reader.texts("keys");
+    let required = reader.integer("required", 1..=32) as usize;
+    let keys: Vec<[u8; 32]> =
+        texts.iter().filter_map(|text| hex::decode(text).ok().and_then(|bytes| bytes.try_into().ok())).collect();
+    if keys.len() != texts.len() {
+        reader.mistake("keys", "a public key is 64 hexadecimal digits");
+    } else if keys.len() < required {
+        reader.mistake("required", "more signatures are required than there are keys");
+    }
+    SignOff { keys, required }
+}
+
+fn read_seeds(reader: &mut Reader) -> Vec<SocketAddr> {
+    let texts = reader.texts("seeds");
+    let seeds: Vec<SocketAddr> = texts.iter().filter_map(|text| text.parse().ok()).collect();
+    if seeds.len() != texts.len() {
+        reader.mistake("seeds", format!("expected {ADDRESS} in each place"));
+    }
+    seeds
+}
+
+fn read_claims(reader: &mut Reader) -> (usize, bool) {
+    let seats = reader.integer_or("seats", 3, 3..=9) as usize;
+    if seats.is_multiple_of(2) {
+        reader.mistake("seats", "the number of seats is odd");
+    }
+    (seats, reader.boolean_or("new_deployment", false))
+}
+
+fn read_reach(reader: &mut Reader) -> Option<ReachableAs> {
+    let announced = reader.parsed("announced", ADDRESS);
+    let dial = reader.parsed("dial", ADDRESS);
+    Some(ReachableAs { announced: announced?, dial: dial? })
+}
--- /dev/null
+++ b/crates/olivegate/src/lib.rs
@@ -0,0 +1,62 @@
+//! The `olivegate` command as a library, so that the bench can run a node from its own program.
+//!
+//! - [`command`]: which command was asked for; usage errors.
+//! - [`node_command`]: `node` and `settings check`.
+//! - [`bundle_command`]: `bundle check`, `sign`, `diff` and `key`.
+//! - [`operator_command`]: `status` and `explain`.
+
+pub mod bundle_command;
+pub mod command;
+pub mod error;
+pub mod node_command;
+pub mod operator_command;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use crate::command::Command;
+pub use crate::error::CommandError;
+
+/// Exit code of a command that failed.
+const FAILED: u8 = 1;
+/// Exit code of a command line that can't be understood.
+const USAGE: u8 = 2;
+
+/// Runs the command with these arguments, the program's name left out.
+pub fn run(arguments: Vec<OsString>) -> ExitCode {
+    let command = match Command::parse(arguments) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("olivegate: {error}\nTry 'olivegate --help'.");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match execute(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("olivegate: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Help(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        Command::Version => {
+            println!("olivegate {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Node { settings, overrides, log_level } => node_command::run(&settings, &overrides, log_level),
+        Command::SettingsCheck { file } => node_command::check(&file),
+        Command::BundleCheck { file } => bundle_command::check(&file),
+        Command::BundleSign { file, key, out } => bundle_command::sign(&file, &key, &out),
+        Command::BundleDiff { old, new } => bundle_command::diff(&old, &new),
+        Command::BundleKey { key } => bundle_command::public_key(&key),
+        Command::Status { admin } => operator_command::status(admin),
+        Command::Explain { request, admin } => operator_command::explain(&request, admin),
+    }
+}
--- /dev/null
+++ b/crates/overload/src/admission/level_table.rs
@@ -0,0 +1,86 @@
+//! Levels learnt from replies.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use olivegate_types::{Moment, ServiceName, SheddingRank};
+
+use super::ClassKey;
+
+/// A level that is not confirmed rises by this much per second.
+const RECOVERY_PER_SECOND: f64 = 0.5;
+/// Time without a reply after which a level starts to rise.
+const HOLD: Duration = Duration::from_millis(100);
+/// Weight of a new report against the level held.
+const REPORT_WEIGHT: f64 = 0.3;
+/// Levels from here on count as "everything is admitted".
+const FULL_LEVEL: f64 = 0.995;
+
+#[derive(Debug, Clone)]
+struct Learnt {
+    service: ServiceName,
+    hop: u8,
+    level: f64,
+    at: Moment,
+}
+
+impl Learnt {
+    fn level_at(&self, now: Moment) -> f64 {
+        let unconfirmed = now.since(self.at).saturating_sub(HOLD);
+        (self.level + RECOVERY_PER_SECOND * unconfirmed.as_secs_f64()).min(1.0)
+    }
+}
+
+/// Levels by class, reporting service and hop of the call; the smallest one binds.
+///
+/// The hop keeps reports from circling: a gate passes on only what it learnt from
+/// calls deeper than the one it answers.
+#[derive(Debug, Default)]
+pub struct LevelTable {
+    levels: HashMap<ClassKey, Vec<Learnt>>,
+}
+
+impl LevelTable {
+    /// Notes the level that came with the reply of `service` to a call at `hop`; reports
+    /// of the service's gates are averaged.
+    pub fn on_report(&mut self, class: &ClassKey, service: &ServiceName, hop: u8, level: f64, now: Moment) {
+        let level = level.clamp(0.0, 1.0);
+        let Some(learnt) = self.levels.get_mut(class) else {
+            if level < FULL_LEVEL {
+                self.levels.insert(class.clone(), vec![Learnt { service: service.clone(), hop, level, at: now }]);
+            }
+            return;
+        };
+        match learnt.iter_mut().find(|learnt| learnt.hop == hop && learnt.service == *service) {
+            Some(entry) => {
+                let held = entry.level_at(now);
+                entry.level = held + REPORT_WEIGHT * (level - held);
+                entry.at = now;
+            }
+            None => learnt.push(Learnt { service: service.clone(), hop, level, at: now }),
+        }
+        learnt.retain(|entry| entry.level < FULL_LEVEL);
+        if learnt.is_empty() {
+            self.levels.remove(class);
+        }
+    }
+
+    /// The level in force for a class at calls from `hop` on; levels rise while no
+    /// report confirms them.
+    pub fn level(&self, class: &ClassKey, hop: u8, now: Moment) -> f64 {
+        let learnt = self.levels.get(class).map(Vec::as_slice).unwrap_or_default();
+        learnt.iter().filter(|entry| entry.hop >= hop).map(|entry| entry.level_at(now)).fold(1.0, f64::min)
+    }
+
+    /// True when a root request of this rank may pass.
+    pub fn admits(&self, class: &ClassKey, rank: SheddingRank, now: Moment) -> bool {
+        rank.fraction() < self.level(class, 0, now)
+    }
+
+    /// Levels below 1, for status.
+    pub fn entries(&self, now: Moment) -> Vec<(ClassKey, f64)> {
+        let mut entries: Vec<_> = self.levels.keys().map(|key| (key.clone(), self.level(key, 0, now))).collect();
+        entries.sort_by(|left, right| left.0.cmp(&right.0));
+        entries
+    }
+}
--- /dev/null
+++ b/crates/overload/src/lib.rs
@@ -0,0 +1,16 @@
+//! Overload control cores. None of them reads a clock or performs I/O.
+//!
+//! - [`queue`]: the exact priority queue of one back-end instance, with weighted
+//!   sharing between groups and refusal by predicted wait.
+//! - [`limit`]: the adaptive concurrency limit of one instance.
+//! - [`admission`]: admission levels, measured at gates and applied at the root.
+//! - [`retry_after`]: when a refused caller should come back.
+
+pub mod admission;
+pub mod limit;
+pub mod queue;
+pub mod retry_after;
+
+pub use admission::{ClassKey, GateLevels, LevelTable};
+pub use limit::AdaptiveLimit;
+pub use queue::{Admission, Demand, InstanceQueue, Settings, TicketId};
--- /dev/null
+++ b/crates/overload/src/limit/mod.rs
@@ -0,0 +1,76 @@
+//! Adaptive concurrency limit of one instance.
+//!
+//! The limit lies between one and the slots that the bundle gives. It falls when
+//! the instance itself refuses, times out or breaks off, and rises by about one per
+//! limit's worth of successes while it is in use. A cold instance starts at a
+//! quarter of its slots. Latency alone doesn't lower it: with a fixed number of
+//! slots a slow instance loses goodput when fewer of them are used (docs/DESIGN.md).
+
+use std::time::Duration;
+
+use olivegate_types::Moment;
+
+/// Factor on a refusal by the instance.
+const REFUSAL_FACTOR: f64 = 0.85;
+/// Factor on a time-out or a broken connection.
+const FAILURE_FACTOR: f64 = 0.7;
+/// Decreases closer together than this count once.
+const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the slots given to a cold instance.
+const COLD_FRACTION: f64 = 0.25;
+/// Part of the limit that must be in use for a success to raise it.
+const IN_USE_FRACTION: f64 = 0.7;
+
+/// A limit that follows the instance's own refusals.
+#[derive(Debug, Clone)]
+pub struct AdaptiveLimit {
+    slots: f64,
+    current: f64,
+    last_decrease: Option<Moment>,
+}
+
+impl AdaptiveLimit {
+    /// A limit of `slots`, ramped from a quarter when `cold`.
+    pub fn new(slots: u32, cold: bool) -> Self {
+        let slots = f64::from(slots.max(1));
+        let current = if cold { (slots * COLD_FRACTION).max(1.0) } else { slots };
+        AdaptiveLimit { slots, current, last_decrease: None }
+    }
+
+    /// Calls that may be in flight now.
+    pub fn current(&self) -> u32 {
+        self.current as u32
+    }
+
+    /// Follows a change of the bundle's slots.
+    pub fn set_slots(&mut self, slots: u32) {
+        let at_top = self.current >= self.slots;
+        self.slots = f64::from(slots.max(1));
+        self.current = if at_top { self.slots } else { self.current.min(self.slots) };
+    }
+
+    /// Notes a success while `in_flight` calls were in flight.
+    pub fn on_success(&mut self, in_flight: u32) {
+        if f64::from(in_flight) >= self.current * IN_USE_FRACTION {
+            self.current = (self.current + 1.0 / self.current).min(self.slots);
+        }
+    }
+
+    /// Notes that the instance refused for lack of capacity.
+    pub fn on_refused(&mut self, now: Moment) {
+        self.decrease(REFUSAL_FACTOR, now);
+    }
+
+    /// Notes a time-out or a broken connection.
+    pub fn on_failure(&mut self, now: Moment) {
+        self.decrease(FAILURE_FACTOR, now);
+    }
+
+    fn decrease(&mut self, factor: f64, now: Moment) {
+        if self.last_decrease.is_some_and(|at| now.since(at) < DECREASE_INTERVAL) {
+            return;
+        }
+        self.last_decrease = Some(now);
+        self.current = (self.current * factor).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/overload/src/queue/mod.rs
@@ -0,0 +1,307 @@
+//! The queue in front of one back-end instance.
+//!
+//! Order of service: larger importance first; within it, work of already admitted
+//! roots (deeper hops) before new roots; then the group that has used the least
+//! capacity for its weight; then first come, first served. Capacity is counted in
+//! slot-seconds: an estimate at dispatch, corrected on completion.
+//!
+//! A demand is refused at once when its predicted wait is longer than the
+//! objective or the deadline allows. Use one queue per instance, held by its gate.
+
+mod share;
+
+use std::time::Duration;
+
+use olivegate_types::{GroupName, Importance, Moment, Refusal, RefusalReason, SheddingRank};
+
+use crate::limit::AdaptiveLimit;
+use crate::retry_after::retry_after;
+use share::Shares;
+
+/// Identifies a demand in one queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TicketId(pub u64);
+
+/// A call that asks for a slot.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// Importance of the root request.
+    pub importance: Importance,
+    /// Group of the caller.
+    pub group: GroupName,
+    /// Weight of the group.
+    pub weight: u32,
+    /// Hop of the call; deeper hops go first.
+    pub hop: u8,
+    /// Shedding rank of the root request.
+    pub rank: SheddingRank,
+    /// Point at which the answer is worthless.
+    pub deadline: Moment,
+    /// Expected time in the slot.
+    pub expected: Duration,
+}
+
+/// Settings of a queue, from the bundle.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Longest predicted wait below the protected importance.
+    pub max_wait: Duration,
+    /// Most demands waiting, as a multiple of the slots.
+    pub waiting_per_slot: u32,
+}
+
+/// Answer to an arriving demand.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Admission {
+    /// It holds a slot now.
+    Dispatch(TicketId),
+    /// It waits; [`InstanceQueue::next`] will name it. `displaced` lost its place to it.
+    Wait {
+        /// The ticket that waits.
+        ticket: TicketId,
+        /// A ticket of a lower class that was refused to make room.
+        displaced: Option<TicketId>,
+    },
+    /// It is refused and was not run.
+    Refuse(Refusal),
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    ticket: TicketId,
+    demand: Demand,
+    since: Moment,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    ticket: TicketId,
+    group: GroupName,
+    weight: u32,
+    charged: Duration,
+    started: Moment,
+}
+
+/// Slots, waiting demands and group shares of one instance.
+#[derive(Debug)]
+pub struct InstanceQueue {
+    settings: Settings,
+    limit: AdaptiveLimit,
+    waiting: Vec<Waiting>,
+    running: Vec<Running>,
+    shares: Shares,
+    next_ticket: u64,
+    mean_service: Duration,
+}
+
+impl Waiting {
+    /// Sort key of the class: a larger one is served first.
+    fn class(&self) -> (Importance, bool) {
+        class_of(&self.demand)
+    }
+}
+
+fn class_of(demand: &Demand) -> (Importance, bool) {
+    (demand.importance, demand.hop > 0)
+}
+
+impl InstanceQueue {
+    /// An empty queue.
+    pub fn new(settings: Settings, limit: AdaptiveLimit) -> Self {
+        InstanceQueue {
+            settings,
+            limit,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            shares: Shares::default(),
+            next_ticket: 0,
+            mean_service: Duration::ZERO,
+        }
+    }
+
+    /// Follows a new bundle.
+    pub fn configure(&mut self, settings: Settings, slots: u32) {
+        self.settings = settings;
+        self.limit.set_slots(slots);
+    }
+
+    /// The adaptive limit, to feed it with what the instance did.
+    pub fn limit_mut(&mut self) -> &mut AdaptiveLimit {
+        &mut self.limit
+    }
+
+    /// Calls that hold a slot.
+    pub fn in_flight(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Calls that wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    /// Calls that may hold a slot now.
+    pub fn current_limit(&self) -> u32 {
+        self.limit.current()
+    }
+
+    /// Calls in flight and waiting, over the limit.
+    pub fn occupancy(&self) -> f64 {
+        (self.running.len() + self.waiting.len()) as f64 / f64::from(self.limit.current())
+    }
+
+    /// A demand arrives.
+    pub fn arrive(&mut self, demand: Demand, now: Moment) -> Admission {
+        let ticket = TicketId(self.next_ticket);
+        self.next_ticket += 1;
+        if demand.deadline <= now + demand.expected / 2 {
+            return Admission::Refuse(self.refusal(RefusalReason::DeadlineExceeded, &demand));
+        }
+        self.shares.join(&demand.group, self.is_backlogged(&demand.group));
+        if self.waiting.is_empty() && self.in_flight() < self.limit.current() {
+            self.start(ticket, &demand, now);
+            return Admission::Dispatch(ticket);
+        }
+        if self.predicted_wait(&demand) > self.longest_wait(&demand, now) {
+            return Admission::Refuse(self.refusal(RefusalReason::PredictedWait, &demand));
+        }
+        let displaced = match self.make_room(&demand) {
+            Ok(displaced) => displaced,
+            Err(()) => return Admission::Refuse(self.refusal(RefusalReason::PredictedWait, &demand)),
+        };
+        self.waiting.push(Waiting { ticket, demand, since: now });
+        Admission::Wait { ticket, displaced }
+    }
+
+    /// Longest wait after which the demand may still be served.
+    fn longest_wait(&self, demand: &Demand, now: Moment) -> Duration {
+        let by_deadline = demand.deadline.since(now).saturating_sub(demand.expected);
+        if demand.importance.is_protected() { by_deadline } else { by_deadline.min(self.settings.max_wait) }
+    }
+
+    /// Wait predicted from the work in front of `demand` and the time in which it is served.
+    pub fn predicted_wait(&self, demand: &Demand) -> Duration {
+        let mut ahead = Duration::ZERO;
+        let mut own_group = Duration::ZERO;
+        let mut same_class = Duration::ZERO;
+        let mut weights: Vec<(&GroupName, u32)> = vec![(&demand.group, demand.weight)];
+        for other in &self.waiting {
+            if other.class() > class_of(demand) {
+                ahead += other.demand.expected;
+            } else if other.class() == class_of(demand) {
+                same_class += other.demand.expected;
+                if other.demand.group == demand.group {
+                    own_group += other.demand.expected;
+                } else if !weights.iter().any(|(group, _)| **group == other.demand.group) {
+                    weights.push((&other.demand.group, other.demand.weight));
+                }
+            }
+        }
+        let total_weight: u32 = weights.iter().map(|(_, weight)| weight).sum();
+        let share = f64::from(total_weight) / f64::from(demand.weight.max(1));
+        ahead += own_group.mul_f64(share).min(same_class);
+        let service = if self.mean_service.is_zero() { demand.expected } else { self.mean_service };
+        (ahead + service) / self.limit.current().max(1)
+    }
+
+    /// Finds room in a full queue, at the cost of the last demand of the lowest class.
+    fn make_room(&mut self, demand: &Demand) -> Result<Option<TicketId>, ()> {
+        let most = (self.settings.waiting_per_slot * self.limit.current()).max(1) as usize;
+        if self.waiting.len() < most {
+            return Ok(None);
+        }
+        let victim = self
+            .waiting
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, other)| (other.class(), std::cmp::Reverse(other.demand.rank)));
+        match victim {
+            Some((index, other)) if other.class() < class_of(demand) => {
+                Ok(Some(self.waiting.swap_remove(index).ticket))
+            }
+            _ => Err(()),
+        }
+    }
+
+    /// A refusal whose time to come back follows the depth of the queue.
+    pub fn refusal(&self, reason: RefusalReason, demand: &Demand) -> Refusal {
+        let admitted = 1.0 / self.occupancy().max(1.0);
+        Refusal::new(reason, retry_after(admitted, demand.rank.fraction()))
+    }
+
+    fn is_backlogged(&self, group: &GroupName) -> bool {
+        self.waiting.iter().any(|other| other.demand.group == *group)
+            || self.running.iter().any(|running| running.group == *group)
+    }
+
+    fn start(&mut self, ticket: TicketId, demand: &Demand, now: Moment) {
+        self.shares.charge(&demand.group, demand.expected, demand.weight);
+        self.running.push(Running {
+            ticket,
+            group: demand.group.clone(),
+            weight: demand.weight,
+            charged: demand.expected,
+            started: now,
+        });
+    }
+
+    /// The next waiting demand that gets a free slot; call until `None` after each
+    /// [`InstanceQueue::finish`] and [`InstanceQueue::cancel`].
+    pub fn next(&mut self, now: Moment) -> Option<TicketId> {
+        if self.in_flight() >= self.limit.current() {
+            return None;
+        }
+        let index = self.first_in_order()?;
+        let waiting = self.waiting.swap_remove(index);
+        self.start(waiting.ticket, &waiting.demand, now);
+        Some(waiting.ticket)
+    }
+
+    fn first_in_order(&self) -> Option<usize> {
+        let best_class = self.waiting.iter().map(Waiting::class).max()?;
+        let in_class = self.waiting.iter().enumerate().filter(|(_, other)| other.class() == best_class);
+        let first = in_class.min_by(|(_, left), (_, right)| {
+            let left_used = self.shares.used(&left.demand.group);
+            let right_used = self.shares.used(&right.demand.group);
+            left_used.total_cmp(&right_used).then(left.ticket.cmp(&right.ticket))
+        });
+        first.map(|(index, _)| index)
+    }
+
+    /// A call that held a slot ended; its use is charged to its group.
+    pub fn finish(&mut self, ticket: TicketId, now: Moment) {
+        let Some(index) = self.running.iter().position(|running| running.ticket == ticket) else {
+            return;
+        };
+        let running = self.running.swap_remove(index);
+        let used = now.since(running.started);
+        self.shares.correct(&running.group, running.charged, used, running.weight);
+        self.note_service(used);
+    }
+
+    fn note_service(&mut self, used: Duration) {
+        self.mean_service =
+            if self.mean_service.is_zero() { used } else { self.mean_service.mul_f64(0.95) + used.mul_f64(0.05) };
+    }
+
+    /// A waiting call gave up or ran out of time; true when it was waiting.
+    pub fn cancel(&mut self, ticket: TicketId) -> bool {
+        match self.waiting.iter().position(|other| other.ticket == ticket) {
+            Some(index) => {
+                self.waiting.swap_remove(index);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Time that the longest waiting demand has waited.
+    pub fn longest_waited(&self, now: Moment) -> Duration {
+        self.waiting.iter().map(|other| now.since(other.since)).max().unwrap_or_default()
+    }
+
+    /// Capacity used by `group` for its weight, in slot-seconds per unit of weight.
+    pub fn used_share(&self, group: &GroupName) -> f64 {
+        self.shares.used(group)
+    }
+}
--- /dev/null
+++ b/crates/retry/src/lib.rs
@@ -0,0 +1,13 @@
+//! Retries, bounded for the whole call graph of a root request.
+//!
+//! The allowance of one root request lives in one place: the [`ledger::RetryLedger`]
+//! of the root's edge node. A hop that wants to retry first asks its own
+//! [`budget::RetryBudget`], then takes one credit from the ledger by a control call.
+//! No answer means no retry. Copying an allowance in a header would multiply it
+//! at every fan-out; see docs/DESIGN.md.
+
+pub mod budget;
+pub mod ledger;
+
+pub use budget::RetryBudget;
+pub use ledger::RetryLedger;
--- /dev/null
+++ b/crates/routing/src/balance.rs
@@ -0,0 +1,152 @@
+//! Power of two choices over own observations.
+//!
+//! An instance's cost is its occupancy as last reported by its gate plus the
+//! calls sent since, over its slots. Instances that fail several times in a row
+//! are ejected for a while; never more than half of a service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use olivegate_types::{InstanceName, Moment};
+use rand::{Rng, RngExt};
+
+/// Failures in a row after which an instance is ejected.
+const FAILURES_TO_EJECT: u32 = 5;
+/// First ejection time; it doubles with each further ejection.
+const FIRST_EJECTION: Duration = Duration::from_secs(1);
+/// Most doublings of the ejection time.
+const MOST_DOUBLINGS: u32 = 4;
+/// Cost added to an instance in another zone: it is chosen when it is freer by this much.
+const REMOTE_ZONE_COST: f64 = 0.25;
+/// Cost added to an instance whose gate is another node of this zone.
+const REMOTE_GATE_COST: f64 = 0.05;
+/// A report older than this no longer counts.
+const REPORT_LIFETIME: Duration = Duration::from_millis(500);
+
+/// An instance that may be chosen.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The instance.
+    pub instance: InstanceName,
+    /// True when it is in this node's zone.
+    pub same_zone: bool,
+    /// True when this node is its gate.
+    pub own_gate: bool,
+}
+
+/// What one call showed about an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// It answered.
+    Answered,
+    /// It could not be reached, broke off or timed out.
+    Failed,
+    /// The call says nothing about the instance (cancelled, refused for lack of capacity).
+    Neutral,
+}
+
+#[derive(Debug, Clone, Default)]
+struct State {
+    outstanding: u32,
+    reported_occupancy: f64,
+    reported_at: Option<Moment>,
+    failures_in_a_row: u32,
+    ejections: u32,
+    ejected_until: Option<Moment>,
+}
+
+/// Own observations of all instances that this node calls.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    states: HashMap<InstanceName, State>,
+}
+
+impl Balancer {
+    /// Chooses an instance among `candidates`, none of `avoid` unless nothing else is left.
+    /// `slots` is the number of slots of one instance.
+    pub fn choose(
+        &mut self,
+        candidates: &[Candidate],
+        avoid: &[InstanceName],
+        slots: u32,
+        now: Moment,
+        random: &mut impl Rng,
+    ) -> Option<usize> {
+        let preferred: Vec<usize> =
+            (0..candidates.len()).filter(|&index| !avoid.contains(&candidates[index].instance)).collect();
+        let pool = if preferred.is_empty() { (0..candidates.len()).collect() } else { preferred };
+        let pool = self.without_ejected(candidates, pool, now);
+        let first = *pool.get(random.random_range(0..pool.len().max(1)))?;
+        let second = pool[random.random_range(0..pool.len())];
+        let first_cost = self.cost(&candidates[first], slots, now);
+        let second_cost = self.cost(&candidates[second], slots, now);
+        Some(if second_cost < first_cost { second } else { first })
+    }
+
+    /// Ejected instances stay out only while at least half of the pool remains.
+    fn without_ejected(&self, candidates: &[Candidate], pool: Vec<usize>, now: Moment) -> Vec<usize> {
+        let healthy: Vec<usize> =
+            pool.iter().copied().filter(|&index| !self.is_ejected(&candidates[index].instance, now)).collect();
+        if healthy.len() * 2 >= pool.len() && !healthy.is_empty() { healthy } else { pool }
+    }
+
+    /// True while `instance` is ejected.
+    pub fn is_ejected(&self, instance: &InstanceName, now: Moment) -> bool {
+        let until = self.states.get(instance).and_then(|state| state.ejected_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    fn cost(&self, candidate: &Candidate, slots: u32, now: Moment) -> f64 {
+        let distance = match (candidate.own_gate, candidate.same_zone) {
+            (true, _) => 0.0,
+            (false, true) => REMOTE_GATE_COST,
+            (false, false) => REMOTE_ZONE_COST,
+        };
+        let Some(state) = self.states.get(&candidate.instance) else {
+            return distance;
+        };
+        let fresh = state.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
+        let reported = if fresh { state.reported_occupancy } else { 0.0 };
+        let own = f64::from(state.outstanding) / f64::from(slots.max(1));
+        distance + reported.max(own) + own * 0.5
+    }
+
+    /// Notes that a call was sent to `instance`.
+    pub fn on_send(&mut self, instance: &InstanceName) {
+        self.states.entry(instance.clone()).or_default().outstanding += 1;
+    }
+
+    /// Notes that a call ended, however it did.
+    pub fn on_end(&mut self, instance: &InstanceName, observation: Observation, now: Moment) {
+        let state = self.states.entry(instance.clone()).or_default();
+        state.outstanding = state.outstanding.saturating_sub(1);
+        match observation {
+            Observation::Answered => {
+                state.failures_in_a_row = 0;
+                state.ejections = 0;
+            }
+            Observation::Neutral => {}
+            Observation::Failed => {
+                state.failures_in_a_row += 1;
+                if state.failures_in_a_row >= FAILURES_TO_EJECT {
+                    let doublings = state.ejections.min(MOST_DOUBLINGS);
+                    state.ejected_until = Some(now + FIRST_EJECTION * (1 << doublings));
+                    state.ejections += 1;
+                    state.failures_in_a_row = 0;
+                }
+            }
+        }
+    }
+
+    /// Notes the occupancy that the gate reported with a reply.
+    pub fn on_report(&mut self, instance: &InstanceName, occupancy: f64, now: Moment) {
+        let state = self.states.entry(instance.clone()).or_default();
+        state.reported_occupancy = occupancy;
+        state.reported_at = Some(now);
+    }
+
+    /// Forgets instances that are no longer listed.
+    pub fn retain(&mut self, listed: impl Fn(&InstanceName) -> bool) {
+        self.states.retain(|instance, _| listed(instance));
+    }
+}
--- /dev/null
+++ b/crates/types/src/key.rs
@@ -0,0 +1,51 @@
+//! The deployment's shared key: authenticates contexts and control messages.
+
+/// Length of an authentication tag in bytes.
+pub const TAG_LENGTH: usize = 16;
+
+/// Secret shared by the nodes of one deployment.
+///
+/// It proves that a context header, datagram or control frame was made by a node
+/// of the same deployment. It does not encrypt and does not stop replays.
+#[derive(Clone)]
+pub struct DeploymentKey([u8; 32]);
+
+impl DeploymentKey {
+    /// Derives the key from the settings' secret text.
+    pub fn from_secret(secret: &str) -> Self {
+        DeploymentKey(blake3::derive_key("olivegate deployment key v1", secret.as_bytes()))
+    }
+
+    /// Tag of `bytes` under this key.
+    pub fn tag(&self, bytes: &[u8]) -> [u8; TAG_LENGTH] {
+        let hash = blake3::keyed_hash(&self.0, bytes);
+        let mut tag = [0; TAG_LENGTH];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG_LENGTH]);
+        tag
+    }
+
+    /// Appends the tag of the current content to `bytes`.
+    pub fn seal(&self, mut bytes: Vec<u8>) -> Vec<u8> {
+        let tag = self.tag(&bytes);
+        bytes.extend_from_slice(&tag);
+        bytes
+    }
+
+    /// The content in front of a valid tag, or `None` when the tag is missing or wrong.
+    pub fn open<'a>(&self, sealed: &'a [u8]) -> Option<&'a [u8]> {
+        let split = sealed.len().checked_sub(TAG_LENGTH)?;
+        let (content, tag) = sealed.split_at(split);
+        let expected = blake3::keyed_hash(&self.0, content);
+        let mut difference = 0;
+        for (left, right) in tag.iter().zip(expected.as_bytes()) {
+            difference |= left ^ right;
+        }
+        (difference == 0).then_some(content)
+    }
+}
+
+impl std::fmt::Debug for DeploymentKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("DeploymentKey(..)")
+    }
+}
