--- a/crates/node/src/edge/attempts.rs
+++ b/crates/node/src/edge/attempts.rs
@@ -104,6 +104,11 @@
         let candidates: Vec<Candidate> = with_gates.iter().map(candidate).collect();
         let slots = self.call.bundle.bundle().service(service).map_or(1, |service| service.slots);
         let mut balancer = lock(&node.balancer);
+        for candidate in candidates.iter().filter(|candidate| candidate.own_gate) {
+            if let Some(occupancy) = node.gates.occupancy(&candidate.instance) {
+                balancer.on_report(&candidate.instance, occupancy, now);
+            }
+        }
         let chosen = balancer.choose(&candidates, &self.tried, slots, now, &mut rand::rng())?;
         with_gates.into_iter().nth(chosen)
     }
--- a/crates/node/src/edge/forward.rs
+++ b/crates/node/src/edge/forward.rs
@@ -20,8 +20,8 @@
 /// Status of a reply that the gate itself made, with the outcome header saying which.
 pub const GATE_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
-/// Header on a gate's reply: time spent waiting and in the instance, in microseconds.
-pub const OUTSIDE_US: &str = "x-olivegate-outside-us";
+/// Header on a gate's reply: its own processing time, in microseconds.
+pub const GATE_OWN_US: &str = "x-olivegate-gate-own-us";
 
 /// Sends the call to its gate and reads the reply.
 pub async fn forward(node: &Node, gate: &MemberRecord, call: GateCall) -> GateReply {
@@ -34,7 +34,7 @@
         () = lost => Err(Broken::MaybeRan),
     };
     match result {
-        Ok(response) => read_reply(response),
+        Ok(response) => read_reply(response, clock::now() - started),
         Err(Broken::NotSent) => {
             contact_failed(node, &gate.name);
             let refusal = Refusal::new(RefusalReason::GateUnreachable, UNREACHABLE_RETRY_AFTER);
@@ -97,11 +97,12 @@
     crate::control_loops::membership::carry_out(node, outputs);
 }
 
-fn read_reply(mut response: Response<AnyBody>) -> GateReply {
+fn read_reply(mut response: Response<AnyBody>, round_trip: Duration) -> GateReply {
     let headers = response.headers_mut();
     let level = header_value(headers, header::ADMISSION_LEVEL).unwrap_or(1.0);
     let occupancy = header_value(headers, header::OCCUPANCY).unwrap_or(0.0);
-    let outside = Duration::from_micros(header_value(headers, OUTSIDE_US).unwrap_or(0));
+    let gate_own = Duration::from_micros(header_value(headers, GATE_OWN_US).unwrap_or(0));
+    let outside = round_trip.saturating_sub(gate_own);
     let made_by_gate = response.status() == GATE_STATUS;
     let headers = response.headers_mut();
     let outcome = header_text(headers, header::OUTCOME).and_then(Outcome::parse);
@@ -109,7 +110,7 @@
         (true, Some(Outcome::NotRun)) => GateResult::Refused(read_refusal(headers)),
         (true, Some(Outcome::Unknown)) => GateResult::Broken,
         _ => {
-            for name in [header::ADMISSION_LEVEL, header::OCCUPANCY, OUTSIDE_US, header::OUTCOME] {
+            for name in [header::ADMISSION_LEVEL, header::OCCUPANCY, GATE_OWN_US, header::OUTCOME] {
                 headers.remove(name);
             }
             GateResult::Answered(response)
@@ -124,8 +125,8 @@
     Refusal::new(reason.unwrap_or(RefusalReason::GateUnreachable), Duration::from_millis(millis))
 }
 
-/// The reply of this node's gate to an edge on another node.
-pub fn write_reply(reply: GateReply) -> Response<AnyBody> {
+/// The reply of this node's gate, `inside` after the call's arrival, to an edge on another node.
+pub fn write_reply(reply: GateReply, inside: Duration) -> Response<AnyBody> {
     let mut response = match reply.result {
         GateResult::Answered(response) => response,
         GateResult::Refused(refusal) => {
@@ -150,6 +151,7 @@
     }
     insert(headers, header::ADMISSION_LEVEL, &format!("{:.4}", reply.level));
     insert(headers, header::OCCUPANCY, &format!("{:.3}", reply.occupancy));
-    insert(headers, OUTSIDE_US, &reply.outside.as_micros().to_string());
+    let own = inside.saturating_sub(reply.outside);
+    insert(headers, GATE_OWN_US, &own.as_micros().to_string());
     response
 }
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -41,13 +41,15 @@
 }
 
 async fn serve(node: &Node, mut admitted: Admitted, arrived: olivegate_types::Moment) -> Response<AnyBody> {
+    let before_claim = clock::now();
     let claim = match claim::claim_if_needed(node, ClaimRequest::of(&admitted)).await {
         Ok(claim) => claim,
         Err(answer) => return answer::finish_refused(node, &admitted, *answer),
     };
+    let waited_for_seats = clock::now() - before_claim;
     let mut attempts = Attempts::new(node, &mut admitted);
     let result = attempts.run().await;
-    let outside = attempts.outside();
+    let outside = attempts.outside() + waited_for_seats;
     let own = (clock::now() - arrived).saturating_sub(outside);
     node.metrics.on_processing(own);
     match result {
--- a/crates/node/src/gate/dispatch.rs
+++ b/crates/node/src/gate/dispatch.rs
@@ -64,7 +64,8 @@
     pub level: f64,
     /// Occupancy of the instance.
     pub occupancy: f64,
-    /// Time spent waiting for a slot and in the instance.
+    /// Time not spent inside olivegate's processes: waiting for a slot, in the instance,
+    /// and between two nodes.
     pub outside: Duration,
 }
 
--- a/crates/node/src/gate/table.rs
+++ b/crates/node/src/gate/table.rs
@@ -38,6 +38,11 @@
         gate
     }
 
+    /// Occupancy of an instance whose gate is here.
+    pub fn occupancy(&self, instance: &InstanceName) -> Option<f64> {
+        lock(&self.gates).get(instance).map(|(_, gate)| gate.occupancy())
+    }
+
     /// Follows a new bundle.
     pub fn configure(&self, bundle: &Bundle) {
         for (service, gate) in lock(&self.gates).values() {
--- a/crates/node/src/ports/data.rs
+++ b/crates/node/src/ports/data.rs
@@ -8,7 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use olivegate_types::{InstanceName, KindName, Refusal, RefusalReason, RequestContext, header};
+use olivegate_types::{InstanceName, KindName, Moment, Refusal, RefusalReason, RequestContext, header};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::{self, AnyBody};
@@ -74,15 +74,20 @@
 }
 
 async fn handle(node: &Node, request: Request<Incoming>) -> Response<AnyBody> {
-    match read_call(node, request) {
-        Ok(call) => write_reply(dispatch(node, call).await),
+    let arrived = clock::now();
+    match read_call(node, request, arrived) {
+        Ok(call) => {
+            let reply = dispatch(node, call).await;
+            write_reply(reply, clock::now() - arrived)
+        }
         Err(ReadError::Bad(reason)) => {
             FinalAnswer::bad_request(StatusCode::BAD_REQUEST, reason).into_response(None)
         }
         Err(ReadError::Refused(reason)) => {
             let refusal = Refusal::new(reason, UNKNOWN_INSTANCE_RETRY_AFTER);
             let result = GateResult::Refused(refusal);
-            write_reply(GateReply { result, level: 1.0, occupancy: 0.0, outside: Duration::ZERO })
+            let reply = GateReply { result, level: 1.0, occupancy: 0.0, outside: Duration::ZERO };
+            write_reply(reply, Duration::ZERO)
         }
     }
 }
@@ -92,8 +97,7 @@
     Refused(RefusalReason),
 }
 
-fn read_call(node: &Node, request: Request<Incoming>) -> Result<GateCall, ReadError> {
-    let arrived = clock::now();
+fn read_call(node: &Node, request: Request<Incoming>, arrived: Moment) -> Result<GateCall, ReadError> {
     let (mut parts, incoming) = request.into_parts();
     let headers = &parts.headers;
     let context = header_text(headers, header::CONTEXT).ok_or(ReadError::Bad("context is missing"))?;
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -1,14 +1,19 @@
-//! Power of two choices over own observations.
+//! Power of two choices over own observations, near instances first.
 //!
-//! An instance's cost is its occupancy as last reported by its gate plus the
-//! calls sent since, over its slots. Instances that fail several times in a row
-//! are ejected for a while; never more than half of a service.
+//! Two instances are drawn among the near ones (this zone) and two among the others;
+//! the cheapest of the four wins. The cost of an instance grows with the part of its
+//! slots in use, as last reported by its gate or as outstanding from here, steeply once
+//! its slots are nearly all used; being far costs a constant. So a near instance with a
+//! free slot is preferred, and a far one is taken when the near ones queue. Instances
+//! that fail several times in a row are ejected for a while; never more than half of a
+//! service.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use olivegate_types::{InstanceName, Moment};
-use rand::{Rng, RngExt};
+use rand::Rng;
+use rand::seq::IndexedRandom;
 
 /// Failures in a row after which an instance is ejected.
 const FAILURES_TO_EJECT: u32 = 5;
@@ -16,10 +21,16 @@
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Most doublings of the ejection time.
 const MOST_DOUBLINGS: u32 = 4;
-/// Cost added to an instance in another zone: it is chosen when it is freer by this much.
-const REMOTE_ZONE_COST: f64 = 0.25;
+/// Cost added to an instance in another zone.
+const REMOTE_ZONE_COST: f64 = 0.3;
 /// Cost added to an instance whose gate is another node of this zone.
 const REMOTE_GATE_COST: f64 = 0.05;
+/// Occupancy from which on the cost grows steeply.
+const NEARLY_FULL: f64 = 0.9;
+/// Cost per unit of occupancy below [`NEARLY_FULL`].
+const FREE_SLOPE: f64 = 0.1;
+/// Cost per unit of occupancy above [`NEARLY_FULL`].
+const FULL_SLOPE: f64 = 1.0;
 /// A report older than this no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(500);
 
@@ -55,6 +66,11 @@
     ejected_until: Option<Moment>,
 }
 
+/// Two different members of `pool`, drawn at random; fewer when there are fewer.
+fn two_of(pool: &[usize], random: &mut impl Rng) -> Vec<usize> {
+    pool.sample(random, 2).copied().collect()
+}
+
 /// Own observations of all instances that this node calls.
 #[derive(Debug, Default)]
 pub struct Balancer {
@@ -76,11 +92,11 @@
             (0..candidates.len()).filter(|&index| !avoid.contains(&candidates[index].instance)).collect();
         let pool = if preferred.is_empty() { (0..candidates.len()).collect() } else { preferred };
         let pool = self.without_ejected(candidates, pool, now);
-        let first = *pool.get(random.random_range(0..pool.len().max(1)))?;
-        let second = pool[random.random_range(0..pool.len())];
-        let first_cost = self.cost(&candidates[first], slots, now);
-        let second_cost = self.cost(&candidates[second], slots, now);
-        Some(if second_cost < first_cost { second } else { first })
+        let (near, far): (Vec<usize>, Vec<usize>) = pool.into_iter().partition(|&index| candidates[index].same_zone);
+        let mut drawn = two_of(&near, random);
+        drawn.extend(two_of(&far, random));
+        let costs = drawn.into_iter().map(|index| (index, self.cost(&candidates[index], slots, now)));
+        costs.min_by(|left, right| left.1.total_cmp(&right.1)).map(|(index, _)| index)
     }
 
     /// Ejected instances stay out only while at least half of the pool remains.
@@ -108,7 +124,8 @@
         let fresh = state.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
         let reported = if fresh { state.reported_occupancy } else { 0.0 };
         let own = f64::from(state.outstanding) / f64::from(slots.max(1));
-        distance + reported.max(own) + own * 0.5
+        let occupancy = reported.max(own);
+        distance + FREE_SLOPE * occupancy + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
     }
 
     /// Notes that a call was sent to `instance`.
