Levels by waits and free slots; seats pinned to zones; islands merge

Ruled out: slow edges (reports arrive within 100 ms). Change: levels fall with long waits before deeper hops must be refused and rise fast while slots are free; deeper hops may wait longer; predicted wait counts the slots that higher classes take; a refusal for lack of slots is retried only where free slots are known; each seat belongs to a zone named in the settings and no zone may have a majority; unknown seeds are tried before known members.

--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -263,6 +263,7 @@
         let mut versions = versions.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
         if let Some(fleet) = &self.system.fleet {
             versions.extend(fleet.versions().await);
+            fleet.save_metrics().await;
         }
         (versions, used)
     }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -14,6 +14,9 @@
 use crate::message::{Message, Purpose};
 use crate::record::{MemberRecord, MemberState, SeatHeld};
 
+/// Periods between two attempts to reach a seed that is not a member.
+const STRANGER_PERIODS: u32 = 4;
+
 /// What the core asks its surroundings to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
@@ -188,15 +191,21 @@
         self.announce();
     }
 
+    /// Full exchange with a seed that is not a member yet, else with a random member.
+    /// Seeds go first: two groups that each know themselves only would never meet.
     fn schedule_sync(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let known: Vec<SocketAddr> =
             self.others().filter(|record| record.is_answering()).map(|record| record.control).collect();
-        let jitter = self.random.random_range(0.75..1.25);
-        let wait = if known.is_empty() { self.config.period * 2 } else { self.config.sync_after(known.len()) };
-        self.next_sync = now + wait.mul_f64(jitter);
-        let candidates = if known.is_empty() { &self.seeds } else { &known };
         let own = self.own.control;
-        let candidates: Vec<SocketAddr> = candidates.iter().copied().filter(|address| *address != own).collect();
+        let is_unknown = |address: &SocketAddr| *address != own && !known.contains(address);
+        let strangers: Vec<SocketAddr> = self.seeds.iter().copied().filter(is_unknown).collect();
+        let wait = match (known.is_empty(), strangers.is_empty()) {
+            (true, _) => self.config.period * 2,
+            (false, false) => self.config.period * STRANGER_PERIODS,
+            (false, true) => self.config.sync_after(known.len()),
+        };
+        self.next_sync = now + wait.mul_f64(self.random.random_range(0.75..1.25));
+        let candidates = if strangers.is_empty() { &known } else { &strangers };
         if let Some(&from) = candidates.choose(&mut self.random) {
             outputs.push(Output::Sync { from });
         }
--- a/crates/node/src/control_loops/seats.rs
+++ b/crates/node/src/control_loops/seats.rs
@@ -1,8 +1,10 @@
 //! Takes and hands over seats of the claim group.
 //!
-//! Each seat belongs, by rendezvous hashing, to a usable member, seats spread over the
-//! zones. A node that finds itself responsible for a seat that it doesn't hold starts
-//! a new incarnation and recovers; the previous holder's votes stop counting by then.
+//! Each seat belongs to a zone, by the settings, and there to a usable member, by
+//! rendezvous hashing. A node that finds itself responsible for a seat that it doesn't
+//! hold starts a new incarnation and recovers; the previous holder's votes stop
+//! counting by then. No zone has a majority of the seats, so nodes that are cut off
+//! with their zone can never form a group among themselves.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,7 +24,7 @@
 /// Time limit for a recovery call.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a node must be responsible for a seat before it takes it.
-const SETTLING_TIME: Duration = Duration::from_millis(300);
+const SETTLING_TIME: Duration = Duration::from_millis(800);
 /// Longest memory of a claim assumed before a bundle is in force.
 const DEFAULT_CLAIM_MEMORY: Duration = Duration::from_secs(600);
 
@@ -147,16 +149,17 @@
     }
 }
 
-/// The member responsible for a seat: seats go round the zones in order of name.
-fn responsible_for(membership: &Membership, seat: SeatIndex) -> Option<&MemberRecord> {
-    let usable = membership.usable();
-    let mut zones: Vec<&ZoneName> = usable.iter().map(|record| &record.zone).collect();
-    zones.sort();
-    zones.dedup();
-    let zone = zones.get(usize::from(seat.0) % zones.len().max(1))?;
+/// The member responsible for a seat; none while no other member is known.
+fn responsible_for<'a>(
+    membership: &'a Membership,
+    seat_zones: &[ZoneName],
+    seat: SeatIndex,
+) -> Option<&'a MemberRecord> {
+    membership.others().next()?;
+    let zone = seat_zones.get(usize::from(seat.0))?;
+    let in_zone = membership.usable_in(zone);
     let key = format!("seat {}", seat.0);
-    let in_zone = usable.iter().filter(|record| record.zone == **zone);
-    rendezvous::owner(&key, in_zone, |record| record.name.as_str()).copied()
+    rendezvous::owner(&key, in_zone.iter(), |record| record.name.as_str()).copied()
 }
 
 /// The member that holds a seat: the voting one of the latest incarnation, else the
@@ -169,7 +172,9 @@
         held.map(move |held| (held.voting, held.counter, record))
     });
     let latest = announced.max_by_key(|(voting, counter, _)| (*voting, *counter));
-    let holder = latest.map(|(_, _, record)| record).or_else(|| responsible_for(&membership, seat));
+    let holder = latest
+        .map(|(_, _, record)| record)
+        .or_else(|| responsible_for(&membership, &node.settings.seat_zones, seat));
     holder.cloned()
 }
 
@@ -200,14 +205,20 @@
 
 fn seats_of(node: &Node) -> Vec<SeatIndex> {
     let membership = lock(&node.membership);
-    let all = (0..node.settings.seats).map(|index| SeatIndex(index as u8));
-    let own = |seat: &SeatIndex| responsible_for(&membership, *seat).is_some_and(|r| r.name == *node.name());
-    all.filter(own).collect()
+    let zones = &node.settings.seat_zones;
+    let own = |seat: &SeatIndex| {
+        responsible_for(&membership, zones, *seat).is_some_and(|record| record.name == *node.name())
+    };
+    all_seats(node).filter(own).collect()
+}
+
+/// All seats of the group.
+fn all_seats(node: &Node) -> impl Iterator<Item = SeatIndex> + use<> {
+    (0..node.settings.seat_zones.len()).map(|index| SeatIndex(index as u8))
 }
 
 async fn recover(node: &Node, recovering: SeatIndex, incarnation: Incarnation) {
-    let others = (0..node.settings.seats).map(|index| SeatIndex(index as u8)).filter(|seat| *seat != recovering);
-    for seat in others {
+    for seat in all_seats(node).filter(|seat| *seat != recovering) {
         let Some(holder) = holder_of(node, seat) else {
             continue;
         };
--- a/crates/node/src/edge/attempts.rs
+++ b/crates/node/src/edge/attempts.rs
@@ -89,19 +89,9 @@
     fn choose(&self) -> Option<(Instance, MemberRecord)> {
         let node = self.node;
         let now = clock::now();
+        let with_gates = self.instances_with_gates(now);
+        let candidates = self.candidates(&with_gates);
         let service = &self.call.kind.service;
-        let instances: Vec<Instance> =
-            node.read_directory().available(service, now).into_iter().cloned().collect();
-        let with_gates: Vec<(Instance, MemberRecord)> = instances
-            .into_iter()
-            .filter_map(|instance| node.gate_of(&instance).map(|gate| (instance, gate)))
-            .collect();
-        let candidate = |(instance, gate): &(Instance, MemberRecord)| Candidate {
-            instance: instance.name.clone(),
-            same_zone: instance.zone == node.settings.zone,
-            own_gate: gate.name == *node.name(),
-        };
-        let candidates: Vec<Candidate> = with_gates.iter().map(candidate).collect();
         let slots = self.call.bundle.bundle().service(service).map_or(1, |service| service.slots);
         let mut balancer = lock(&node.balancer);
         for candidate in candidates.iter().filter(|candidate| candidate.own_gate) {
@@ -113,6 +103,38 @@
         with_gates.into_iter().nth(chosen)
     }
 
+    fn instances_with_gates(&self, now: Moment) -> Vec<(Instance, MemberRecord)> {
+        let node = self.node;
+        let service = &self.call.kind.service;
+        let instances: Vec<Instance> =
+            node.read_directory().available(service, now).into_iter().cloned().collect();
+        let with_gate = |instance: Instance| node.gate_of(&instance).map(|gate| (instance, gate));
+        instances.into_iter().filter_map(with_gate).collect()
+    }
+
+    fn candidates(&self, with_gates: &[(Instance, MemberRecord)]) -> Vec<Candidate> {
+        let candidate = |(instance, gate): &(Instance, MemberRecord)| Candidate {
+            instance: instance.name.clone(),
+            same_zone: instance.zone == self.node.settings.zone,
+            own_gate: gate.name == *self.node.name(),
+        };
+        with_gates.iter().map(candidate).collect()
+    }
+
+    /// True when a refusal can be made good elsewhere: its cause is the instance or its
+    /// gate, or another instance is known to have free slots.
+    fn can_be_made_good(&self, reason: RefusalReason) -> bool {
+        if reason.is_local_to_instance() {
+            return true;
+        }
+        let for_lack_of_slots = matches!(reason, RefusalReason::PredictedWait | RefusalReason::Displaced);
+        let now = clock::now();
+        for_lack_of_slots && {
+            let candidates = self.candidates(&self.instances_with_gates(now));
+            lock(&self.node.balancer).has_free_alternative(&candidates, &self.tried, now)
+        }
+    }
+
     async fn attempt(
         &mut self,
         instance: Instance,
@@ -176,7 +198,7 @@
                 {
                     self.node.write_directory().note_leaving(instance, clock::now());
                 }
-                if refusal.reason.is_local_to_instance() && self.may_retry().await {
+                if self.can_be_made_good(refusal.reason) && self.may_retry().await {
                     return Next::Retry;
                 }
                 let ran = self.maybe_ran;
--- a/crates/node/src/gate/slots.rs
+++ b/crates/node/src/gate/slots.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use olivegate_overload::{
-    AdaptiveLimit, Admission, ClassKey, Demand, GateLevels, InstanceQueue, Settings, TicketId,
+    AdaptiveLimit, Admission, Arrival, ClassKey, Demand, GateLevels, InstanceQueue, Settings, TicketId,
 };
 use olivegate_types::{KindName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
@@ -28,6 +28,22 @@
     max_wait: Duration,
 }
 
+impl QueueState {
+    /// How an accepted demand counts for the admission level of its class.
+    fn accepted(&self, demand: &Demand, now: Moment) -> Arrival {
+        if self.queue.has_free_slots() {
+            return Arrival::Accepted { wait_ratio: 0.0 };
+        }
+        let wait = self.queue.predicted_wait(demand, now).as_secs_f64();
+        Arrival::Accepted { wait_ratio: wait / self.max_wait.as_secs_f64() }
+    }
+
+    fn note(&mut self, class: &ClassKey, arrival: Arrival, now: Moment) {
+        let has_free_slots = self.queue.has_free_slots();
+        self.levels.note(class, arrival, has_free_slots, now);
+    }
+}
+
 /// Queue, limit and connections of one instance.
 pub struct InstanceGate {
     address: SocketAddr,
@@ -154,11 +170,12 @@
         now: Moment,
     ) -> Result<(TicketId, Option<oneshot::Receiver<Grant>>), Refusal> {
         let mut state = lock(&self.state);
-        match state.queue.arrive(demand, now) {
-            Admission::Dispatch(ticket) => {
-                state.levels.note(class, true, now);
-                Ok((ticket, None))
-            }
+        let accepted = state.accepted(&demand, now);
+        let admission = state.queue.arrive(demand, now);
+        let refused = matches!(admission, Admission::Refuse(_));
+        state.note(class, if refused { Arrival::Refused } else { accepted }, now);
+        match admission {
+            Admission::Dispatch(ticket) => Ok((ticket, None)),
             Admission::Wait { ticket, displaced } => {
                 let (sender, receiver) = oneshot::channel();
                 state.waiters.insert(ticket, sender);
@@ -167,10 +184,7 @@
                 }
                 Ok((ticket, Some(receiver)))
             }
-            Admission::Refuse(refusal) => {
-                state.levels.note(class, false, now);
-                Err(refusal)
-            }
+            Admission::Refuse(refusal) => Err(refusal),
         }
     }
 
@@ -188,22 +202,20 @@
             Ok(Ok(Err(reason))) => Some(reason),
             Ok(Err(_)) | Err(_) => Some(RefusalReason::QueueTimeout),
         };
+        let Some(reason) = reason else {
+            return Ok(());
+        };
         let mut state = lock(&self.state);
-        state.levels.note(class, reason.is_none(), clock::now());
-        match reason {
-            None => Ok(()),
-            Some(reason) => Err(state.queue.refusal(reason, demand)),
-        }
+        state.note(class, Arrival::Refused, clock::now());
+        Err(state.queue.refusal(reason, demand))
     }
 
     /// Point at which a waiting call gives up: it could no longer be answered in time,
     /// or, below the protected importance, its wait is twice what the objective allows.
     fn wait_until(&self, demand: &Demand, arrived: Moment) -> Moment {
+        let longest = lock(&self.state).queue.longest_wait(demand, arrived);
         let by_deadline = demand.deadline.saturating_sub(demand.expected);
-        if demand.importance.is_protected() {
-            return by_deadline;
-        }
-        by_deadline.min(arrived + lock(&self.state).max_wait * 2)
+        by_deadline.min(arrived + longest * 2)
     }
 
     /// Gives up a ticket, whether it waits or holds a slot, and wakes the next.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,7 @@
 
 use olivegate_bundle::SignOff;
 use olivegate_checked::{Mistakes, Reader, Table, Value};
+use olivegate_claims::majority;
 use olivegate_types::{DeploymentKey, NodeName, ZoneName};
 
 /// Flags of the command line that go before the file.
@@ -78,8 +79,8 @@
     pub platform: PlatformAddresses,
     /// Control addresses of some other nodes.
     pub seeds: Vec<SocketAddr>,
-    /// Number of seats of the claim group.
-    pub seats: usize,
+    /// Zone of each seat of the claim group; only nodes of that zone may hold it.
+    pub seat_zones: Vec<ZoneName>,
     /// True for the first start of a new deployment: no request was ever served before.
     pub new_deployment: bool,
     /// Worker threads; 1 runs everything on one thread.
@@ -158,7 +159,7 @@
     let sign_off = reader.section("sign_off", read_sign_off);
     let platform = reader.section("platform", read_platform);
     let seeds = reader.section("membership", read_seeds);
-    let (seats, new_deployment) = reader.section("claims", read_claims);
+    let (seat_zones, new_deployment) = reader.section("claims", read_claims);
     let (worker_threads, stop_timeout) = reader.section("runtime", |runtime| {
         let threads = runtime.integer_or("worker_threads", 1, 1..=256) as usize;
         (threads, runtime.millis_or("stop_timeout_ms", 10_000, 100..=120_000))
@@ -173,7 +174,7 @@
         sign_off,
         platform: platform?,
         seeds,
-        seats,
+        seat_zones,
         new_deployment,
         worker_threads,
         stop_timeout,
@@ -220,12 +221,17 @@
     seeds
 }
 
-fn read_claims(reader: &mut Reader) -> (usize, bool) {
-    let seats = reader.integer_or("seats", 3, 3..=9) as usize;
-    if seats.is_multiple_of(2) {
-        reader.mistake("seats", "the number of seats is odd");
+/// Reads the seats. No zone may hold a majority of them: a zone that is cut off would
+/// otherwise be able to form a group of its own.
+fn read_claims(reader: &mut Reader) -> (Vec<ZoneName>, bool) {
+    let zones: Vec<ZoneName> = reader.texts("seat_zones").iter().map(ZoneName::new).collect();
+    let seats_of = |zone: &ZoneName| zones.iter().filter(|other| *other == zone).count();
+    if zones.len() < 3 || zones.len().is_multiple_of(2) {
+        reader.mistake("seat_zones", "expected an odd number of zones, at least three");
+    } else if zones.iter().any(|zone| seats_of(zone) >= majority(zones.len())) {
+        reader.mistake("seat_zones", "one zone holds a majority of the seats");
     }
-    (seats, reader.boolean_or("new_deployment", false))
+    (zones, reader.boolean_or("new_deployment", false))
 }
 
 fn read_reach(reader: &mut Reader) -> Option<ReachableAs> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -109,7 +109,7 @@
             ledger: Mutex::default(),
             budget: Mutex::default(),
             gates: GateTable::default(),
-            seats: Mutex::new(SeatTable::new(settings.seats)),
+            seats: Mutex::new(SeatTable::new(settings.seat_zones.len())),
             answers: Mutex::default(),
             explain: Mutex::default(),
             metrics: Metrics::default(),
--- a/crates/olivegate/src/node_command.rs
+++ b/crates/olivegate/src/node_command.rs
@@ -24,7 +24,11 @@
 }
 
 fn start_logging(level: LevelFilter) {
-    let config = ConfigBuilder::new().set_time_format_rfc3339().set_target_level(LevelFilter::Off).add_filter_allow_str("olivegate").build();
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .add_filter_allow_str("olivegate")
+        .build();
     if WriteLogger::init(level, config, std::io::stderr()).is_err() {
         eprintln!("olivegate: logging was started before");
     }
--- a/crates/overload/src/admission/level_table.rs
+++ b/crates/overload/src/admission/level_table.rs
@@ -8,11 +8,13 @@
 use super::ClassKey;
 
 /// A level that is not confirmed rises by this much per second.
-const RECOVERY_PER_SECOND: f64 = 0.5;
+const RECOVERY_PER_SECOND: f64 = 2.0;
 /// Time without a reply after which a level starts to rise.
 const HOLD: Duration = Duration::from_millis(100);
-/// Weight of a new report against the level held.
-const REPORT_WEIGHT: f64 = 0.3;
+/// Least weight of a new report against the level held.
+const REPORT_WEIGHT: f64 = 0.2;
+/// Age at which the level held has lost all weight.
+const REPORT_MEMORY: Duration = Duration::from_millis(150);
 /// Levels from here on count as "everything is admitted".
 const FULL_LEVEL: f64 = 0.995;
 
@@ -54,7 +56,8 @@
         match learnt.iter_mut().find(|learnt| learnt.hop == hop && learnt.service == *service) {
             Some(entry) => {
                 let held = entry.level_at(now);
-                entry.level = held + REPORT_WEIGHT * (level - held);
+                let age = now.since(entry.at).as_secs_f64() / REPORT_MEMORY.as_secs_f64();
+                entry.level = held + age.clamp(REPORT_WEIGHT, 1.0) * (level - held);
                 entry.at = now;
             }
             None => learnt.push(Learnt { service: service.clone(), hop, level, at: now }),
--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -9,7 +9,7 @@
 mod gate_levels;
 mod level_table;
 
-pub use gate_levels::GateLevels;
+pub use gate_levels::{Arrival, GateLevels};
 pub use level_table::LevelTable;
 
 use olivegate_types::{GroupName, Importance, KindName};
--- a/crates/overload/src/queue/mod.rs
+++ b/crates/overload/src/queue/mod.rs
@@ -8,6 +8,7 @@
 //! A demand is refused at once when its predicted wait is longer than the
 //! objective or the deadline allows. Use one queue per instance, held by its gate.
 
+mod load;
 mod share;
 
 use std::time::Duration;
@@ -16,8 +17,15 @@
 
 use crate::limit::AdaptiveLimit;
 use crate::retry_after::retry_after;
+use load::{Class, ClassLoad};
 use share::Shares;
 
+/// A deeper hop may wait this much longer than a root request.
+const DEEPER_HOP_WAITS: u32 = 3;
+
+/// Part of the slots assumed to be left by higher classes at the least.
+const LEAST_LEFT: f64 = 0.05;
+
 /// Identifies a demand in one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TicketId(pub u64);
@@ -90,18 +98,19 @@
     waiting: Vec<Waiting>,
     running: Vec<Running>,
     shares: Shares,
+    load: ClassLoad,
     next_ticket: u64,
     mean_service: Duration,
 }
 
 impl Waiting {
     /// Sort key of the class: a larger one is served first.
-    fn class(&self) -> (Importance, bool) {
+    fn class(&self) -> Class {
         class_of(&self.demand)
     }
 }
 
-fn class_of(demand: &Demand) -> (Importance, bool) {
+fn class_of(demand: &Demand) -> Class {
     (demand.importance, demand.hop > 0)
 }
 
@@ -114,6 +123,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             shares: Shares::default(),
+            load: ClassLoad::default(),
             next_ticket: 0,
             mean_service: Duration::ZERO,
         }
@@ -145,6 +155,11 @@
         self.limit.current()
     }
 
+    /// True when a call could start at once.
+    pub fn has_free_slots(&self) -> bool {
+        self.waiting.is_empty() && self.in_flight() < self.limit.current()
+    }
+
     /// Calls in flight and waiting, over the limit.
     pub fn occupancy(&self) -> f64 {
         (self.running.len() + self.waiting.len()) as f64 / f64::from(self.limit.current())
@@ -158,11 +173,11 @@
             return Admission::Refuse(self.refusal(RefusalReason::DeadlineExceeded, &demand));
         }
         self.shares.join(&demand.group, self.is_backlogged(&demand.group));
-        if self.waiting.is_empty() && self.in_flight() < self.limit.current() {
+        if self.has_free_slots() {
             self.start(ticket, &demand, now);
             return Admission::Dispatch(ticket);
         }
-        if self.predicted_wait(&demand) > self.longest_wait(&demand, now) {
+        if self.predicted_wait(&demand, now) > self.longest_wait(&demand, now) {
             return Admission::Refuse(self.refusal(RefusalReason::PredictedWait, &demand));
         }
         let displaced = match self.make_room(&demand) {
@@ -173,14 +188,21 @@
         Admission::Wait { ticket, displaced }
     }
 
-    /// Longest wait after which the demand may still be served.
-    fn longest_wait(&self, demand: &Demand, now: Moment) -> Duration {
+    /// Longest wait after which the demand may still be served: bound by its deadline,
+    /// and below the protected importance by the objective, which is wider for deeper
+    /// hops since work has been done for them.
+    pub fn longest_wait(&self, demand: &Demand, now: Moment) -> Duration {
         let by_deadline = demand.deadline.since(now).saturating_sub(demand.expected);
-        if demand.importance.is_protected() { by_deadline } else { by_deadline.min(self.settings.max_wait) }
+        if demand.importance.is_protected() {
+            return by_deadline;
+        }
+        let factor = if demand.hop > 0 { DEEPER_HOP_WAITS } else { 1 };
+        by_deadline.min(self.settings.max_wait * factor)
     }
 
-    /// Wait predicted from the work in front of `demand` and the time in which it is served.
-    pub fn predicted_wait(&self, demand: &Demand) -> Duration {
+    /// Wait predicted from the work in front of `demand`, served by the slots that
+    /// higher classes have been leaving.
+    pub fn predicted_wait(&self, demand: &Demand, now: Moment) -> Duration {
         let mut ahead = Duration::ZERO;
         let mut own_group = Duration::ZERO;
         let mut same_class = Duration::ZERO;
@@ -201,7 +223,9 @@
         let share = f64::from(total_weight) / f64::from(demand.weight.max(1));
         ahead += own_group.mul_f64(share).min(same_class);
         let service = if self.mean_service.is_zero() { demand.expected } else { self.mean_service };
-        (ahead + service) / self.limit.current().max(1)
+        let limit = f64::from(self.limit.current());
+        let left = (limit - self.load.slots_above(class_of(demand), now)).max(limit * LEAST_LEFT);
+        (ahead + service).div_f64(left)
     }
 
     /// Finds room in a full queue, at the cost of the last demand of the lowest class.
@@ -235,6 +259,7 @@
     }
 
     fn start(&mut self, ticket: TicketId, demand: &Demand, now: Moment) {
+        self.load.note(class_of(demand), demand.expected, now);
         self.shares.charge(&demand.group, demand.expected, demand.weight);
         self.running.push(Running {
             ticket,
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -66,6 +66,14 @@
     ejected_until: Option<Moment>,
 }
 
+impl State {
+    /// Occupancy as last reported, unless that is too long ago.
+    fn fresh_report(&self, now: Moment) -> Option<f64> {
+        let fresh = self.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
+        fresh.then_some(self.reported_occupancy)
+    }
+}
+
 /// Two different members of `pool`, drawn at random; fewer when there are fewer.
 fn two_of(pool: &[usize], random: &mut impl Rng) -> Vec<usize> {
     pool.sample(random, 2).copied().collect()
@@ -92,13 +100,22 @@
             (0..candidates.len()).filter(|&index| !avoid.contains(&candidates[index].instance)).collect();
         let pool = if preferred.is_empty() { (0..candidates.len()).collect() } else { preferred };
         let pool = self.without_ejected(candidates, pool, now);
-        let (near, far): (Vec<usize>, Vec<usize>) = pool.into_iter().partition(|&index| candidates[index].same_zone);
+        let (near, far): (Vec<usize>, Vec<usize>) =
+            pool.into_iter().partition(|&index| candidates[index].same_zone);
         let mut drawn = two_of(&near, random);
         drawn.extend(two_of(&far, random));
         let costs = drawn.into_iter().map(|index| (index, self.cost(&candidates[index], slots, now)));
         costs.min_by(|left, right| left.1.total_cmp(&right.1)).map(|(index, _)| index)
     }
 
+    /// True when some candidate that was not tried is known to have free slots.
+    pub fn has_free_alternative(&self, candidates: &[Candidate], tried: &[InstanceName], now: Moment) -> bool {
+        candidates.iter().filter(|candidate| !tried.contains(&candidate.instance)).any(|candidate| {
+            let state = self.states.get(&candidate.instance);
+            state.and_then(|state| state.fresh_report(now)).is_some_and(|occupancy| occupancy < NEARLY_FULL)
+        })
+    }
+
     /// Ejected instances stay out only while at least half of the pool remains.
     fn without_ejected(&self, candidates: &[Candidate], pool: Vec<usize>, now: Moment) -> Vec<usize> {
         let healthy: Vec<usize> =
@@ -121,8 +138,7 @@
         let Some(state) = self.states.get(&candidate.instance) else {
             return distance;
         };
-        let fresh = state.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
-        let reported = if fresh { state.reported_occupancy } else { 0.0 };
+        let reported = state.fresh_report(now).unwrap_or(0.0);
         let own = f64::from(state.outstanding) / f64::from(slots.max(1));
         let occupancy = reported.max(own);
         distance + FREE_SLOPE * occupancy + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
