Planned stop: close idle connections last; judge how fast a version is in force

Change: a stopping node closes its ports, asks each connection to close with its next answer, and closes idle ones 1.5 s later.

--- a/crates/bench/src/checker.rs
+++ b/crates/bench/src/checker.rs
@@ -29,6 +29,8 @@
     PlannedStopCutsNothing,
     /// A node went back to an earlier version.
     VersionNeverReverts,
+    /// A version was not in force on a node two seconds after it was published.
+    VersionInForceInTime,
     /// Nodes ended on different versions.
     VersionsConverge,
     /// A refusal or failure without outcome or time to come back.
@@ -185,6 +187,7 @@
         *high = (*high).max(sample.version);
     }
     violations.extend(convergence(history));
+    violations.extend(in_force_in_time(history));
     violations
 }
 
@@ -222,3 +225,43 @@
         .map(|call| violation(Promise::RefusalSaysWhen, format!("token={} status={}", call.token, call.status)))
         .collect()
 }
+
+/// Time from each publication, followed by two undisturbed seconds, until every running
+/// node showed that version or a higher one; in microseconds.
+pub fn publication_times(history: &History) -> Vec<(u64, Option<u64>)> {
+    let published = history.events.iter().filter_map(|event| match event.what {
+        EventKind::Publish(version, _) => Some((event.at_us, version)),
+        _ => None,
+    });
+    let undisturbed = published.filter(|(at, _)| !is_disturbed(history, *at));
+    undisturbed.map(|(at, version)| (version, in_force_after(history, at, version))).collect()
+}
+
+/// True when something other than a publication happened shortly before or after `at`.
+fn is_disturbed(history: &History, at: u64) -> bool {
+    let near = |event: &&crate::history::Event| {
+        event.at_us + 2 * CONVERGENCE_US > at && event.at_us < at + CONVERGENCE_US
+    };
+    let other =
+        |event: &crate::history::Event| !matches!(event.what, EventKind::Publish(..) | EventKind::TriggerEnd);
+    history.events.iter().filter(near).any(other)
+}
+
+/// Time after `at` from which on no sample shows less than `version`; `None` when the
+/// samples end too early.
+fn in_force_after(history: &History, at: u64, version: u64) -> Option<u64> {
+    let end = history.versions.iter().map(|sample| sample.at_us).max().unwrap_or(0);
+    if end < at + CONVERGENCE_US {
+        return None;
+    }
+    let behind = history.versions.iter().filter(|sample| sample.at_us > at && sample.version < version);
+    Some(behind.map(|sample| sample.at_us - at).max().unwrap_or(0))
+}
+
+fn in_force_in_time(history: &History) -> Vec<Violation> {
+    let late = publication_times(history).into_iter().filter(|(_, time)| time.is_some_and(|t| t > CONVERGENCE_US));
+    late.map(|(version, time)| {
+        violation(Promise::VersionInForceInTime, format!("version={version} after_us={time:?}"))
+    })
+    .collect()
+}
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::capacity::best_goodput;
-use crate::checker::{Violation, check, retries_by_request};
+use crate::checker::{Violation, check, publication_times, retries_by_request};
 use crate::error::BenchError;
 use crate::experiment::{ArmResult, Experiment};
 use crate::history::{CallEnd, ClientCall, EventKind, History};
@@ -52,6 +52,8 @@
     pub wasted_executions: f64,
     /// Time to a refusal.
     pub refusal_ms: Percentiles,
+    /// Longest time until a published version was in force on every node, in seconds.
+    pub bundle_seconds_max: Option<f64>,
     /// Slot time used by each group at the first traffic call's service, over all of it.
     pub group_shares: BTreeMap<String, f64>,
 }
@@ -127,6 +129,11 @@
         retries_per_request_max: retries_by_request(history).into_values().max().unwrap_or(0),
         wasted_executions: wasted(history),
         refusal_ms: percentiles(refused.map(|call| call.end_us - call.start_us)),
+        bundle_seconds_max: publication_times(history)
+            .into_iter()
+            .filter_map(|(_, time)| time)
+            .max()
+            .map(|time| time as f64 / 1e6),
         group_shares: group_shares(experiment, history),
     }
 }
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -15,6 +15,8 @@
 /// Time between the announcement of a stop and the closing of the ports, in which
 /// peers and callers learn of it while everything is still served.
 const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(600);
+/// Time between the closing of the ports and that of idle connections.
+const IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Longest time to wait until other nodes have taken over this node's seats.
 const SEAT_HANDOVER_TIME: Duration = Duration::from_millis(2_000);
 /// Time between two looks at a condition.
@@ -91,6 +93,8 @@
     tokio::time::sleep(ANNOUNCEMENT_TIME).await;
     hand_over_seats(node).await;
     node.stop.stop();
+    tokio::time::sleep(IDLE_TIME).await;
+    node.stop.close_idle();
     let whole = node.stop.drained(node.settings.stop_timeout).await;
     tokio::time::sleep(LOOK_INTERVAL).await;
     log::info!("event=node_stopped all_calls_answered={whole}");
--- a/crates/node/src/ports/caller.rs
+++ b/crates/node/src/ports/caller.rs
@@ -49,7 +49,7 @@
     let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
-        () = stop.stopped() => {
+        () = stop.closing() => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- a/crates/node/src/ports/data.rs
+++ b/crates/node/src/ports/data.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -38,9 +39,13 @@
     let service = service_fn(move |request| {
         let node = node.clone();
         async move {
+            let stopping = node.stop.clone();
             let in_flight = node.stop.enter();
             let response = handle(&node, request).await;
-            let guarded = response.map(|inner| guard(inner, in_flight));
+            let mut guarded = response.map(|inner| guard(inner, in_flight));
+            if stopping.is_stopping() {
+                guarded.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             Ok::<_, Infallible>(guarded)
         }
     });
@@ -52,7 +57,7 @@
     let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
-        () = stop.stopped() => {
+        () = stop.closing() => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,4 +1,8 @@
 //! Stopping without cutting off calls in flight.
+//!
+//! First the ports stop accepting and each answer asks its connection to close; later,
+//! when callers have had time to notice, connections that are still idle are closed. A
+//! connection closed at once could meet a request that its caller is just sending.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -9,6 +13,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     stopping: AtomicBool,
+    closing: AtomicBool,
     in_flight: AtomicUsize,
     changed: Notify,
 }
@@ -28,6 +33,12 @@
         self.0.changed.notify_waiters();
     }
 
+    /// Closes idle connections; the last part of a stop.
+    pub fn close_idle(&self) {
+        self.0.closing.store(true, Ordering::SeqCst);
+        self.0.changed.notify_waiters();
+    }
+
     /// True once the stop has started.
     pub fn is_stopping(&self) -> bool {
         self.0.stopping.load(Ordering::SeqCst)
@@ -35,9 +46,18 @@
 
     /// Waits until the stop starts.
     pub async fn stopped(&self) {
+        self.wait_for(&self.0.stopping).await;
+    }
+
+    /// Waits until idle connections are to be closed.
+    pub async fn closing(&self) {
+        self.wait_for(&self.0.closing).await;
+    }
+
+    async fn wait_for(&self, flag: &AtomicBool) {
         loop {
             let changed = self.0.changed.notified();
-            if self.is_stopping() {
+            if flag.load(Ordering::SeqCst) {
                 return;
             }
             changed.await;
