--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -5,6 +5,7 @@
 use olivegate_checked::{Mistakes, Reader};
 use olivegate_types::{Digest, GroupName, Importance, KindName, ServiceName};
 
+use crate::error::BundleError;
 use crate::model::{Bundle, Group, Kind, Limits, Objective, Service};
 
 /// Longest deadline that a bundle may allow, in milliseconds.
@@ -25,15 +26,55 @@
         services: reader.sections("services", read_service),
         kinds: reader.sections("kinds", read_kind),
     };
-    check_references(&mut reader, &bundle);
+    for (field, reason) in broken_rules(&bundle) {
+        reader.mistake(field, reason);
+    }
     reader.finish()?;
     bundle.sort();
     Ok(bundle)
 }
 
-/// Checks a bundle that arrived in binary form by the same rules.
-pub fn check_bundle(bundle: &Bundle) -> Result<(), Mistakes> {
-    bundle_from_toml(&bundle_to_toml(bundle)).map(drop)
+/// Checks a bundle that arrived in binary form: the rules between its parts, the ranges
+/// that nodes rely on, and the canonical order.
+pub fn check_bundle(bundle: &Bundle) -> Result<(), BundleError> {
+    let first = broken_rules(bundle).into_iter().next();
+    match first.or_else(|| out_of_range(bundle)) {
+        Some((field, reason)) => Err(BundleError::Invalid(format!("{field}: {reason}"))),
+        None => Ok(()),
+    }
+}
+
+type BrokenRule = (&'static str, String);
+
+/// Ranges that the TOML reader enforces for operators, for input that didn't pass it.
+fn out_of_range(bundle: &Bundle) -> Option<BrokenRule> {
+    let limits = &bundle.limits;
+    let rules = [
+        ("version", bundle.version >= 1),
+        ("objective", (1..=10_000).contains(&bundle.objective.max_queue_wait_ms)),
+        ("limits", u64::from(limits.retries_per_request) <= MOST_RETRIES),
+        ("limits", (1..=32).contains(&limits.max_hops)),
+        ("limits", (1..=LONGEST_DEADLINE_MS).contains(&u64::from(limits.max_deadline_ms))),
+        ("groups", bundle.groups.iter().all(|group| group.weight >= 1)),
+        ("services", bundle.services.iter().all(|service| service.slots >= 1 && service.connections >= 1)),
+        ("kinds", bundle.kinds.iter().all(is_kind_in_range)),
+        ("groups", bundle.groups.is_sorted_by(|left, right| left.name <= right.name)),
+        ("services", bundle.services.is_sorted_by(|left, right| left.name <= right.name)),
+        ("kinds", bundle.kinds.is_sorted_by(|left, right| left.name <= right.name)),
+    ];
+    let broken = rules.into_iter().find(|(_, holds)| !holds);
+    broken.map(|(field, _)| (field, "out of range or out of order".to_string()))
+}
+
+fn is_kind_in_range(kind: &Kind) -> bool {
+    kind.importance <= Importance::PROTECTED
+        && kind.deadline_ms >= 1
+        && kind.expected_ms >= 1
+        && is_path_prefix(&kind.path_prefix)
+}
+
+fn is_path_prefix(path: &str) -> bool {
+    path.starts_with('/') && !path.starts_with("//") && path.len() >= 2
 }
 
 fn read_digest(reader: &mut Reader, field: &str) -> Option<Digest> {
@@ -89,92 +130,47 @@
         deadline_ms: reader.integer_or("deadline_ms", 1_000, 1..=LONGEST_DEADLINE_MS) as u32,
         expected_ms: reader.integer_or("expected_ms", 20, 1..=LONGEST_DEADLINE_MS) as u32,
     };
-    if !kind.path_prefix.starts_with('/') || kind.path_prefix.starts_with("//") || kind.path_prefix.len() < 2 {
+    if !is_path_prefix(&kind.path_prefix) {
         reader.mistake("path_prefix", "a path prefix is '/' followed by at least one whole segment");
     }
     kind
 }
 
-fn check_references(reader: &mut Reader, bundle: &Bundle) {
-    let services: BTreeSet<_> = bundle.services.iter().map(|service| service.name.clone()).collect();
+/// Rules between the parts of a bundle that are broken, with the field concerned.
+fn broken_rules(bundle: &Bundle) -> Vec<BrokenRule> {
+    let mut broken: Vec<BrokenRule> = Vec::new();
+    let services: BTreeSet<_> = bundle.services.iter().map(|service| &service.name).collect();
     for kind in &bundle.kinds {
         if !services.contains(&kind.service) {
-            reader.mistake(
-                "kinds",
-                format!("kind {} names service {} which is not listed", kind.name, kind.service),
-            );
+            broken
+                .push(("kinds", format!("kind {} names service {} which is not listed", kind.name, kind.service)));
         }
         if kind.deadline_ms > bundle.limits.max_deadline_ms {
-            reader.mistake("kinds", format!("deadline_ms of kind {} is over limits.max_deadline_ms", kind.name));
+            broken.push(("kinds", format!("deadline_ms of kind {} is over limits.max_deadline_ms", kind.name)));
         }
     }
-    if services.len() != bundle.services.len() {
-        reader.mistake("services", "two services have the same name");
-    }
-    if distinct(bundle.groups.iter().map(|group| &group.name)) != bundle.groups.len() {
-        reader.mistake("groups", "two groups have the same name");
-    }
-    if distinct(bundle.groups.iter().map(|group| &group.credential)) != bundle.groups.len() {
-        reader.mistake("groups", "two groups have the same credential");
-    }
-    if distinct(bundle.kinds.iter().map(|kind| &kind.name)) != bundle.kinds.len() {
-        reader.mistake("kinds", "two kinds have the same name");
-    }
-    if distinct(bundle.kinds.iter().map(|kind| (&kind.method, &kind.path_prefix))) != bundle.kinds.len() {
-        reader.mistake("kinds", "two kinds have the same method and path prefix");
-    }
-    if bundle.limits.claim_memory_ms < bundle.limits.max_deadline_ms {
-        reader.mistake("limits", "claim_memory_ms is shorter than max_deadline_ms");
-    }
+    let mut require = |holds: bool, field, reason: &str| {
+        if !holds {
+            broken.push((field, reason.to_string()));
+        }
+    };
+    let (groups, kinds) = (&bundle.groups, &bundle.kinds);
+    require(services.len() == bundle.services.len(), "services", "two services have the same name");
+    require(
+        distinct(groups.iter().map(|group| &group.name)) == groups.len(),
+        "groups",
+        "two groups have the same name",
+    );
+    let credentials = distinct(groups.iter().map(|group| &group.credential));
+    require(credentials == groups.len(), "groups", "two groups have the same credential");
+    require(distinct(kinds.iter().map(|kind| &kind.name)) == kinds.len(), "kinds", "two kinds have the same name");
+    let paths = distinct(kinds.iter().map(|kind| (&kind.method, &kind.path_prefix)));
+    require(paths == kinds.len(), "kinds", "two kinds have the same method and path prefix");
+    let remembered = bundle.limits.claim_memory_ms >= bundle.limits.max_deadline_ms;
+    require(remembered, "limits", "claim_memory_ms is shorter than max_deadline_ms");
+    broken
 }
 
 fn distinct<T: Ord>(items: impl Iterator<Item = T>) -> usize {
     items.collect::<BTreeSet<_>>().len()
 }
-
-/// The TOML form of a bundle.
-pub fn bundle_to_toml(bundle: &Bundle) -> String {
-    let mut lines = vec![
-        format!("deployment = {:?}", bundle.deployment),
-        format!("version = {}", bundle.version),
-        format!("parent = \"{}\"", digest_text(&bundle.parent)),
-        format!("[objective]\nmax_queue_wait_ms = {}", bundle.objective.max_queue_wait_ms),
-        format!(
-            "[limits]\nretries_per_request = {}\nmax_hops = {}\nmax_deadline_ms = {}\nclaim_memory_ms = {}\nmax_request_body_bytes = {}",
-            bundle.limits.retries_per_request,
-            bundle.limits.max_hops,
-            bundle.limits.max_deadline_ms,
-            bundle.limits.claim_memory_ms,
-            bundle.limits.max_request_body_bytes
-        ),
-    ];
-    for group in &bundle.groups {
-        let credential = group.credential.map(|digest| format!("\ncredential_blake3 = \"{digest}\""));
-        let credential = credential.unwrap_or_default();
-        lines.push(format!("[[groups]]\nname = \"{}\"\nweight = {}{credential}", group.name, group.weight));
-    }
-    for service in &bundle.services {
-        lines.push(format!(
-            "[[services]]\nname = \"{}\"\nslots = {}\nconnections = {}",
-            service.name, service.slots, service.connections
-        ));
-    }
-    for kind in &bundle.kinds {
-        lines.push(format!(
-            "[[kinds]]\nname = \"{}\"\nservice = \"{}\"\nmethod = {:?}\npath_prefix = {:?}\nimportance = {}\nrepeat_safe = {}\ndeadline_ms = {}\nexpected_ms = {}",
-            kind.name,
-            kind.service,
-            kind.method,
-            kind.path_prefix,
-            kind.importance.0,
-            kind.repeat_safe,
-            kind.deadline_ms,
-            kind.expected_ms
-        ));
-    }
-    lines.join("\n") + "\n"
-}
-
-fn digest_text(digest: &Digest) -> String {
-    if *digest == Digest::default() { String::new() } else { digest.to_string() }
-}
--- a/crates/bundle/src/delta.rs
+++ b/crates/bundle/src/delta.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Records in `changes` how the list `new` differs from `old`.
-fn list_changes<T: PartialEq + Clone, N: PartialEq + Clone>(
+/// Records in `changes` how the list `new` differs from `old`; both are sorted by name.
+fn list_changes<T: PartialEq + Clone, N: Ord + Clone>(
     old: &[T],
     new: &[T],
     name: impl Fn(&T) -> &N,
@@ -71,13 +71,14 @@
     remove: impl Fn(N) -> Change,
     changes: &mut Vec<Change>,
 ) {
+    let find = |list: &[T], wanted: &T| list.binary_search_by(|item| name(item).cmp(name(wanted)));
     for item in old {
-        if !new.iter().any(|other| name(other) == name(item)) {
+        if find(new, item).is_err() {
             changes.push(remove(name(item).clone()));
         }
     }
     for item in new {
-        if !old.contains(item) {
+        if find(old, item).map(|position| &old[position]) != Ok(item) {
             changes.push(set(item.clone()));
         }
     }
@@ -128,20 +129,22 @@
 }
 
 impl BundleDelta {
-    /// The delta from `parent` to `signed`; `None` when `signed` names another parent.
-    pub fn between(parent: &Bundle, signed: &SignedBundle) -> Option<Self> {
-        let parent_digest = parent.stamp().digest;
+    /// The delta from `parent`, whose stamp is `parent_stamp`, to `signed`, whose stamp is
+    /// `result`; `None` when `signed` names another parent.
+    pub fn between(parent: &Bundle, parent_stamp: Stamp, signed: &SignedBundle, result: Stamp) -> Option<Self> {
+        let parent_digest = parent_stamp.digest;
         (signed.bundle.parent == parent_digest).then(|| BundleDelta {
             parent: parent_digest,
-            result: signed.bundle.stamp(),
+            result,
             changes: changes_between(parent, &signed.bundle),
             signatures: signed.signatures.clone(),
         })
     }
 
-    /// Applies the changes to `parent`; fails unless the result has the named digest.
-    pub fn apply(&self, parent: &Bundle) -> Result<SignedBundle, BundleError> {
-        if parent.stamp().digest != self.parent {
+    /// Applies the changes to `parent`, whose stamp is `parent_stamp`; fails unless the
+    /// result has the named digest.
+    pub fn apply(&self, parent: &Bundle, parent_stamp: Stamp) -> Result<SignedBundle, BundleError> {
+        if parent_stamp.digest != self.parent {
             return Err(BundleError::ParentNotHeld { version: self.result.version });
         }
         let mut bundle = parent.clone();
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`sign`]: signatures, key sets and the m-of-n sign-off.
 //! - [`delta`]: differences between versions, sent instead of whole bundles.
 //! - [`index`]: look-up tables for classification.
+//! - [`spread`]: how versions spread between nodes.
 //! - [`store`]: which version is in force; never goes back.
 
 pub mod check;
@@ -13,6 +14,7 @@
 pub mod index;
 pub mod model;
 pub mod sign;
+pub mod spread;
 pub mod store;
 
 pub use delta::{BundleDelta, Change};
--- a/crates/bundle/src/store.rs
+++ b/crates/bundle/src/store.rs
@@ -96,12 +96,7 @@
             return Ok(Offer::Same);
         }
         self.refuse_older(stamp)?;
-        if signed.bundle.deployment != self.deployment {
-            return Err(BundleError::WrongDeployment { found: signed.bundle.deployment });
-        }
-        self.sign_off.verify(&stamp, &signed.signatures)?;
-        check_bundle(&signed.bundle).map_err(|mistakes| BundleError::Invalid(mistakes.to_string()))?;
-        Ok(self.install(signed, stamp))
+        self.accept(signed, stamp, None)
     }
 
     /// Offers a delta; fails with [`BundleError::ParentNotHeld`] when the whole bundle is needed.
@@ -110,9 +105,25 @@
             return Ok(Offer::Same);
         }
         self.refuse_older(delta.result)?;
+        self.sign_off.verify(&delta.result, &delta.signatures)?;
         let missing = BundleError::ParentNotHeld { version: delta.result.version };
         let parent = self.current.clone().ok_or(missing)?;
-        self.offer(delta.apply(&parent.bundle)?)
+        let signed = delta.apply(&parent.bundle, self.current_stamp)?;
+        self.accept(signed, delta.result, Some(Arc::new(delta.clone())))
+    }
+
+    fn accept(
+        &mut self,
+        signed: SignedBundle,
+        stamp: Stamp,
+        delta: Option<Arc<BundleDelta>>,
+    ) -> Result<Offer, BundleError> {
+        if signed.bundle.deployment != self.deployment {
+            return Err(BundleError::WrongDeployment { found: signed.bundle.deployment });
+        }
+        self.sign_off.verify(&stamp, &signed.signatures)?;
+        check_bundle(&signed.bundle)?;
+        Ok(self.install(signed, stamp, delta))
     }
 
     fn refuse_older(&self, offered: Stamp) -> Result<(), BundleError> {
@@ -120,10 +131,13 @@
         if offered < floor { Err(BundleError::Older { offered, floor }) } else { Ok(()) }
     }
 
-    fn install(&mut self, signed: SignedBundle, stamp: Stamp) -> Offer {
+    fn install(&mut self, signed: SignedBundle, stamp: Stamp, delta: Option<Arc<BundleDelta>>) -> Offer {
         let previous = self.current_stamp;
-        self.latest_delta =
-            self.current.as_ref().and_then(|parent| BundleDelta::between(&parent.bundle, &signed)).map(Arc::new);
+        let made = || {
+            let parent = self.current.as_ref()?;
+            BundleDelta::between(&parent.bundle, previous, &signed, stamp).map(Arc::new)
+        };
+        self.latest_delta = delta.or_else(made);
         self.current = Some(Arc::new(signed));
         self.current_stamp = stamp;
         if previous.version == stamp.version {
--- a/crates/bundle/tests/store.rs
+++ b/crates/bundle/tests/store.rs
@@ -76,7 +76,7 @@
     let first = bundle(1, Digest::default(), 10);
     let second = bundle(2, first.stamp().digest, 20);
     store.offer(signed(first.clone())).unwrap();
-    let delta = BundleDelta::between(&first, &signed(second.clone())).unwrap();
+    let delta = BundleDelta::between(&first, first.stamp(), &signed(second.clone()), second.stamp()).unwrap();
     assert_eq!(store.offer_delta(&delta), Ok(Offer::Accepted(second.stamp())));
     assert_eq!(store.bundle(), Some(&second));
 }
@@ -87,7 +87,7 @@
     let first = bundle(1, Digest::default(), 10);
     let second = bundle(2, first.stamp().digest, 20);
     store.offer(signed(first.clone())).unwrap();
-    let mut delta = BundleDelta::between(&first, &signed(second)).unwrap();
+    let mut delta = BundleDelta::between(&first, first.stamp(), &signed(second.clone()), second.stamp()).unwrap();
     delta.changes.clear();
     assert_eq!(store.offer_delta(&delta), Err(BundleError::DigestMismatch));
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -1,6 +1,6 @@
 //! The membership core.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use olivegate_types::{Moment, NodeName, ZoneName};
@@ -32,7 +32,7 @@
         /// Control address of the member.
         from: SocketAddr,
     },
-    /// A member's state changed.
+    /// A member's state or addresses changed.
     Changed {
         /// The member.
         name: NodeName,
@@ -53,6 +53,8 @@
     config: MembershipConfig,
     own: MemberRecord,
     members: BTreeMap<NodeName, Member>,
+    /// Members that are suspected or held for dead: the only ones that each tick looks at.
+    doubted: BTreeSet<NodeName>,
     seeds: Vec<SocketAddr>,
     detector: Detector,
     gossip: GossipQueue,
@@ -73,6 +75,7 @@
             config,
             own,
             members: BTreeMap::new(),
+            doubted: BTreeSet::new(),
             seeds,
             detector: Detector::default(),
             gossip,
@@ -183,8 +186,8 @@
         self.next_sync = now;
         let alone = !self.others().any(MemberRecord::is_answering);
         self.stale_since = (!alone).then_some(now);
-        for member in self.members.values_mut() {
-            if member.record.state == MemberState::Suspect {
+        for name in &self.doubted {
+            if let Some(member) = self.members.get_mut(name) {
                 member.since = now;
             }
         }
@@ -221,7 +224,9 @@
             self.probe(&target, now, outputs);
         }
         let dead: Vec<SocketAddr> = self
-            .others()
+            .doubted
+            .iter()
+            .filter_map(|name| self.members.get(name).map(|member| &member.record))
             .filter(|record| record.state == MemberState::Dead)
             .map(|record| record.control)
             .collect();
@@ -329,18 +334,20 @@
     fn check_suspicions(&mut self, now: Moment, outputs: &mut Vec<Output>) {
         let time = self.config.suspicion_time(self.members.len() + 1);
         let retention = self.config.dead_retention;
-        let overdue: Vec<MemberRecord> = self
-            .members
-            .values()
-            .filter(|member| member.record.state == MemberState::Suspect && now.since(member.since) >= time)
-            .map(|member| member.record.clone())
+        let doubted: Vec<(MemberRecord, Moment)> = self
+            .doubted
+            .iter()
+            .filter_map(|name| self.members.get(name).map(|member| (member.record.clone(), member.since)))
             .collect();
-        for record in overdue {
-            self.apply(MemberRecord { state: MemberState::Dead, ..record }, now, outputs);
+        for (record, since) in doubted {
+            let age = now.since(since);
+            if record.state == MemberState::Suspect && age >= time {
+                self.apply(MemberRecord { state: MemberState::Dead, ..record }, now, outputs);
+            } else if record.state == MemberState::Dead && age >= retention {
+                self.doubted.remove(&record.name);
+                self.members.remove(&record.name);
+            }
         }
-        let forgotten =
-            |member: &Member| member.record.state == MemberState::Dead && now.since(member.since) >= retention;
-        self.members.retain(|_, member| !forgotten(member));
     }
 
     /// Takes in one piece of news.
@@ -355,14 +362,20 @@
             return;
         }
         let changed = known.is_none_or(|known| known.state != news.state);
+        let moved = known.is_some_and(|known| known.data != news.data || known.control != news.control);
         let (name, state) = (news.name.clone(), news.state);
         let since = match self.members.get(&name) {
             Some(member) if !changed => member.since,
             _ => now,
         };
+        if news.is_answering() {
+            self.doubted.remove(&name);
+        } else {
+            self.doubted.insert(name.clone());
+        }
         self.members.insert(name.clone(), Member { record: news, since });
         self.gossip.push(name.clone());
-        if changed {
+        if changed || moved {
             outputs.push(Output::Changed { name, state });
         }
     }
@@ -422,6 +435,11 @@
         outputs
     }
 
+    /// Drops changes that still have to be passed on; for fleets that start settled in a simulation.
+    pub fn forget_gossip(&mut self) {
+        self.gossip = GossipQueue::default();
+    }
+
     /// Changes that still have to be passed on.
     pub fn gossip_backlog(&self) -> usize {
         self.gossip.len()
--- a/crates/node/src/control_loops/bundle.rs
+++ b/crates/node/src/control_loops/bundle.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use olivegate_bundle::spread::{self, FANOUT, SpreadAction};
 use olivegate_bundle::{BundleDelta, BundleError, IndexedBundle, Offer, SignedBundle, Stamp};
 use olivegate_control::Datagram;
 use olivegate_control::datagram::MAX_DATAGRAM;
@@ -22,8 +23,6 @@
 
 /// Nodes of a zone that poll the configuration service.
 const POLLERS_PER_ZONE: usize = 2;
-/// Members to which a new version is passed on.
-const FANOUT: usize = 4;
 /// Time limit for reads and fetches.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two attempts to learn the floor.
@@ -127,23 +126,29 @@
 
 /// A delta arrives from a member.
 pub fn on_delta(node: &Node, from: &NodeName, delta: BundleDelta) {
-    let outcome = lock(&node.bundles).offer_delta(&delta);
-    match outcome {
-        Ok(outcome) => take_effect(node, outcome),
-        Err(BundleError::ParentNotHeld { .. }) => on_version(node, from, delta.result),
-        Err(BundleError::Older { .. }) => {}
-        Err(error) => log::warn!("event=delta_refused from={from} reason={:?}", error.to_string()),
-    }
+    let action = spread::on_delta(&mut lock(&node.bundles), &delta);
+    carry_out(node, from, action);
 }
 
 /// A member says which version it has: a higher one is fetched from it.
 pub fn on_version(node: &Node, from: &NodeName, stamp: Stamp) {
-    if stamp <= lock(&node.bundles).stamp() {
-        return;
-    }
-    let address = lock(&node.membership).get(from).map(|record| record.control);
-    if let Some(address) = address {
-        tokio::spawn(fetch_from(node.clone(), address));
+    let action = spread::on_version(&lock(&node.bundles), stamp);
+    carry_out(node, from, action);
+}
+
+fn carry_out(node: &Node, from: &NodeName, action: SpreadAction) {
+    match action {
+        SpreadAction::Nothing => {}
+        SpreadAction::PassOn(offer) => take_effect(node, offer),
+        SpreadAction::Fetch => {
+            let address = lock(&node.membership).get(from).map(|record| record.control);
+            if let Some(address) = address {
+                tokio::spawn(fetch_from(node.clone(), address));
+            }
+        }
+        SpreadAction::Refuse(error) => {
+            log::warn!("event=delta_refused from={from} reason={:?}", error.to_string());
+        }
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,6 @@
 //! What the parts of a node share.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
@@ -11,7 +11,7 @@
 use olivegate_overload::LevelTable;
 use olivegate_retry::{RetryBudget, RetryLedger};
 use olivegate_routing::{Balancer, rendezvous};
-use olivegate_types::{NodeName, RequestId};
+use olivegate_types::{InstanceName, NodeName, RequestId};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
@@ -33,6 +33,14 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Gates found by hashing, kept until a member changes: hashing over all members of a
+/// zone for each call costs too much in large zones.
+#[derive(Default)]
+struct GateOwners {
+    member_changes: u64,
+    owners: HashMap<InstanceName, Option<MemberRecord>>,
+}
+
 /// Shared state of one node.
 pub struct NodeState {
     /// Checked settings.
@@ -50,6 +58,7 @@
     pub member_changes: watch::Sender<u64>,
     /// Socket for control datagrams.
     pub datagrams: UdpSocket,
+    gate_owners: Mutex<GateOwners>,
     /// Back-end instances.
     pub directory: RwLock<Directory>,
     /// Own observations of instances.
@@ -103,6 +112,7 @@
             membership: Mutex::new(membership),
             member_changes: watch::Sender::new(0),
             datagrams,
+            gate_owners: Mutex::default(),
             directory: RwLock::default(),
             balancer: Mutex::default(),
             levels: Mutex::default(),
@@ -162,6 +172,21 @@
 
     /// The node that is the gate of an instance: of the instance's zone if any is usable there.
     pub fn gate_of(&self, instance: &Instance) -> Option<MemberRecord> {
+        let changes = *self.member_changes.borrow();
+        let mut cache = lock(&self.gate_owners);
+        if cache.member_changes != changes {
+            cache.member_changes = changes;
+            cache.owners.clear();
+        }
+        if let Some(owner) = cache.owners.get(&instance.name) {
+            return owner.clone();
+        }
+        let owner = self.find_gate(instance);
+        cache.owners.insert(instance.name.clone(), owner.clone());
+        owner
+    }
+
+    fn find_gate(&self, instance: &Instance) -> Option<MemberRecord> {
         let membership = lock(&self.membership);
         let mut candidates = membership.usable_in(&instance.zone);
         if candidates.is_empty() {
@@ -172,7 +197,7 @@
     }
 
     /// A snapshot of an instance's entry.
-    pub fn instance(&self, name: &olivegate_types::InstanceName) -> Option<Instance> {
+    pub fn instance(&self, name: &InstanceName) -> Option<Instance> {
         self.read_directory().get(name).cloned()
     }
 
