--- a/crates/overload/src/admission/gate_levels.rs
+++ b/crates/overload/src/admission/gate_levels.rs
@@ -28,7 +28,7 @@
 /// Part of the longest accepted wait below which the instance counts as free.
 const SHORT_WAIT: f64 = 0.15;
 /// Factor per window while the instance has free slots.
-const FREE_GROWTH: f64 = 1.5;
+const FREE_GROWTH: f64 = 1.7;
 /// Lowest level; keeps probing.
 const LOWEST_LEVEL: f64 = 0.01;
 /// Most windows for which one step makes up.
--- /dev/null
+++ b/crates/overload/tests/levels.rs
@@ -0,0 +1,74 @@
+//! Admission levels: measured at gates, learnt and applied at the root.
+
+use olivegate_overload::{Arrival, ClassKey, GateLevels, LevelTable};
+use olivegate_types::{GroupName, Importance, KindName, Moment, ServiceName, SheddingRank};
+
+fn class() -> ClassKey {
+    ClassKey { root_kind: KindName::new("search"), group: GroupName::new("all"), importance: Importance(1) }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+const ACCEPTED: Arrival = Arrival::Accepted { wait_ratio: 0.0 };
+
+#[test]
+fn refusals_lower_the_level_and_free_slots_raise_it_within_half_a_second() {
+    let mut levels = GateLevels::default();
+    for millis in 0..500 {
+        levels.note(&class(), Arrival::Refused, false, at(millis));
+    }
+    let lowest = levels.level(&class());
+    assert!(lowest < 0.05, "{lowest}");
+    for millis in (500..1_100).step_by(10) {
+        levels.note(&class(), ACCEPTED, true, at(millis));
+    }
+    assert_eq!(levels.level(&class()), 1.0);
+}
+
+#[test]
+fn one_refusal_among_few_arrivals_cuts_little() {
+    let mut levels = GateLevels::default();
+    levels.note(&class(), ACCEPTED, false, at(0));
+    levels.note(&class(), Arrival::Refused, false, at(60));
+    assert!(levels.level(&class()) > 0.75);
+}
+
+#[test]
+fn long_waits_lower_the_level_before_anything_is_refused() {
+    let mut levels = GateLevels::default();
+    for millis in 0..400 {
+        levels.note(&class(), Arrival::Accepted { wait_ratio: 0.9 }, false, at(millis));
+    }
+    assert!(levels.level(&class()) < 0.8);
+}
+
+#[test]
+fn the_smallest_level_of_all_services_binds_the_root() {
+    let mut table = LevelTable::default();
+    for (service, hop, level) in [("catalogue", 0, 0.9), ("stockroom", 1, 0.2)] {
+        for _ in 0..40 {
+            table.on_report(&class(), &ServiceName::new(service), hop, level, at(10));
+        }
+    }
+    let admitted = |rank| table.admits(&class(), SheddingRank(rank), at(20));
+    assert!(admitted(10_000));
+    assert!(!admitted(20_000));
+}
+
+#[test]
+fn a_gate_passes_on_only_what_lies_deeper_than_its_own_call() {
+    let mut table = LevelTable::default();
+    table.on_report(&class(), &ServiceName::new("catalogue"), 0, 0.3, at(0));
+    assert!(table.level(&class(), 0, at(0)) < 1.0);
+    assert_eq!(table.level(&class(), 1, at(0)), 1.0);
+}
+
+#[test]
+fn a_level_that_nobody_confirms_rises() {
+    let mut table = LevelTable::default();
+    table.on_report(&class(), &ServiceName::new("catalogue"), 0, 0.1, at(0));
+    assert!(table.level(&class(), 0, at(50)) < 0.2);
+    assert_eq!(table.level(&class(), 0, at(1_000)), 1.0);
+}
