--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`record`]: what is known of one member, and which news wins.
 //! - [`gossip`]: changes that still have to be passed on.
 //! - [`detector`]: the periodic probing.
-//! - [`membership`]: the whole core.
+//! - [`membership`]: the whole core; `suspicion` holds what becomes of suspects.
 
 pub mod config;
 pub mod detector;
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod message;
 pub mod record;
+mod suspicion;
 
 pub use config::MembershipConfig;
 pub use membership::{Membership, Output};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -14,10 +14,6 @@
 use crate::message::{Message, Purpose};
 use crate::record::{MemberRecord, MemberState, SeatHeld};
 
-/// Periods without a message after which a zone counts as having been silent.
-const SILENT_PERIODS: u32 = 5;
-/// Members suspected during one silence that point to a cut rather than to a death.
-const SUSPECTS_OF_A_CUT: usize = 3;
 /// Periods between two attempts to reach a seed that is not a member.
 const STRANGER_PERIODS: u32 = 4;
 
@@ -46,34 +42,34 @@
 }
 
 #[derive(Debug)]
-struct Member {
-    record: MemberRecord,
+pub(crate) struct Member {
+    pub(crate) record: MemberRecord,
     /// When its state changed.
-    since: Moment,
+    pub(crate) since: Moment,
     /// Suspected for long enough, but nothing was heard from its zone since: more likely
     /// the zone is cut off than the member dead. Known to this node only.
-    held: bool,
+    pub(crate) held: bool,
 }
 
 /// What one node knows of all members.
 #[derive(Debug)]
 pub struct Membership {
-    config: MembershipConfig,
-    own: MemberRecord,
-    members: BTreeMap<NodeName, Member>,
+    pub(crate) config: MembershipConfig,
+    pub(crate) own: MemberRecord,
+    pub(crate) members: BTreeMap<NodeName, Member>,
     /// Members that are suspected or held for dead: the only ones that each tick looks at.
-    doubted: BTreeSet<NodeName>,
-    seeds: Vec<SocketAddr>,
-    detector: Detector,
-    gossip: GossipQueue,
-    random: StdRng,
+    pub(crate) doubted: BTreeSet<NodeName>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) detector: Detector,
+    pub(crate) gossip: GossipQueue,
+    pub(crate) random: StdRng,
     /// When something was last heard from each zone.
-    zone_heard: BTreeMap<ZoneName, Moment>,
-    next_probe: Moment,
-    next_sync: Moment,
-    last_tick: Option<Moment>,
-    stale_since: Option<Moment>,
-    freezes: u64,
+    pub(crate) zone_heard: BTreeMap<ZoneName, Moment>,
+    pub(crate) next_probe: Moment,
+    pub(crate) next_sync: Moment,
+    pub(crate) last_tick: Option<Moment>,
+    pub(crate) stale_since: Option<Moment>,
+    pub(crate) freezes: u64,
 }
 
 impl Membership {
@@ -344,97 +340,8 @@
         }
     }
 
-    fn check_suspicions(&mut self, now: Moment, outputs: &mut Vec<Output>) {
-        let time = self.config.suspicion_time(self.members.len() + 1);
-        let retention = self.config.dead_retention;
-        let doubted: Vec<(MemberRecord, Moment)> = self
-            .doubted
-            .iter()
-            .filter_map(|name| self.members.get(name).map(|member| (member.record.clone(), member.since)))
-            .collect();
-        for (record, since) in doubted {
-            let age = now.since(since);
-            if record.state == MemberState::Suspect && age >= time && self.is_zone_reachable(&record.zone, since) {
-                self.apply(MemberRecord { state: MemberState::Dead, ..record }, now, outputs);
-            } else if age >= retention {
-                self.doubted.remove(&record.name);
-                self.members.remove(&record.name);
-            } else if record.state == MemberState::Suspect
-                && age >= time
-                && let Some(member) = self.members.get_mut(&record.name)
-            {
-                member.held = true;
-            }
-        }
-    }
-
-    /// True when something was heard from `zone` after `since`. Only a node that reaches
-    /// the zone may declare one of its members dead.
-    fn is_zone_reachable(&self, zone: &ZoneName, since: Moment) -> bool {
-        *zone == self.own.zone || self.zone_heard.get(zone).is_some_and(|heard| *heard > since)
-    }
-
-    /// Something was heard from a member. After a silence of its zone, members that were
-    /// suspected during the silence get a new time to refute, their suspicion is no
-    /// longer passed on, and a full exchange with the sender tells who is alive.
-    fn note_contact(&mut self, name: &NodeName, now: Moment, outputs: &mut Vec<Output>) {
-        let Some(record) = self.members.get(name).map(|member| member.record.clone()) else {
-            return;
-        };
-        if self.members.get(name).is_some_and(|member| member.held) {
-            self.release(MemberRecord { state: MemberState::Alive, ..record.clone() }, now, outputs);
-        }
-        let before = self.zone_heard.insert(record.zone.clone(), now).unwrap_or_default();
-        if record.zone == self.own.zone || now.since(before) < self.config.period * SILENT_PERIODS {
-            return;
-        }
-        let renewed = self.renew_suspects(&record.zone, before, now);
-        if renewed >= SUSPECTS_OF_A_CUT {
-            outputs.push(Output::Sync { from: record.control });
-        }
-    }
-
-    /// Holds the members of `zone` suspected after `before`; returns how many.
-    fn renew_suspects(&mut self, zone: &ZoneName, before: Moment, now: Moment) -> usize {
-        let mut renewed = 0;
-        for name in &self.doubted {
-            let Some(member) = self.members.get_mut(name) else {
-                continue;
-            };
-            let raised_in_silence = member.record.state == MemberState::Suspect && member.since > before;
-            if member.record.zone == *zone && raised_in_silence {
-                member.held = true;
-                member.since = now;
-                self.gossip.remove(name);
-                renewed += 1;
-            }
-        }
-        renewed
-    }
-
-    /// A reachable member holds one for alive that we suspected while its zone was silent:
-    /// so do we.
-    fn release_suspect(&mut self, news: &MemberRecord, now: Moment, outputs: &mut Vec<Output>) {
-        let Some(member) = self.members.get(&news.name) else {
-            return;
-        };
-        let is_suspect = member.record.state == MemberState::Suspect;
-        let silent = member.held || !self.is_zone_reachable(&member.record.zone, member.since);
-        if is_suspect && silent && news.is_answering() && news.incarnation == member.record.incarnation {
-            self.release(news.clone(), now, outputs);
-        }
-    }
-
-    fn release(&mut self, record: MemberRecord, now: Moment, outputs: &mut Vec<Output>) {
-        let (name, state) = (record.name.clone(), record.state);
-        self.doubted.remove(&name);
-        self.gossip.remove(&name);
-        self.members.insert(name.clone(), Member { record, since: now, held: false });
-        outputs.push(Output::Changed { name, state });
-    }
-
     /// Takes in one piece of news.
-    fn apply(&mut self, news: MemberRecord, now: Moment, outputs: &mut Vec<Output>) {
+    pub(crate) fn apply(&mut self, news: MemberRecord, now: Moment, outputs: &mut Vec<Output>) {
         if news.name == self.own.name {
             self.refute(&news);
             return;
--- a/crates/node/src/ports/caller.rs
+++ b/crates/node/src/ports/caller.rs
@@ -3,14 +3,13 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::edge;
-use crate::ports::accept;
+use crate::ports::{accept, close_when_stopping, serve_until_closing};
 use crate::state::Node;
 
 /// Time for a caller to send its request head.
@@ -33,9 +32,7 @@
         async move {
             let in_flight = node.stop.enter();
             let mut response = edge::handle(&node, request).await;
-            if node.stop.is_stopping() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
+            close_when_stopping(&mut response, &node.stop);
             drop(in_flight);
             Ok::<_, Infallible>(response)
         }
@@ -46,15 +43,5 @@
         .max_buf_size(MAX_HEAD)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
-    let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
-        () = stop.closing() => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("event=caller_connection_ended error={error}");
-    }
+    serve_until_closing(serving, &stop, "caller").await;
 }
--- a/crates/node/src/ports/data.rs
+++ b/crates/node/src/ports/data.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -17,7 +16,7 @@
 use crate::edge::forward::write_reply;
 use crate::gate::dispatch::GateResult;
 use crate::gate::{GateCall, GateReply, dispatch};
-use crate::ports::accept;
+use crate::ports::{accept, close_when_stopping, serve_until_closing};
 use crate::reply::{FinalAnswer, header_text, header_value};
 use crate::state::Node;
 
@@ -43,9 +42,7 @@
             let in_flight = node.stop.enter();
             let response = handle(&node, request).await;
             let mut guarded = response.map(|inner| guard(inner, in_flight));
-            if stopping.is_stopping() {
-                guarded.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
+            close_when_stopping(&mut guarded, &stopping);
             Ok::<_, Infallible>(guarded)
         }
     });
@@ -54,17 +51,7 @@
         .max_buf_size(MAX_HEAD)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
-    let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
-        () = stop.closing() => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!("event=data_connection_ended error={error}");
-    }
+    serve_until_closing(serving, &stop, "data").await;
 }
 
 /// Longest time for an answer's body, after which it is broken off.
--- a/crates/node/src/ports/mod.rs
+++ b/crates/node/src/ports/mod.rs
@@ -10,12 +10,20 @@
 pub mod control;
 pub mod data;
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::body::AnyBody;
 use crate::error::NodeError;
 use crate::stop::StopSignal;
 
@@ -56,3 +64,32 @@
         });
     }
 }
+
+/// Serves one HTTP/1.1 connection until it ends, or, in the last part of a stop, until
+/// its exchange in progress has ended.
+pub async fn serve_until_closing<S>(
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    stop: &StopSignal,
+    port: &'static str,
+) where
+    S: Service<Request<Incoming>, Response = Response<AnyBody>, Error = Infallible>,
+{
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=connection_ended port={port} error={error}");
+    }
+}
+
+/// Asks the receiver of an answer to close its connection, once a stop has begun.
+pub fn close_when_stopping(response: &mut Response<AnyBody>, stop: &StopSignal) {
+    if stop.is_stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
