--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,14 +1,14 @@
 //! `olivegate-bench`: emulated back ends, load, failures and history checks.
 //!
-//! - [`spec`]: a deployment's services, call graph and traffic; [`capacity`]: what its slots can serve.
-//! - [`back_ends`]: the emulator of back ends, a process of its own.
-//! - [`platform`]: stand-ins of the configuration service and the member list.
-//! - [`links`]: the network between zones, with delay and cuts.
-//! - [`fleet`]: node processes: start, kill, freeze, stop, replace.
-//! - [`load`]: clients. [`scenario`]: what happens when. [`arms`]: what is compared.
-//! - [`history`], [`checker`]: what was recorded, and whether a promise was broken.
-//! - [`summary`], [`report`]: `summary.json`, the table and the picture.
-//! - [`scale`]: hollow nodes by the thousand.
+//! - `spec`: a deployment's services, call graph and traffic; `capacity`: what its slots can serve.
+//! - `back_ends`: the emulator of back ends, a process of its own.
+//! - `platform`: stand-ins of the configuration service and the member list.
+//! - `links`: the network between zones, with delay and cuts.
+//! - `fleet`: node processes: start, kill, freeze, stop, replace.
+//! - `load`: clients. `scenario`: what happens when. `arms`: what is compared.
+//! - `history`, `checker`: what was recorded, and whether a promise was broken.
+//! - `summary`, `report`: `summary.json`, the table and the picture.
+//! - `scale`: hollow nodes by the thousand.
 
 mod arms;
 mod back_ends;
