--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -116,7 +116,7 @@
         let bundle = bundle_from_toml(&text)
             .map_err(|mistakes| BenchError::File(format!("file={} {mistakes}", bundle_file.display())))?;
         std::fs::create_dir_all(&out).map_err(|error| BenchError::File(error.to_string()))?;
-        let spec_file = out.join("deployment.json.toml");
+        let spec_file = out.join("deployment.toml");
         write_spec(&spec, &spec_file)?;
         Ok(Experiment { spec, spec_file, bundle, scenario, seed, seconds, out })
     }
--- a/crates/bench/src/summary.rs
+++ b/crates/bench/src/summary.rs
@@ -267,7 +267,7 @@
         let mut lines = vec![
             format!("deployment={} scenario={} seed={}", self.deployment, self.scenario, self.seed),
             format!(
-                "{:<13}{:>9}{:>9}{:>8}{:>10}{:>16}{:>16}{:>9}{:>8}{:>8}{:>14}",
+                "{:<13}{:>10}{:>9}{:>10}{:>10}{:>16}{:>16}{:>9}{:>9}{:>8}{:>16}",
                 "arm",
                 "offered/s",
                 "good/s",
@@ -284,7 +284,7 @@
         for (name, arm) in &self.arms {
             let recovery = arm.recovery_seconds.map_or("-".to_string(), |seconds| format!("{seconds:.1} s"));
             lines.push(format!(
-                "{name:<13}{:>9.1}{:>9.1}{:>7.1}%{recovery:>10}{:>16}{:>16}{:>9.1}{:>8}{:>7.2}%{:>14}",
+                "{name:<13}{:>10.1}{:>9.1}{:>9.1}%{recovery:>10}{:>16}{:>16}{:>9.1}{:>9}{:>7.2}%{:>16}",
                 arm.offered_per_second,
                 arm.goodput_per_second,
                 arm.goodput_of_capacity * 100.0,
--- a/crates/node/src/edge/admit.rs
+++ b/crates/node/src/edge/admit.rs
@@ -119,7 +119,7 @@
     };
     let is_root = context.is_none();
     let (context, deadline, credits) = match context {
-        Some(parent) => child(&parent, &bundle, &kind, arrived)?,
+        Some(parent) => child(&parent, &bundle, arrived)?,
         None => root(node, &parts.headers, &bundle, &kind, arrived)?,
     };
     if is_root {
@@ -165,12 +165,7 @@
 type ContextParts = (RequestContext, Moment, u8);
 
 /// The context of a call that a back end makes on behalf of `parent`.
-fn child(
-    parent: &RequestContext,
-    bundle: &IndexedBundle,
-    kind: &Kind,
-    arrived: Moment,
-) -> Result<ContextParts, Refused> {
+fn child(parent: &RequestContext, bundle: &IndexedBundle, arrived: Moment) -> Result<ContextParts, Refused> {
     let context = parent.child();
     if context.hop >= bundle.bundle().limits.max_hops {
         let reason = RefusalReason::TooManyHops.as_str();
@@ -178,7 +173,6 @@
     }
     let remaining = Duration::from_millis(context.deadline_unix_ms.saturating_sub(clock::unix_ms()));
     let longest = Duration::from_millis(u64::from(bundle.bundle().limits.max_deadline_ms));
-    let _ = kind;
     Ok((context, arrived + remaining.min(longest), 0))
 }
 
--- a/crates/node/src/edge/attempts.rs
+++ b/crates/node/src/edge/attempts.rs
@@ -13,8 +13,7 @@
 use crate::edge::admit::Admitted;
 use crate::edge::forward;
 use crate::explain::Decision;
-use crate::gate::dispatch::GateResult;
-use crate::gate::dispatch::class_of;
+use crate::gate::dispatch::{GateResult, class_of};
 use crate::gate::{GateCall, GateReply, dispatch};
 use crate::state::{Node, lock};
 
--- a/crates/olivegate/tests/command.rs
+++ b/crates/olivegate/tests/command.rs
@@ -48,6 +48,24 @@
     assert!(output.status.success(), "{}", text(&output.stderr));
 }
 
+#[rstest]
+#[case("ramdin-freres/node.toml")]
+#[case("cuenca/node.toml")]
+fn the_shipped_settings_are_valid(#[case] path: &str) {
+    let output = run(&["settings", "check", &example(path)]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+}
+
+#[test]
+fn the_keys_in_the_shipped_settings_are_those_they_say() {
+    let settings = std::fs::read_to_string(example("cuenca/node.toml")).unwrap();
+    for byte in ["01", "02", "03"] {
+        let key = file(&format!("example-key-{byte}"), &byte.repeat(32));
+        let public = text(&run(&["bundle", "key", "--key", key.to_str().unwrap()]).stdout);
+        assert!(settings.contains(public.trim()), "{byte}: {public}");
+    }
+}
+
 #[test]
 fn a_bad_bundle_names_file_field_value_and_reason_of_every_mistake() {
     let path = file("bad-bundle.toml", "deployment = \"a b\"\nversion = 0\nshade = 1\n[limits]\nmax_hops = 99\n");
