Test of the planned stop that can fail

Cause: the call in the old test took 0.3 s, less than the 2.1 s that a stop waits for other reasons, so the test passed with draining switched off: a check that can't fail. Change: the call takes 3 s, and the back end must have answered when the stop ends.

--- a/crates/node/tests/node/calls.rs
+++ b/crates/node/tests/node/calls.rs
@@ -74,18 +74,19 @@
     assert_eq!(back_end.requests(), before);
 }
 
+/// The call takes longer than everything else that a stop waits for.
 #[tokio::test]
-async fn a_planned_stop_lets_a_call_in_flight_end() {
-    let slow = Script::SendLater(Duration::from_millis(300), answer("a page"));
+async fn a_planned_stop_waits_for_a_call_in_flight() {
+    let slow = Script::SendLater(Duration::from_millis(3_000), answer("a page"));
     let back_end = BackEnd::start(slow).await;
     let node = TestNode::start(&[&back_end]).await;
-    let caller = node.caller;
-    let started = back_end.requests();
-    let call = tokio::spawn(async move { exchange(caller, &get("/books/7")).await });
+    let (caller, started) = (node.caller, back_end.requests());
+    let request = get("/books/7").replace("host: a", "host: a\r\nx-olivegate-deadline-ms: 5000");
+    let call = tokio::spawn(async move { exchange(caller, &request).await });
     while back_end.requests() == started {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    let stopping = node.stop();
+    assert!(node.stop().await.unwrap(), "no call was cut off");
+    assert_eq!(back_end.answers(), 1, "the stop ended before the call");
     assert!(call.await.unwrap().ends_with("a page"));
-    assert!(stopping.await.unwrap(), "no call was cut off");
 }
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -1,6 +1,7 @@
 //! One node in this process, with a stand-in platform and scripted back ends.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
 pub struct BackEnd {
     pub address: SocketAddr,
     pub heads: Arc<Mutex<Vec<String>>>,
+    answers: Arc<AtomicUsize>,
 }
 
 impl BackEnd {
@@ -43,13 +45,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let heads: Arc<Mutex<Vec<String>>> = Arc::default();
-        let kept = heads.clone();
+        let answers: Arc<AtomicUsize> = Arc::default();
+        let (kept, counted) = (heads.clone(), answers.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve_scripted(stream, script.clone(), kept.clone()));
+                tokio::spawn(serve_scripted(stream, script.clone(), kept.clone(), counted.clone()));
             }
         });
-        BackEnd { address, heads }
+        BackEnd { address, heads, answers }
+    }
+
+    /// Answers that were sent, those to warm-up requests left out.
+    pub fn answers(&self) -> usize {
+        self.answers.load(Ordering::SeqCst)
     }
 
     pub fn requests(&self) -> usize {
@@ -65,12 +73,18 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-async fn serve_scripted(mut stream: TcpStream, script: Script, heads: Arc<Mutex<Vec<String>>>) {
+async fn serve_scripted(
+    mut stream: TcpStream,
+    script: Script,
+    heads: Arc<Mutex<Vec<String>>>,
+    answers: Arc<AtomicUsize>,
+) {
     while let Some(head) = read_head(&mut stream).await {
         if head.starts_with("GET /health") {
             let _ = stream.write_all(answer("").as_bytes()).await;
             continue;
         }
+        let is_warm_up = head.contains("/books/warm-up");
         heads.lock().unwrap().push(head);
         let text = match &script {
             Script::Close => return,
@@ -80,6 +94,7 @@
                 text.clone()
             }
         };
+        answers.fetch_add(usize::from(!is_warm_up), Ordering::SeqCst);
         if stream.write_all(text.as_bytes()).await.is_err() || text.contains("content-length: 1000") {
             return;
         }
