--- a/crates/node/src/edge/peers.rs
+++ b/crates/node/src/edge/peers.rs
@@ -1,8 +1,8 @@
 //! Connections to the data ports of other nodes.
 //!
 //! HTTP/1.1 with kept-alive connections, one exchange on each at a time. One shared
-//! HTTP/2 connection per peer was measured first: it took about twice the processor
-//! time per hop at the rates of one node (docs/DESIGN.md).
+//! HTTP/2 connection per peer was measured first: it took more processor time at the
+//! rates of one node (docs/DESIGN.md).
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
