--- a/crates/checked/src/lib.rs
+++ b/crates/checked/src/lib.rs
@@ -157,6 +157,20 @@
         Duration::from_millis(self.integer_or(field, default, range))
     }
 
+    /// Optional number, whole or not, within `range`.
+    pub fn number_or(&mut self, field: &str, default: f64, range: std::ops::RangeInclusive<f64>) -> f64 {
+        let value = match self.take(field) {
+            Some(Value::Integer(whole)) => whole as f64,
+            Some(Value::Float(number)) => number,
+            Some(_) => f64::NAN,
+            None => return default,
+        };
+        if range.contains(&value) {
+            return value;
+        }
+        self.wrong(field, &format!("expected a number from {} to {}", range.start(), range.end()))
+    }
+
     /// Optional truth value.
     pub fn boolean_or(&mut self, field: &str, default: bool) -> bool {
         match self.take(field) {
--- /dev/null
+++ b/crates/http1/src/decode.rs
@@ -0,0 +1,324 @@
+//! Decoders of requests and responses.
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio_util::codec::Decoder;
+
+use crate::body::{self, BodyLength};
+use crate::error::DecodeError;
+use crate::fields::Fields;
+use crate::head::{RequestHead, ResponseHead};
+
+/// Most header fields of one message.
+const MAX_FIELDS: usize = 96;
+/// Longest line that opens a chunk, in bytes.
+const MAX_CHUNK_LINE: usize = 1024;
+/// Longest run of trailer lines, in bytes.
+const MAX_TRAILERS: usize = 16 * 1024;
+
+/// A piece of a message: its head, then data, then its end.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Frame<Head> {
+    /// The head, and how the body ends. [`Frame::End`] follows also when there is none.
+    Head(Head, BodyLength),
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The message is whole.
+    End,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    Head,
+    Known(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkDataEnd,
+    Trailers,
+    UntilClose,
+    Finished,
+}
+
+fn reading_of(length: BodyLength) -> Reading {
+    match length {
+        BodyLength::None => Reading::Finished,
+        BodyLength::Known(length) => Reading::Known(length),
+        BodyLength::Chunked => Reading::ChunkSize,
+        BodyLength::UntilClose => Reading::UntilClose,
+    }
+}
+
+fn copied_fields(parsed: &[httparse::Header<'_>], source: &Bytes) -> Fields {
+    let mut fields = Fields::default();
+    for header in parsed {
+        fields.add(source.slice_ref(header.name.as_bytes()), source.slice_ref(header.value));
+    }
+    fields
+}
+
+/// Reads bodies; shared by both decoders.
+#[derive(Debug)]
+struct BodyReader {
+    reading: Reading,
+    trailer_bytes: usize,
+}
+
+impl BodyReader {
+    fn new() -> Self {
+        BodyReader { reading: Reading::Head, trailer_bytes: 0 }
+    }
+
+    fn start(&mut self, length: BodyLength) {
+        self.reading = reading_of(length);
+        self.trailer_bytes = 0;
+    }
+
+    /// The next piece of the body; call only after [`BodyReader::start`].
+    fn next<Head>(&mut self, source: &mut BytesMut) -> Result<Option<Frame<Head>>, DecodeError> {
+        loop {
+            match self.reading {
+                Reading::Head => return Ok(None),
+                Reading::Finished => {
+                    self.reading = Reading::Head;
+                    return Ok(Some(Frame::End));
+                }
+                Reading::Known(left) => {
+                    let Some(data) = take_up_to(source, left) else { return Ok(None) };
+                    let left = left - data.len() as u64;
+                    self.reading = if left == 0 { Reading::Finished } else { Reading::Known(left) };
+                    return Ok(Some(Frame::Data(data)));
+                }
+                Reading::UntilClose => {
+                    return Ok(take_up_to(source, u64::MAX).map(Frame::Data));
+                }
+                Reading::ChunkSize => {
+                    if !self.read_chunk_size(source)? {
+                        return Ok(None);
+                    }
+                }
+                Reading::ChunkData(left) => {
+                    let Some(data) = take_up_to(source, left) else { return Ok(None) };
+                    let left = left - data.len() as u64;
+                    self.reading = if left == 0 { Reading::ChunkDataEnd } else { Reading::ChunkData(left) };
+                    return Ok(Some(Frame::Data(data)));
+                }
+                Reading::ChunkDataEnd => {
+                    if source.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &source[..2] != b"\r\n" {
+                        return Err(DecodeError::Malformed("chunk end"));
+                    }
+                    source.advance(2);
+                    self.reading = Reading::ChunkSize;
+                }
+                Reading::Trailers => {
+                    if !self.read_trailer(source)? {
+                        return Ok(None);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the line that opens a chunk; false when more bytes are needed.
+    fn read_chunk_size(&mut self, source: &mut BytesMut) -> Result<bool, DecodeError> {
+        match httparse::parse_chunk_size(source) {
+            Ok(httparse::Status::Complete((used, size))) => {
+                source.advance(used);
+                self.reading = if size == 0 { Reading::Trailers } else { Reading::ChunkData(size) };
+                Ok(true)
+            }
+            Ok(httparse::Status::Partial) if source.len() <= MAX_CHUNK_LINE => Ok(false),
+            _ => Err(DecodeError::Malformed("chunk size")),
+        }
+    }
+
+    /// Skips one trailer line; false when more bytes are needed.
+    fn read_trailer(&mut self, source: &mut BytesMut) -> Result<bool, DecodeError> {
+        let Some(end) = source.iter().position(|&byte| byte == b'\n') else {
+            return if source.len() > MAX_TRAILERS { Err(DecodeError::HeadTooLarge) } else { Ok(false) };
+        };
+        self.trailer_bytes += end + 1;
+        if self.trailer_bytes > MAX_TRAILERS {
+            return Err(DecodeError::HeadTooLarge);
+        }
+        let is_last = matches!(&source[..end], b"" | b"\r");
+        source.advance(end + 1);
+        if is_last {
+            self.reading = Reading::Finished;
+        }
+        Ok(true)
+    }
+
+    /// What the orderly end of the connection means here.
+    fn end_of_connection<Head>(&mut self, source: &BytesMut) -> Result<Option<Frame<Head>>, DecodeError> {
+        match self.reading {
+            Reading::UntilClose => {
+                self.reading = Reading::Head;
+                Ok(Some(Frame::End))
+            }
+            Reading::Head if source.is_empty() => Ok(None),
+            _ => Err(DecodeError::Incomplete),
+        }
+    }
+}
+
+/// Up to `most` bytes; `None` when there are none.
+fn take_up_to(source: &mut BytesMut, most: u64) -> Option<Bytes> {
+    let length = usize::try_from(most).unwrap_or(usize::MAX).min(source.len());
+    (length > 0).then(|| source.split_to(length).freeze())
+}
+
+/// Decodes the requests of one connection.
+#[derive(Debug)]
+pub struct RequestDecoder {
+    max_head_bytes: usize,
+    max_body_bytes: u64,
+    body_bytes: u64,
+    body: BodyReader,
+}
+
+impl RequestDecoder {
+    /// A decoder with limits for the head and the body of a request, in bytes.
+    pub fn new(max_head_bytes: usize, max_body_bytes: u64) -> Self {
+        RequestDecoder { max_head_bytes, max_body_bytes, body_bytes: 0, body: BodyReader::new() }
+    }
+
+    fn head(&mut self, source: &mut BytesMut) -> Result<Option<Frame<RequestHead>>, DecodeError> {
+        skip_empty_lines(source);
+        if source.is_empty() {
+            return Ok(None);
+        }
+        let Some(used) = head_length(source, self.max_head_bytes)? else { return Ok(None) };
+        let bytes = source.split_to(used).freeze();
+        let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut parsed = httparse::Request::new(&mut storage);
+        if parsed.parse(&bytes)?.is_partial() {
+            return Err(DecodeError::Malformed("head"));
+        }
+        let head = RequestHead {
+            method: bytes.slice_ref(parsed.method.unwrap_or_default().as_bytes()),
+            target: bytes.slice_ref(parsed.path.unwrap_or_default().as_bytes()),
+            minor_version: parsed.version.unwrap_or(1),
+            fields: copied_fields(parsed.headers, &bytes),
+        };
+        let length = body::of_request(&head.fields)?;
+        if matches!(length, BodyLength::Known(length) if length > self.max_body_bytes) {
+            return Err(DecodeError::BodyTooLarge);
+        }
+        self.body_bytes = 0;
+        self.body.start(length);
+        Ok(Some(Frame::Head(head, length)))
+    }
+}
+
+impl Decoder for RequestDecoder {
+    type Item = Frame<RequestHead>;
+    type Error = DecodeError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        if self.body.reading == Reading::Head {
+            return self.head(source);
+        }
+        let frame = self.body.next(source)?;
+        if let Some(Frame::Data(data)) = &frame {
+            self.body_bytes += data.len() as u64;
+            if self.body_bytes > self.max_body_bytes {
+                return Err(DecodeError::BodyTooLarge);
+            }
+        }
+        Ok(frame)
+    }
+
+    fn decode_eof(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        match self.decode(source)? {
+            Some(frame) => Ok(Some(frame)),
+            None => self.body.end_of_connection(source),
+        }
+    }
+}
+
+/// Decodes the responses of one connection.
+#[derive(Debug)]
+pub struct ResponseDecoder {
+    max_head_bytes: usize,
+    answers_head: bool,
+    body: BodyReader,
+}
+
+impl ResponseDecoder {
+    /// A decoder with a limit for the head of a response, in bytes.
+    pub fn new(max_head_bytes: usize) -> Self {
+        ResponseDecoder { max_head_bytes, answers_head: false, body: BodyReader::new() }
+    }
+
+    /// Says whether the next response answers a `HEAD` request.
+    pub fn expect_answer_to_head(&mut self, to_head: bool) {
+        self.answers_head = to_head;
+    }
+
+    fn head(&mut self, source: &mut BytesMut) -> Result<Option<Frame<ResponseHead>>, DecodeError> {
+        loop {
+            if source.is_empty() {
+                return Ok(None);
+            }
+            let Some(used) = head_length(source, self.max_head_bytes)? else { return Ok(None) };
+            let bytes = source.split_to(used).freeze();
+            let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
+            let mut parsed = httparse::Response::new(&mut storage);
+            if parsed.parse(&bytes)?.is_partial() {
+                return Err(DecodeError::Malformed("head"));
+            }
+            let head = ResponseHead {
+                status: parsed.code.unwrap_or_default(),
+                minor_version: parsed.version.unwrap_or(1),
+                fields: copied_fields(parsed.headers, &bytes),
+            };
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            let length = body::of_response(head.status, &head.fields, self.answers_head)?;
+            self.body.start(length);
+            return Ok(Some(Frame::Head(head, length)));
+        }
+    }
+}
+
+impl Decoder for ResponseDecoder {
+    type Item = Frame<ResponseHead>;
+    type Error = DecodeError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        if self.body.reading == Reading::Head { self.head(source) } else { self.body.next(source) }
+    }
+
+    fn decode_eof(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
+        match self.decode(source)? {
+            Some(frame) => Ok(Some(frame)),
+            None => self.body.end_of_connection(source),
+        }
+    }
+}
+
+/// Skips line ends in front of a request, as RFC 9112 asks.
+fn skip_empty_lines(source: &mut BytesMut) {
+    let empty = source.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
+    source.advance(empty);
+}
+
+/// Length of the head in front of `source`; `None` when it is not whole yet.
+fn head_length(source: &BytesMut, max: usize) -> Result<Option<usize>, DecodeError> {
+    let end = source.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4);
+    match end {
+        Some(length) if length > max => Err(DecodeError::HeadTooLarge),
+        Some(length) => Ok(Some(length)),
+        None if source.len() > max => Err(DecodeError::HeadTooLarge),
+        None => check_start(source),
+    }
+}
+
+/// Bytes that can't become a message fail at once, before a whole head is in.
+fn check_start(source: &BytesMut) -> Result<Option<usize>, DecodeError> {
+    let printable = source.iter().take(8).all(|byte| byte.is_ascii_graphic() || *byte == b' ');
+    if printable { Ok(None) } else { Err(DecodeError::Malformed("start")) }
+}
--- a/crates/olivegate/src/command.rs
+++ b/crates/olivegate/src/command.rs
@@ -19,6 +19,10 @@
                  [--new-deployment] [--log-level LEVEL]
       Run a node. Flags go before the file. --new-deployment states that no
       request was ever served before; use it for the very first start only.
+  olivegate sidecar --settings FILE [--log-level LEVEL]
+      Run a node beside one instance, on the users' platform.
+  olivegate sidecar check FILE
+      Check a sidecar's settings file; every mistake is named.
   olivegate settings check FILE
       Check a settings file; every mistake is named.
   olivegate bundle check FILE
@@ -55,6 +59,18 @@
         /// Least severe level that is logged.
         log_level: LevelFilter,
     },
+    /// Run a sidecar.
+    Sidecar {
+        /// Settings file.
+        settings: PathBuf,
+        /// Least severe level that is logged.
+        log_level: LevelFilter,
+    },
+    /// Check a sidecar's settings file.
+    SidecarCheck {
+        /// The file.
+        file: PathBuf,
+    },
     /// Check a settings file.
     SettingsCheck {
         /// The file.
@@ -150,6 +166,7 @@
     let name = arguments.subcommand()?.unwrap_or_default();
     match name.as_str() {
         "node" => read_node(arguments),
+        "sidecar" => read_sidecar(arguments),
         "settings" => match subcommand(arguments)?.as_str() {
             "check" => Ok(Command::SettingsCheck { file: arguments.free_from_str()? }),
             other => Err(UsageError::UnknownCommand(format!("settings {other}"))),
@@ -184,6 +201,17 @@
     })
 }
 
+fn read_sidecar(arguments: &mut Arguments) -> Result<Command, UsageError> {
+    match subcommand(arguments)?.as_str() {
+        "check" => Ok(Command::SidecarCheck { file: arguments.free_from_str()? }),
+        "" => Ok(Command::Sidecar {
+            settings: arguments.value_from_str("--settings")?,
+            log_level: arguments.opt_value_from_str("--log-level")?.unwrap_or(LevelFilter::Info),
+        }),
+        other => Err(UsageError::UnknownCommand(format!("sidecar {other}"))),
+    }
+}
+
 fn read_bundle(arguments: &mut Arguments) -> Result<Command, UsageError> {
     match subcommand(arguments)?.as_str() {
         "check" => Ok(Command::BundleCheck { file: arguments.free_from_str()? }),
--- a/crates/olivegate/src/lib.rs
+++ b/crates/olivegate/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`command`]: which command was asked for; usage errors.
 //! - [`node_command`]: `node` and `settings check`.
+//! - [`sidecar_command`]: `sidecar` and `sidecar check`.
 //! - [`bundle_command`]: `bundle check`, `sign`, `diff` and `key`.
 //! - [`operator_command`]: `status` and `explain`.
 
@@ -10,6 +11,7 @@
 pub mod error;
 pub mod node_command;
 pub mod operator_command;
+pub mod sidecar_command;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -51,6 +53,8 @@
             Ok(())
         }
         Command::Node { settings, overrides, log_level } => node_command::run(&settings, &overrides, log_level),
+        Command::Sidecar { settings, log_level } => sidecar_command::run(&settings, log_level),
+        Command::SidecarCheck { file } => sidecar_command::check(&file),
         Command::SettingsCheck { file } => node_command::check(&file),
         Command::BundleCheck { file } => bundle_command::check(&file),
         Command::BundleSign { file, key, out } => bundle_command::sign(&file, &key, &out),
--- /dev/null
+++ b/crates/olivegate/src/sidecar_command.rs
@@ -0,0 +1,50 @@
+//! `sidecar` and `sidecar check`.
+
+use std::path::Path;
+
+use log::LevelFilter;
+use olivegate_platform::{PlatformStore, VOCABULARY};
+use olivegate_sidecar::app::Ended;
+use olivegate_sidecar::{SidecarApp, SidecarSettings};
+use simplelog::{ConfigBuilder, WriteLogger};
+
+use crate::error::CommandError;
+
+fn read_settings(file: &Path) -> Result<SidecarSettings, CommandError> {
+    let text = std::fs::read_to_string(file).map_err(|error| CommandError::Read(file.to_path_buf(), error))?;
+    SidecarSettings::from_toml(&text)
+        .map_err(|mistakes| CommandError::Mistakes(file.to_path_buf(), mistakes.to_string()))
+}
+
+/// Checks a settings file.
+pub fn check(file: &Path) -> Result<(), CommandError> {
+    let settings = read_settings(file)?;
+    println!("ok node={} zone={} service={}", settings.node, settings.zone, settings.service);
+    Ok(())
+}
+
+fn start_logging(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .add_filter_allow_str("olivegate")
+        .build();
+    if WriteLogger::init(level, config, std::io::stdout()).is_err() {
+        eprintln!("olivegate: logging was started before");
+    }
+}
+
+/// Runs a sidecar until it is told to stop.
+pub fn run(file: &Path, level: LevelFilter) -> Result<(), CommandError> {
+    let settings = read_settings(file)?;
+    start_logging(level);
+    let source = PlatformStore::new(settings.source);
+    let path = file.to_path_buf();
+    let read_again = Box::new(move || read_settings(&path).map_err(|error| error.to_string()));
+    match SidecarApp::new(settings, VOCABULARY, source, read_again).run() {
+        Ok(Ended::Drained) => Ok(()),
+        Ok(Ended::CutOff) => Err(CommandError::CutOff),
+        Err(error) => Err(CommandError::Node(error.to_string())),
+    }
+}
--- a/crates/overload/src/queue/mod.rs
+++ b/crates/overload/src/queue/mod.rs
@@ -47,6 +47,8 @@
     pub deadline: Moment,
     /// Expected time in the slot.
     pub expected: Duration,
+    /// Longest wait that is worth it, in place of the queue's own objective.
+    pub longest_wait: Option<Duration>,
 }
 
 /// Settings of a queue, from the bundle.
@@ -193,6 +195,9 @@
     /// hops since work has been done for them.
     pub fn longest_wait(&self, demand: &Demand, now: Moment) -> Duration {
         let by_deadline = demand.deadline.since(now).saturating_sub(demand.expected);
+        if let Some(longest) = demand.longest_wait {
+            return by_deadline.min(longest);
+        }
         if demand.importance.is_protected() {
             return by_deadline;
         }
--- /dev/null
+++ b/crates/sidecar/src/app.rs
@@ -0,0 +1,157 @@
+//! Puts a node together; start, reload and stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::error::SidecarError;
+use crate::settings::SidecarSettings;
+use crate::source::Source;
+use crate::state::Node;
+use crate::vocabulary::Vocabulary;
+use crate::{clock, edge, follow, gate, peers, status_port, transport};
+
+/// Interval of work that no event starts.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+
+/// Reads the settings again; the text says why they can't be used.
+pub type ReadSettings = Box<dyn Fn() -> Result<SidecarSettings, String>>;
+
+/// How a node ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Nothing was cut off.
+    Drained,
+    /// Requests were cut off at the end of the grace period.
+    CutOff,
+}
+
+/// A node that is ready to run.
+pub struct SidecarApp<S> {
+    settings: SidecarSettings,
+    vocabulary: Vocabulary,
+    source: S,
+    read_settings: ReadSettings,
+}
+
+struct Listeners {
+    outbound: TcpListener,
+    inbound: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+    peers: UdpSocket,
+}
+
+impl<S: Source + 'static> SidecarApp<S> {
+    /// A node with these settings that reads `source`; `read_settings` is asked on SIGHUP.
+    pub fn new(settings: SidecarSettings, vocabulary: Vocabulary, source: S, read_settings: ReadSettings) -> Self {
+        SidecarApp { settings, vocabulary, source, read_settings }
+    }
+
+    /// Runs until SIGTERM or SIGINT has been followed to its end.
+    pub fn run(self) -> Result<Ended, SidecarError> {
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(SidecarError::Runtime)?;
+        LocalSet::new().block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> Result<Ended, SidecarError> {
+        let listeners = Listeners::bind(&self.settings).await?;
+        let mut terminate = signal(SignalKind::terminate()).map_err(SidecarError::Runtime)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(SidecarError::Runtime)?;
+        let mut hang_up = signal(SignalKind::hangup()).map_err(SidecarError::Runtime)?;
+        log_start(&self.settings);
+        let grace_period = self.settings.bounds.grace_period;
+        let node = Rc::new(Node::new(self.settings, self.vocabulary));
+        listeners.serve(&node);
+        spawn_local(follow::follow(node.clone(), self.source));
+        spawn_local(housekeeping(node.clone()));
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hang_up.recv() => reload(&node, &self.read_settings),
+            }
+        }
+        log::info!("event=stop_begun in_flight={}", node.stop.in_flight());
+        let drained = node.stop.run(grace_period).await;
+        log::info!("event=stopped drained={drained} in_flight={}", node.stop.in_flight());
+        Ok(if drained { Ended::Drained } else { Ended::CutOff })
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &SidecarSettings) -> Result<Self, SidecarError> {
+        let listen = &settings.listen;
+        let peers = UdpSocket::bind(listen.peers).await.map_err(|source| SidecarError::Bind {
+            port: "peers",
+            address: listen.peers,
+            source,
+        })?;
+        Ok(Listeners {
+            outbound: bind("outbound", listen.outbound)?,
+            inbound: bind("inbound", listen.inbound)?,
+            readiness: bind("readiness", listen.readiness)?,
+            metrics: listen.metrics.map(|address| bind("metrics", address)).transpose()?,
+            peers,
+        })
+    }
+
+    fn serve(self, node: &Rc<Node>) {
+        spawn_local(edge::serve(node.clone(), self.outbound));
+        spawn_local(gate::serve::serve(node.clone(), self.inbound));
+        spawn_local(status_port::serve(node.clone(), self.readiness));
+        if let Some(metrics) = self.metrics {
+            spawn_local(status_port::serve(node.clone(), metrics));
+        }
+        spawn_local(peers::run(node.clone(), self.peers));
+    }
+}
+
+fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, SidecarError> {
+    transport::listen(address).map_err(|source| SidecarError::Bind { port, address, source })
+}
+
+fn log_start(settings: &SidecarSettings) {
+    log::info!(
+        "event=started version={} node={} zone={} service={} instance={} outbound={} inbound={} source={}",
+        env!("CARGO_PKG_VERSION"),
+        settings.node,
+        settings.zone,
+        settings.service,
+        settings.instance,
+        settings.listen.outbound,
+        settings.listen.inbound,
+        settings.source,
+    );
+}
+
+/// Puts changed settings in force. Addresses that are bound already stay as they are.
+fn reload(node: &Node, read_settings: &ReadSettings) {
+    match read_settings() {
+        Ok(mut settings) => {
+            let current = node.settings();
+            if settings.listen != current.listen {
+                log::warn!("event=reload_partial reason=\"listen addresses change only with a restart\"");
+                settings.listen = current.listen;
+            }
+            let changed = settings != *current;
+            node.replace_settings(settings);
+            log::info!("event=reloaded changed={changed}");
+        }
+        Err(reason) => log::error!("event=reload_failed reason={reason:?}"),
+    }
+}
+
+async fn housekeeping(node: Rc<Node>) {
+    let mut interval = tokio::time::interval(HOUSEKEEPING);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        node.update_directory("expiry", |directory| directory.expire(clock::now()));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/directory.rs
@@ -0,0 +1,316 @@
+//! The instances that are known, and when one is no longer believed.
+//!
+//! The source's word binds: an instance that is draining or gone gets no new requests.
+//! But a source that was disturbed may have lost entries of instances that live. An entry
+//! that goes missing while the source was disturbed is *held*: it stays in use until it
+//! comes back, says that it drains, or the source has been calm for a while.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
+
+use crate::model::{Instance, InstanceState, Revision};
+use crate::source::{Change, ListedInstance};
+
+/// How long machines are remembered after their last entry.
+const MACHINE_MEMORY: Duration = Duration::from_secs(60);
+
+/// When an entry that went missing is no longer believed.
+#[derive(Debug, Clone, Copy)]
+pub struct HoldPolicy {
+    /// The source counts as disturbed for this long after its last failure.
+    pub disturbed_for: Duration,
+    /// Time that a live instance needs to write its entry again.
+    pub rewrite_within: Duration,
+}
+
+/// An entry as nodes pass it on.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct DirectoryEntry {
+    /// The instance.
+    pub instance: Instance,
+    /// Its last change.
+    pub revision: Revision,
+    /// True when its entry went missing while the source was disturbed.
+    pub held: bool,
+}
+
+/// All entries as nodes pass them on.
+#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+pub struct DirectoryCopy {
+    /// The entries.
+    pub entries: Vec<DirectoryEntry>,
+    /// State of the source that they show.
+    pub revision: Revision,
+}
+
+/// What the directory says about one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes requests.
+    Ready,
+    /// It takes no new requests.
+    Draining,
+    /// It was listed once and is gone.
+    Gone,
+    /// It was never listed.
+    Unknown,
+}
+
+/// A machine that has, or lately had, an instance.
+#[derive(Debug, Clone)]
+struct Machine {
+    zone: ZoneName,
+    seen: Moment,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    instance: Rc<Instance>,
+    revision: Revision,
+    held_since: Option<Moment>,
+}
+
+/// The instances that are known.
+#[derive(Debug)]
+pub struct Directory {
+    policy: HoldPolicy,
+    revision: Revision,
+    entries: BTreeMap<InstanceName, Entry>,
+    gone: HashMap<InstanceName, Moment>,
+    machines: HashMap<IpAddr, Machine>,
+    disturbed_at: Option<Moment>,
+    ready: HashMap<ServiceName, Rc<Vec<Rc<Instance>>>>,
+}
+
+impl Directory {
+    /// An empty directory.
+    pub fn new(policy: HoldPolicy) -> Self {
+        Directory {
+            policy,
+            revision: Revision::default(),
+            entries: BTreeMap::new(),
+            gone: HashMap::new(),
+            machines: HashMap::new(),
+            disturbed_at: None,
+            ready: HashMap::new(),
+        }
+    }
+
+    /// State of the source that the directory shows.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Instances that take requests of `service`, in a fixed order.
+    pub fn ready_instances(&self, service: &ServiceName) -> Rc<Vec<Rc<Instance>>> {
+        self.ready.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Number of instances that take requests, of all services.
+    pub fn ready_count(&self) -> usize {
+        self.ready.values().map(|instances| instances.len()).sum()
+    }
+
+    /// What is known about one instance.
+    pub fn standing(&self, name: &InstanceName) -> Standing {
+        match self.entries.get(name) {
+            Some(entry) if entry.instance.state == InstanceState::Draining => Standing::Draining,
+            Some(_) => Standing::Ready,
+            None if self.gone.contains_key(name) => Standing::Gone,
+            None => Standing::Unknown,
+        }
+    }
+
+    /// A listed instance.
+    pub fn instance(&self, name: &InstanceName) -> Option<Rc<Instance>> {
+        self.entries.get(name).map(|entry| entry.instance.clone())
+    }
+
+    /// The instance listed at `address`; the latest one when several are.
+    pub fn instance_at(&self, address: SocketAddr) -> Option<Rc<Instance>> {
+        let listed = self.entries.values().filter(|entry| entry.instance.address == address);
+        listed.max_by_key(|entry| entry.revision).map(|entry| entry.instance.clone())
+    }
+
+    /// Addresses of machines that have, or lately had, an instance.
+    pub fn machines(&self) -> impl Iterator<Item = IpAddr> {
+        self.machines.keys().copied()
+    }
+
+    /// Those of one zone.
+    pub fn machines_of_zone(&self, zone: &ZoneName) -> Vec<IpAddr> {
+        let in_zone = self.machines.iter().filter(|(_, machine)| machine.zone == *zone);
+        in_zone.map(|(ip, _)| *ip).collect()
+    }
+
+    fn note_machine(&mut self, instance: &Instance, now: Moment) {
+        let machine = Machine { zone: instance.zone.clone(), seen: now };
+        self.machines.insert(instance.address.ip(), machine);
+    }
+
+    /// Notes that the source failed or refused: what goes missing may live.
+    pub fn note_disturbance(&mut self, now: Moment) {
+        self.disturbed_at = Some(now);
+    }
+
+    fn is_disturbed(&self, now: Moment) -> bool {
+        self.disturbed_at.is_some_and(|at| now.since(at) < self.policy.disturbed_for)
+    }
+
+    /// Takes over everything that the source holds. True when anything changed.
+    pub fn apply_snapshot(&mut self, listed: &[ListedInstance], revision: Revision, now: Moment) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let names: std::collections::HashSet<&InstanceName> =
+            listed.iter().map(|entry| &entry.instance.name).collect();
+        let missing: Vec<InstanceName> =
+            self.entries.keys().filter(|name| !names.contains(name)).cloned().collect();
+        let mut changed = false;
+        for name in missing {
+            changed |= self.remove(&name, now);
+        }
+        for entry in listed {
+            changed |= self.insert(entry, now);
+        }
+        self.finish(revision, changed)
+    }
+
+    /// Follows one change. True when anything changed.
+    pub fn apply_change(&mut self, change: &Change, now: Moment) -> bool {
+        let changed = match change {
+            Change::Instance(listed) => self.insert(listed, now),
+            Change::InstanceGone { name, revision } => {
+                let newer = self.entries.get(name).is_none_or(|entry| entry.revision < *revision);
+                newer && self.remove(name, now)
+            }
+            Change::Configuration(_) => false,
+        };
+        self.finish(self.revision, changed)
+    }
+
+    /// Notes that all changes up to `revision` were followed.
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes over what another node knows, when that is newer. True when anything changed.
+    pub fn apply_copy(&mut self, copy: &DirectoryCopy, now: Moment) -> bool {
+        if copy.revision <= self.revision && !(self.entries.is_empty() && !copy.entries.is_empty()) {
+            return false;
+        }
+        let names: std::collections::HashSet<&InstanceName> =
+            copy.entries.iter().map(|entry| &entry.instance.name).collect();
+        let missing: Vec<InstanceName> =
+            self.entries.keys().filter(|name| !names.contains(name)).cloned().collect();
+        let mut changed = false;
+        for name in missing {
+            changed |= self.forget(&name, now);
+        }
+        for entry in &copy.entries {
+            let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
+            changed |= self.insert(&listed, now);
+            if entry.held {
+                self.hold(&entry.instance.name, now);
+            }
+        }
+        self.finish(copy.revision, changed)
+    }
+
+    /// What other nodes may take over.
+    pub fn copy(&self) -> DirectoryCopy {
+        let entries = self.entries.values().map(|entry| DirectoryEntry {
+            instance: Instance::clone(&entry.instance),
+            revision: entry.revision,
+            held: entry.held_since.is_some(),
+        });
+        DirectoryCopy { entries: entries.collect(), revision: self.revision }
+    }
+
+    /// Ends holds that have lasted long enough; call every second or so. True when
+    /// anything changed.
+    pub fn expire(&mut self, now: Moment) -> bool {
+        self.gone.retain(|_, since| now.since(*since) < MACHINE_MEMORY);
+        let listed: std::collections::HashSet<IpAddr> =
+            self.entries.values().map(|entry| entry.instance.address.ip()).collect();
+        self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
+        if self.is_disturbed(now) {
+            return false;
+        }
+        let rewrite_within = self.policy.rewrite_within;
+        let over = |entry: &Entry| entry.held_since.is_some_and(|since| now.since(since) >= rewrite_within);
+        let ended: Vec<InstanceName> =
+            self.entries.iter().filter(|(_, entry)| over(entry)).map(|(name, _)| name.clone()).collect();
+        let mut changed = false;
+        for name in ended {
+            changed |= self.forget(&name, now);
+        }
+        self.finish(self.revision, changed)
+    }
+
+    /// An instance is known to be gone from its own machine, whatever the source says.
+    pub fn note_gone(&mut self, name: &InstanceName, now: Moment) -> bool {
+        let changed = self.forget(name, now);
+        self.finish(self.revision, changed)
+    }
+
+    fn insert(&mut self, listed: &ListedInstance, now: Moment) -> bool {
+        let name = &listed.instance.name;
+        self.note_machine(&listed.instance, now);
+        let known = self.entries.get(name);
+        let is_news = known.is_none_or(|entry| entry.revision < listed.revision || entry.held_since.is_some());
+        if !is_news || known.is_some_and(|entry| entry.revision > listed.revision) {
+            return false;
+        }
+        let changed = known.is_none_or(|entry| *entry.instance != listed.instance);
+        let instance = Rc::new(listed.instance.clone());
+        self.gone.remove(name);
+        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, held_since: None });
+        changed
+    }
+
+    /// An entry went missing: held when the source was disturbed, else gone.
+    fn remove(&mut self, name: &InstanceName, now: Moment) -> bool {
+        if self.is_disturbed(now) && self.standing(name) == Standing::Ready {
+            self.hold(name, now);
+            return false;
+        }
+        self.forget(name, now)
+    }
+
+    fn hold(&mut self, name: &InstanceName, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.held_since.get_or_insert(now);
+        }
+    }
+
+    fn forget(&mut self, name: &InstanceName, now: Moment) -> bool {
+        let Some(entry) = self.entries.remove(name) else { return false };
+        self.note_machine(&entry.instance, now);
+        self.gone.insert(name.clone(), now);
+        true
+    }
+
+    fn finish(&mut self, revision: Revision, changed: bool) -> bool {
+        self.advance(revision);
+        if changed {
+            self.rebuild();
+        }
+        changed
+    }
+
+    fn rebuild(&mut self) {
+        let mut ready: HashMap<ServiceName, Vec<Rc<Instance>>> = HashMap::new();
+        for entry in self.entries.values() {
+            if entry.instance.state == InstanceState::Ready {
+                ready.entry(entry.instance.service.clone()).or_default().push(entry.instance.clone());
+            }
+        }
+        self.ready = ready.into_iter().map(|(service, instances)| (service, Rc::new(instances))).collect();
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -0,0 +1,110 @@
+//! What follows when an attempt did not give an answer.
+//!
+//! A gate's refusal means that the request never reached an instance: offering it
+//! elsewhere is free. Sending it to a second instance costs a repeat from the budget of all
+//! nodes, and is only done when the first did not run it or it may run twice.
+
+use olivegate_types::{InstanceName, Refusal, RefusalReason};
+
+use crate::model::RepeatSafety;
+use crate::reply::Failure;
+
+/// What the client is told when no instance gave an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// Not run, and never will be.
+    NotRun(Refusal),
+    /// It may have run.
+    Unknown,
+}
+
+/// What to do after an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Next {
+    /// Offer the request to another instance.
+    TryAnother,
+    /// Tell the client.
+    GiveUp(Verdict),
+}
+
+/// The attempts of one request.
+#[derive(Debug)]
+pub struct Attempts {
+    safety: RepeatSafety,
+    most_arrivals: u32,
+    arrivals: u32,
+    may_have_run: bool,
+    tried: Vec<InstanceName>,
+    last_refusal: Option<Refusal>,
+}
+
+impl Attempts {
+    /// No attempt yet. At most `most_arrivals` instances may get the request.
+    pub fn new(safety: RepeatSafety, most_arrivals: u32) -> Self {
+        Attempts {
+            safety,
+            most_arrivals: most_arrivals.max(1),
+            arrivals: 0,
+            may_have_run: false,
+            tried: Vec::new(),
+            last_refusal: None,
+        }
+    }
+
+    /// Instances that the request was offered to.
+    pub fn tried(&self) -> &[InstanceName] {
+        &self.tried
+    }
+
+    /// True when an instance got the request already: the next arrival is a repeat.
+    pub fn has_arrived(&self) -> bool {
+        self.arrivals > 0
+    }
+
+    /// True when the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Notes an offer to `instance`.
+    pub fn on_offer(&mut self, instance: &InstanceName) {
+        self.tried.push(instance.clone());
+    }
+
+    /// The gate refused.
+    pub fn on_refused(&mut self, refusal: Refusal) -> Next {
+        self.last_refusal = Some(refusal);
+        Next::TryAnother
+    }
+
+    /// The exchange gave no answer. `take_repeat` takes a repeat from the budget and is
+    /// asked only when one is needed.
+    pub fn on_failed(&mut self, failure: Failure, take_repeat: impl FnOnce() -> bool) -> Next {
+        self.arrivals += u32::from(failure.arrived);
+        self.may_have_run |= failure.may_have_run;
+        if self.may_have_run && self.safety == RepeatSafety::Unsafe {
+            return Next::GiveUp(Verdict::Unknown);
+        }
+        if self.arrivals == 0 {
+            return Next::TryAnother;
+        }
+        if self.arrivals < self.most_arrivals && take_repeat() { Next::TryAnother } else { self.give_up() }
+    }
+
+    /// There is no further instance to offer the request to.
+    pub fn on_no_candidate(&self) -> Verdict {
+        self.verdict()
+    }
+
+    fn give_up(&self) -> Next {
+        Next::GiveUp(self.verdict())
+    }
+
+    fn verdict(&self) -> Verdict {
+        if self.may_have_run {
+            return Verdict::Unknown;
+        }
+        let short = std::time::Duration::from_millis(250);
+        Verdict::NotRun(self.last_refusal.unwrap_or(Refusal::new(RefusalReason::NoInstance, short)))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -0,0 +1,318 @@
+//! From a request to its answer: route, instance, attempts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use olivegate_http1::RequestHead;
+use olivegate_routing::balance::{Candidate, Observation};
+use olivegate_types::{Importance, InstanceName, Moment, RefusalReason, ServiceName};
+
+use crate::clock;
+use crate::edge::attempts::{Attempts, Next};
+use crate::edge::intake::TakenRequest;
+use crate::edge::own_answer::OwnAnswer;
+use crate::edge::remote;
+use crate::edge::request::{self, CheckedRequest};
+use crate::gate::{self, importance_of_priority};
+use crate::hop::{Offer, OfferedBody};
+use crate::model::{Instance, Route};
+use crate::reply::{Answer, Body, BodyStream, Failure, FailureReason, GateReply, Load};
+use crate::state::{Node, Origin};
+
+/// When to come back to a node that knows no configuration yet.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Part of the target latency that a client's request may wait for a slot: a refusal after
+/// that comes too late for a second try.
+const WAIT_PART: u32 = 4;
+/// Kept back from the time of a request, for the way of a refusal or of a time-out.
+const EDGE_RESERVE: Duration = Duration::from_millis(10);
+
+/// One request on its way.
+struct Dispatch<'a> {
+    node: &'a Rc<Node>,
+    origin: Origin,
+    request: CheckedRequest,
+    service: ServiceName,
+    head: RequestHead,
+    whole_body: Bytes,
+    streamed: Option<(BodyStream, Option<u64>)>,
+    /// A streamed body was given to an attempt: it can't be sent again.
+    body_is_spent: bool,
+    arrived: Moment,
+    deadline: Moment,
+}
+
+/// Answers a request.
+pub async fn answer(node: &Rc<Node>, taken: TakenRequest, origin: Origin) -> Answer {
+    let arrived = clock::now();
+    let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
+    let (route, result) = run(node, taken, origin, arrived).await;
+    let route_name = route.as_ref().map_or("none", |route| route.name.as_str());
+    let elapsed = clock::now().since(arrived);
+    match result {
+        Ok(answer) => {
+            let outcome = if answer.head.status < 400 { "answered" } else { "instance-failed" };
+            node.metrics.on_answer(route_name, outcome, elapsed);
+            answer
+        }
+        Err(own) => {
+            node.metrics.on_answer(route_name, own.reason(), elapsed);
+            log_own_answer(node, id.as_ref(), route_name, origin, own, elapsed);
+            own.to_answer(&node.vocabulary, id.as_ref())
+        }
+    }
+}
+
+fn log_own_answer(
+    node: &Node,
+    id: Option<&Bytes>,
+    route: &str,
+    origin: Origin,
+    own: OwnAnswer,
+    elapsed: Duration,
+) {
+    if node.may_log() {
+        log::info!(
+            "event=own_answer request={} route={route} origin={origin:?} status={} reason={} after_ms={}",
+            id.map(|id| String::from_utf8_lossy(id)).unwrap_or_default(),
+            own.status(),
+            own.reason(),
+            elapsed.as_millis(),
+        );
+    }
+}
+
+async fn run(
+    node: &Rc<Node>,
+    taken: TakenRequest,
+    origin: Origin,
+    arrived: Moment,
+) -> (Option<Rc<Route>>, Result<Answer, OwnAnswer>) {
+    let Some(routes) = node.routes() else {
+        let reason = RefusalReason::NodeNotReady;
+        return (None, Err(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER }));
+    };
+    let request = match request::check(&taken.head, &routes, &node.vocabulary) {
+        Ok(request) => request,
+        Err(own) => return (None, Err(own)),
+    };
+    let route = request.route.clone();
+    let Some(service) = node.dealer.borrow_mut().deal(&route) else {
+        return (Some(route), Err(OwnAnswer::Rejected { status: 404, reason: "no-service" }));
+    };
+    node.count_request(&service, origin, arrived);
+    let deadline = arrived + request.time;
+    let head = forwarded_head(node, taken.head);
+    let (whole_body, streamed) = match taken.body {
+        Body::Whole(bytes) => (bytes, None),
+        Body::Stream(pieces, length) => (Bytes::new(), Some((pieces, length))),
+    };
+    let mut dispatch = Dispatch {
+        node,
+        origin,
+        request,
+        service,
+        head,
+        whole_body,
+        streamed,
+        body_is_spent: false,
+        arrived,
+        deadline,
+    };
+    let limit = clock::instant_of(deadline);
+    let result = match tokio::time::timeout_at(limit, dispatch.run()).await {
+        Ok(result) => result,
+        Err(_) => Err(OwnAnswer::TimedOut),
+    };
+    (Some(route), result)
+}
+
+/// The head as every instance is to get it.
+fn forwarded_head(node: &Node, mut head: RequestHead) -> RequestHead {
+    head.fields.remove_connection_fields();
+    head.fields.remove("expect");
+    let caller = node.settings().service.clone();
+    head.fields.set(node.vocabulary.caller_service, Bytes::copy_from_slice(caller.as_str().as_bytes()));
+    head.fields.remove(node.vocabulary.expected_instance);
+    head.fields.remove(node.vocabulary.time_left_ms);
+    head
+}
+
+impl Dispatch<'_> {
+    async fn run(&mut self) -> Result<Answer, OwnAnswer> {
+        let route = self.request.route.clone();
+        let mut attempts = Attempts::new(route.safety, route.attempts);
+        loop {
+            let Some(instance) = self.choose(&attempts) else {
+                return Err(attempts.on_no_candidate().into());
+            };
+            attempts.on_offer(&instance.name);
+            let reply = self.offer(&instance).await;
+            let next = match reply {
+                GateReply::Answered(answer) => return Ok(answer),
+                GateReply::Refused(refusal) => attempts.on_refused(refusal),
+                GateReply::Failed(failure) => {
+                    self.note_failure(&instance, failure);
+                    let (node, origin, service) = (self.node, self.origin, &self.service);
+                    attempts.on_failed(failure, || node.take_repeat(service, origin, clock::now()))
+                }
+            };
+            if let Next::GiveUp(verdict) = next {
+                return Err(verdict.into());
+            }
+            let is_late = clock::now() + EDGE_RESERVE >= self.deadline;
+            if is_late && attempts.may_have_run() {
+                return Err(OwnAnswer::TimedOut);
+            }
+            if is_late || self.body_is_spent {
+                return Err(attempts.on_no_candidate().into());
+            }
+        }
+    }
+
+    /// The instance for the next attempt; `None` when each was tried.
+    fn choose(&self, attempts: &Attempts) -> Option<Rc<Instance>> {
+        let settings = self.node.settings();
+        let instances = self.node.knowledge.borrow().directory.ready_instances(&self.service);
+        let untried: Vec<&Rc<Instance>> =
+            instances.iter().filter(|instance| !attempts.tried().contains(&instance.name)).collect();
+        let candidates: Vec<Candidate> = untried
+            .iter()
+            .map(|instance| Candidate {
+                instance: instance.name.clone(),
+                same_zone: instance.zone == settings.zone,
+                own_gate: instance.address.ip() == settings.ip(),
+            })
+            .collect();
+        let slots = untried.first().map_or(1, |instance| instance.slots);
+        let mut balancer = self.node.balancer.borrow_mut();
+        let now = clock::now();
+        let chosen = self.node.random(|random| balancer.choose(&candidates, &[], slots, now, random))?;
+        Some(untried[chosen].clone())
+    }
+
+    /// Offers the request to the gate of `instance`.
+    async fn offer(&mut self, instance: &Instance) -> GateReply {
+        let settings = self.node.settings();
+        let offer = self.offer_message(instance);
+        let name = instance.name.clone();
+        let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
+        self.node.balancer.borrow_mut().on_send(&name);
+        let (reply, load) = if instance.address.ip() == settings.ip() {
+            let body = self.take_body();
+            let reply = gate::run_offer(self.node, offer, body).await;
+            (reply, Some(self.node.gate.load(&name)))
+        } else {
+            let address = settings.inbound_of(instance.address.ip());
+            let body = self.take_stream().map(|(pieces, _)| pieces);
+            let remote = remote::offer(self.node, address, offer, body, self.request.route.safety).await;
+            (remote.reply, remote.load)
+        };
+        sent.observation = observation_of(&reply);
+        if let Some(load) = load {
+            self.note_load(&name, load);
+        }
+        reply
+    }
+
+    fn take_body(&mut self) -> Body {
+        match self.take_stream() {
+            Some((pieces, length)) => Body::Stream(pieces, length),
+            None => Body::Whole(self.whole_body.clone()),
+        }
+    }
+
+    fn take_stream(&mut self) -> Option<(BodyStream, Option<u64>)> {
+        let stream = self.streamed.take();
+        self.body_is_spent |= stream.is_some();
+        stream
+    }
+
+    fn offer_message(&self, instance: &Instance) -> Offer {
+        let now = clock::now();
+        let time_left = self.deadline.since(now);
+        let route = &self.request.route;
+        let importance = match self.origin {
+            Origin::Client => importance_of_priority(route.priority),
+            Origin::Instance => Importance::PROTECTED,
+        };
+        let body = match &self.streamed {
+            Some((_, length)) => OfferedBody::Streamed(*length),
+            None => OfferedBody::Whole(self.whole_body.clone()),
+        };
+        Offer {
+            instance: instance.name.clone(),
+            route: route.name.clone(),
+            head: self.head.clone(),
+            body,
+            request_id: self.request.id.clone(),
+            time_left_ms: milliseconds(time_left),
+            longest_wait_ms: milliseconds(self.longest_wait(now)),
+            target_latency_ms: route.target_latency.0,
+            importance,
+            hop: u8::from(self.origin == Origin::Instance),
+        }
+    }
+
+    /// A client that is refused early comes back in time; a call that fails takes the work
+    /// of its whole chain with it, so it waits as long as it can.
+    fn longest_wait(&self, now: Moment) -> Duration {
+        let time_left = self.deadline.since(now);
+        match self.origin {
+            Origin::Instance => time_left,
+            Origin::Client => {
+                let whole = self.request.route.target_latency.duration() / WAIT_PART;
+                whole.saturating_sub(now.since(self.arrived)).min(time_left)
+            }
+        }
+    }
+
+    fn note_load(&self, name: &InstanceName, load: Load) {
+        let now = clock::now();
+        self.node.balancer.borrow_mut().on_report(name, f64::from(load.occupancy), now);
+    }
+
+    fn note_failure(&self, instance: &Instance, failure: Failure) {
+        self.node.metrics.failed_attempts.with_label_values(&[failure.reason.as_str()]).inc();
+        if self.node.may_log() {
+            log::info!(
+                "event=attempt_failed request={} route={} instance={} reason={} may_have_run={}",
+                String::from_utf8_lossy(&self.request.id),
+                self.request.route.name,
+                instance.name,
+                failure.reason.as_str(),
+                failure.may_have_run,
+            );
+        }
+    }
+}
+
+/// Tells the balancer that a request ended, also when it was dropped.
+struct SentGuard<'a> {
+    node: &'a Node,
+    name: &'a InstanceName,
+    observation: Observation,
+}
+
+impl Drop for SentGuard<'_> {
+    fn drop(&mut self) {
+        self.node.balancer.borrow_mut().on_end(self.name, self.observation, clock::now());
+    }
+}
+
+fn observation_of(reply: &GateReply) -> Observation {
+    match reply {
+        GateReply::Answered(_) => Observation::Answered,
+        GateReply::Refused(refusal) if refusal.reason.is_local_to_instance() => Observation::Failed,
+        GateReply::Refused(_) => Observation::Neutral,
+        GateReply::Failed(failure) => match failure.reason {
+            FailureReason::RequestBroken | FailureReason::RefusedByInstance => Observation::Neutral,
+            _ => Observation::Failed,
+        },
+    }
+}
+
+fn milliseconds(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/own_answer.rs
@@ -0,0 +1,82 @@
+//! Answers that the node gives itself. They carry no instance's signature.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use olivegate_http1::{Fields, ResponseHead};
+use olivegate_types::RefusalReason;
+
+use crate::edge::attempts::Verdict;
+use crate::reply::{Answer, Body};
+use crate::vocabulary::Vocabulary;
+
+/// Why the node answers itself.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum OwnAnswer {
+    /// The request is at fault.
+    Rejected {
+        /// Status.
+        status: u16,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+    /// It was not run and never will be.
+    NotRun {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run; the answer can't be had.
+    Unknown,
+    /// No answer in time; it may have run.
+    TimedOut,
+}
+
+impl From<Verdict> for OwnAnswer {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::NotRun(refusal) => {
+                OwnAnswer::NotRun { reason: refusal.reason, retry_after: refusal.retry_after }
+            }
+            Verdict::Unknown => OwnAnswer::Unknown,
+        }
+    }
+}
+
+impl OwnAnswer {
+    /// Status of the answer.
+    pub fn status(self) -> u16 {
+        match self {
+            OwnAnswer::Rejected { status, .. } => status,
+            OwnAnswer::NotRun { .. } => 503,
+            OwnAnswer::Unknown => 502,
+            OwnAnswer::TimedOut => 504,
+        }
+    }
+
+    /// Text of log lines, metrics and the answer's body.
+    pub fn reason(self) -> &'static str {
+        match self {
+            OwnAnswer::Rejected { reason, .. } => reason,
+            OwnAnswer::NotRun { reason, .. } => reason.as_str(),
+            OwnAnswer::Unknown => "unknown",
+            OwnAnswer::TimedOut => "timed-out",
+        }
+    }
+
+    /// The answer itself.
+    pub fn to_answer(self, vocabulary: &Vocabulary, request_id: Option<&Bytes>) -> Answer {
+        let mut fields = Fields::default();
+        if let Some(id) = request_id {
+            fields.add(vocabulary.request_id, id.clone());
+        }
+        if let OwnAnswer::NotRun { retry_after, .. } = self {
+            fields.add(vocabulary.retry_after, format!("{:.2}", retry_after.as_secs_f64()));
+        }
+        fields.add("Content-Type", "text/plain");
+        let body = format!("{}\n", self.reason());
+        let head = ResponseHead { status: self.status(), minor_version: 1, fields };
+        Answer { head, body: Body::Whole(body.into()) }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/gate/mod.rs
@@ -0,0 +1,178 @@
+//! The gate: the only place that sends requests to the instance beside this node.
+//!
+//! Since only processes of its own machine reach an instance, the count of requests in it
+//! is exact. What the gate refuses never arrived, so an edge may offer it elsewhere.
+//!
+//! - [`slots`]: queue and limit of one instance, and waiting for a slot.
+//! - [`instance_connection`]: kept connections to the instance.
+//! - [`exchange`]: one request and its answer on such a connection.
+//! - [`serve`]: offers of other nodes.
+
+pub mod exchange;
+pub mod instance_connection;
+pub mod serve;
+pub mod slots;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_overload::Demand;
+use olivegate_types::{GroupName, Importance, InstanceName, Moment, RefusalReason, SheddingRank};
+use rand::RngExt;
+
+use crate::clock;
+use crate::directory::Standing;
+use crate::hop::Offer;
+use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
+use crate::state::Node;
+use slots::InstanceSlots;
+
+/// Slots assumed for an instance that the directory does not list yet.
+const UNLISTED_SLOTS: u32 = 8;
+/// When to come back after a refusal that says nothing about load.
+const SHORT_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Kept back from the time that the instance gets, for the way of its answer.
+const ANSWER_TRAVEL: Duration = Duration::from_millis(15);
+
+/// Instances beside this node: the present one, and earlier ones that still answer.
+#[derive(Default)]
+pub struct Gate {
+    instances: RefCell<HashMap<InstanceName, Rc<InstanceSlots>>>,
+}
+
+impl Gate {
+    fn slots_of(&self, node: &Node, name: &InstanceName) -> Rc<InstanceSlots> {
+        if let Some(slots) = self.instances.borrow().get(name) {
+            return slots.clone();
+        }
+        let listed = node.knowledge.borrow().directory.instance(name);
+        let count = listed.map_or(UNLISTED_SLOTS, |instance| instance.slots);
+        let slots = Rc::new(InstanceSlots::new(count));
+        self.instances.borrow_mut().insert(name.clone(), slots.clone());
+        slots
+    }
+
+    /// Follows the directory: slot counts, and instances that are gone.
+    pub fn follow_directory(&self, node: &Node) {
+        let knowledge = node.knowledge.borrow();
+        self.instances.borrow_mut().retain(|name, slots| {
+            if let Some(instance) = knowledge.directory.instance(name) {
+                slots.set_slots(instance.slots);
+            }
+            knowledge.directory.standing(name) != Standing::Gone || slots.in_use()
+        });
+    }
+
+    /// Load of one instance, to be told to an edge.
+    pub fn load(&self, name: &InstanceName) -> Load {
+        self.instances.borrow().get(name).map(|slots| slots.load()).unwrap_or_default()
+    }
+}
+
+/// Runs an offer: waits for a slot, then has the instance run it. Dropping the future
+/// cancels the request, wherever it is.
+pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body) -> GateReply {
+    let deadline = clock::now() + Duration::from_millis(u64::from(offer.time_left_ms));
+    if let Some(reason) = obstacle(node, &offer.instance) {
+        return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
+    }
+    let slots = node.gate.slots_of(node, &offer.instance);
+    let demand = demand_of(node, &offer, &slots, deadline);
+    let slot = match slots.acquire(demand).await {
+        Ok(slot) => slot,
+        Err(refusal) => return count_refusal(node, &offer, GateReply::Refused(refusal)),
+    };
+    if let Some(reason) = obstacle(node, &offer.instance) {
+        return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
+    }
+    run_in_slot(node, offer, body, slot, deadline).await
+}
+
+async fn run_in_slot(
+    node: &Rc<Node>,
+    offer: Offer,
+    body: Body,
+    mut slot: slots::Slot,
+    deadline: Moment,
+) -> GateReply {
+    let started = clock::now();
+    let time_left = deadline.since(started).saturating_sub(ANSWER_TRAVEL);
+    if time_left.is_zero() {
+        return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
+    }
+    let connections = slot.slots().connections().clone();
+    let running = exchange::run(node, &connections, &offer, body, time_left);
+    let limit = clock::instant_of(deadline);
+    let result = match tokio::time::timeout_at(limit, running).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::unknown(FailureReason::TimedOut)),
+    };
+    let used = clock::now().since(started);
+    match result {
+        Ok(answer) => {
+            node.metrics.exchanges.with_label_values(&["answered"]).inc();
+            slot.note_answer(&offer, used);
+            GateReply::Answered(slots::holding(answer, slot))
+        }
+        Err(failure) => {
+            node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
+            slot.note_failure(&offer, failure, used);
+            note_gone_instance(node, &offer, failure);
+            GateReply::Failed(failure)
+        }
+    }
+}
+
+/// Why the instance may not get a request now.
+fn obstacle(node: &Node, name: &InstanceName) -> Option<RefusalReason> {
+    if node.stop.is_stopping() {
+        return Some(RefusalReason::NodeNotReady);
+    }
+    match node.knowledge.borrow().directory.standing(name) {
+        Standing::Ready | Standing::Unknown => None,
+        Standing::Draining | Standing::Gone => Some(RefusalReason::InstanceLeaving),
+    }
+}
+
+fn demand_of(node: &Node, offer: &Offer, slots: &InstanceSlots, deadline: Moment) -> Demand {
+    let rank = node.random(|random| random.random::<u16>());
+    Demand {
+        importance: offer.importance,
+        group: GroupName::new("all"),
+        weight: 1,
+        hop: offer.hop,
+        rank: SheddingRank(rank),
+        deadline,
+        expected: slots.expected(offer),
+        longest_wait: Some(Duration::from_millis(u64::from(offer.longest_wait_ms))),
+    }
+}
+
+/// Importance of a client's request by its route's priority, 0 being the most urgent.
+pub fn importance_of_priority(priority: u32) -> Importance {
+    let below_protected = Importance::PROTECTED.0 - 1;
+    Importance(below_protected.saturating_sub(u8::try_from(priority).unwrap_or(u8::MAX)))
+}
+
+/// An instance that another one answers for is gone, whatever the source says.
+fn note_gone_instance(node: &Node, offer: &Offer, failure: Failure) {
+    if failure.reason == FailureReason::WrongInstance {
+        let now = clock::now();
+        node.update_directory("gate", |directory| directory.note_gone(&offer.instance, now));
+    }
+}
+
+fn count_refusal(node: &Node, offer: &Offer, reply: GateReply) -> GateReply {
+    if let GateReply::Refused(refusal) = &reply {
+        node.metrics.refusals.with_label_values(&[refusal.reason.as_str()]).inc();
+        log::debug!(
+            "event=offer_refused request={} instance={} reason={}",
+            String::from_utf8_lossy(&offer.request_id),
+            offer.instance,
+            refusal.reason,
+        );
+    }
+    reply
+}
--- /dev/null
+++ b/crates/sidecar/src/gate/serve.rs
@@ -0,0 +1,182 @@
+//! Offers of other nodes: reads them, runs them, and says how it goes.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures::{FutureExt, SinkExt, StreamExt};
+use olivegate_types::InstanceName;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::edge::accept_failed;
+use crate::gate::run_offer;
+use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, OfferedBody, PROGRESS_INTERVAL};
+use crate::peers;
+use crate::reply::{Answer, Body, BodyBroken, GateReply, Load};
+use crate::state::Node;
+use crate::transport;
+
+/// Pieces of a request's body that may wait for the instance.
+const BODY_PIECES: usize = 4;
+
+/// Takes connections until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                transport::configure(&stream);
+                tokio::task::spawn_local(connection(node.clone(), stream));
+            }
+            Err(error) => accept_failed("inbound", &error).await,
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let mut stream = hop::framed(stream);
+    while let Some(Ok(frame)) = stream.next().await {
+        let goes_on = match hop::decode::<EdgeMessage>(&frame) {
+            Ok(EdgeMessage::Offer(offer)) => serve_offer(&node, &mut stream, *offer).await,
+            Ok(EdgeMessage::Fetch(known)) => {
+                let knowledge = peers::knowledge_for(&node, known);
+                stream.send(hop::encode(&knowledge)).await.is_ok()
+            }
+            Ok(EdgeMessage::Data(_) | EdgeMessage::End) | Err(_) => false,
+        };
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+/// The way from the connection to the request's body.
+enum Feed {
+    /// The body is whole, or nobody wants more of it.
+    Closed,
+    /// Pieces go to the sender.
+    Open(mpsc::Sender<Result<Bytes, BodyBroken>>),
+    /// A piece that waits for room.
+    Full(mpsc::Sender<Result<Bytes, BodyBroken>>, Bytes),
+}
+
+fn body_of(offer: &Offer) -> (Body, Feed) {
+    match &offer.body {
+        OfferedBody::Whole(bytes) => (Body::Whole(bytes.clone()), Feed::Closed),
+        OfferedBody::Streamed(length) => {
+            let (sender, receiver) = mpsc::channel(BODY_PIECES);
+            (Body::Stream(crate::edge::intake::pieces_of(receiver), *length), Feed::Open(sender))
+        }
+    }
+}
+
+/// Serves one offer; false when the connection can't be used again. When the edge closes
+/// the connection the request is dropped, wherever it is.
+async fn serve_offer(node: &Rc<Node>, stream: &mut HopStream, offer: Offer) -> bool {
+    let _in_flight = node.stop.enter();
+    let instance = offer.instance.clone();
+    let (body, mut feed) = body_of(&offer);
+    let running = run_offer(node, offer, body);
+    tokio::pin!(running);
+    let mut progress =
+        tokio::time::interval_at(tokio::time::Instant::now() + PROGRESS_INTERVAL, PROGRESS_INTERVAL);
+    let reply = loop {
+        let is_full = matches!(feed, Feed::Full(..));
+        tokio::select! {
+            biased;
+            frame = stream.next(), if !is_full => match next_feed(feed, frame) {
+                Some(next) => feed = next,
+                None => return false,
+            },
+            reply = &mut running => break reply,
+            next = make_room(&mut feed), if is_full => feed = next,
+            _ = progress.tick() => {
+                if stream.send(hop::encode(&GateMessage::Progress)).await.is_err() {
+                    return false;
+                }
+            }
+        }
+    };
+    let whole_request = matches!(feed, Feed::Closed);
+    send_reply(node, stream, &instance, reply).await && whole_request
+}
+
+/// What a frame makes of the feed; `None` when the edge gave up or broke the protocol.
+fn next_feed(feed: Feed, frame: Option<std::io::Result<bytes::BytesMut>>) -> Option<Feed> {
+    let frame = frame?.ok()?;
+    match (hop::decode::<EdgeMessage>(&frame).ok()?, feed) {
+        (EdgeMessage::Data(data), Feed::Open(sender)) => Some(Feed::Full(sender, data)),
+        (EdgeMessage::Data(_), Feed::Closed) => Some(Feed::Closed),
+        (EdgeMessage::End, Feed::Open(_)) => Some(Feed::Closed),
+        (EdgeMessage::End, Feed::Closed) => Some(Feed::Closed),
+        _ => None,
+    }
+}
+
+/// Hands the piece that waits on; a body that nobody reads any more is dropped. An
+/// unfinished body must not look whole, so its end is told as broken.
+async fn make_room(feed: &mut Feed) -> Feed {
+    let Feed::Full(sender, data) = feed else { return futures::future::pending().await };
+    match sender.reserve().await {
+        Ok(permit) => {
+            permit.send(Ok(std::mem::take(data)));
+            Feed::Open(sender.clone())
+        }
+        Err(_) => Feed::Closed,
+    }
+}
+
+async fn send_reply(node: &Node, stream: &mut HopStream, instance: &InstanceName, reply: GateReply) -> bool {
+    let load = node.gate.load(instance);
+    let message = match reply {
+        GateReply::Refused(refusal) => GateMessage::Refused {
+            reason: refusal.reason,
+            retry_after_ms: u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX),
+            load,
+        },
+        GateReply::Failed(failure) => GateMessage::Failed { failure, load },
+        GateReply::Answered(answer) => return send_answer(stream, answer, load).await,
+    };
+    stream.send(hop::encode(&message)).await.is_ok()
+}
+
+async fn send_answer(stream: &mut HopStream, answer: Answer, load: Load) -> bool {
+    let Answer { head, body } = answer;
+    match body {
+        Body::Whole(bytes) => {
+            let message = GateMessage::Answered { head, body: Some(bytes), length: None, load };
+            stream.send(hop::encode(&message)).await.is_ok()
+        }
+        Body::Stream(mut pieces, length) => {
+            let message = GateMessage::Answered { head, body: None, length, load };
+            if stream.send(hop::encode(&message)).await.is_err() {
+                return false;
+            }
+            loop {
+                let message = match next_piece(stream, &mut pieces).await {
+                    Some(message) => message,
+                    None => return false,
+                };
+                let is_last = !matches!(message, GateMessage::Data(_));
+                if stream.send(hop::encode(&message)).await.is_err() {
+                    return false;
+                }
+                if is_last {
+                    return true;
+                }
+            }
+        }
+    }
+}
+
+/// The next piece of an answer; `None` when the edge gave up while the instance was slow.
+async fn next_piece(stream: &mut HopStream, pieces: &mut crate::reply::BodyStream) -> Option<GateMessage> {
+    tokio::select! {
+        biased;
+        piece = pieces.next() => Some(match piece {
+            Some(Ok(data)) => GateMessage::Data(data),
+            Some(Err(BodyBroken)) => GateMessage::Broken,
+            None => GateMessage::End,
+        }),
+        _ = stream.next().map(drop) => None,
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/gate/slots.rs
@@ -0,0 +1,223 @@
+//! Queue and limit of one instance, and waiting for a slot.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_overload::{AdaptiveLimit, Admission, Demand, InstanceQueue, Settings, TicketId};
+use olivegate_types::{Refusal, RefusalReason};
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::gate::instance_connection::InstanceConnections;
+use crate::hop::Offer;
+use crate::reply::{Answer, Body, Failure, FailureReason, Load};
+
+/// Part of an instance's slots that is used: some instances slow down when nearly full.
+const USED_FRACTION: f64 = 0.94;
+/// Weight of a new sample in moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Expected time in the instance of a route that was never seen, as a part of its target
+/// latency.
+const UNSEEN_PART: f64 = 0.1;
+/// Bounds of the queue; each demand brings its own longest wait.
+const QUEUE: Settings = Settings { max_wait: Duration::from_millis(100), waiting_per_slot: 4 };
+
+/// Queue, limit and connections of one instance.
+pub struct InstanceSlots {
+    queue: RefCell<InstanceQueue>,
+    waiting: RefCell<HashMap<TicketId, oneshot::Sender<Result<(), Refusal>>>>,
+    expected: RefCell<HashMap<String, Duration>>,
+    slowness: RefCell<f64>,
+    connections: Rc<InstanceConnections>,
+}
+
+/// A slot in use; dropped when the exchange has ended, whichever way.
+pub struct Slot {
+    slots: Rc<InstanceSlots>,
+    ticket: TicketId,
+}
+
+/// A place in the queue; dropped when the wait has ended, whichever way.
+struct Place {
+    slots: Rc<InstanceSlots>,
+    ticket: TicketId,
+    served: bool,
+}
+
+fn used_slots(slots: u32) -> u32 {
+    ((f64::from(slots) * USED_FRACTION) as u32).max(1)
+}
+
+impl InstanceSlots {
+    /// Slots of an instance that was not used yet.
+    pub fn new(slots: u32) -> Self {
+        InstanceSlots {
+            queue: RefCell::new(InstanceQueue::new(QUEUE, AdaptiveLimit::new(used_slots(slots), false))),
+            waiting: RefCell::default(),
+            expected: RefCell::default(),
+            slowness: RefCell::new(0.0),
+            connections: Rc::default(),
+        }
+    }
+
+    /// Follows the number of slots that the instance tells.
+    pub fn set_slots(&self, slots: u32) {
+        self.queue.borrow_mut().configure(QUEUE, used_slots(slots));
+    }
+
+    /// Connections to the instance.
+    pub fn connections(&self) -> &Rc<InstanceConnections> {
+        &self.connections
+    }
+
+    /// True while requests run or wait.
+    pub fn in_use(&self) -> bool {
+        let queue = self.queue.borrow();
+        queue.in_flight() + queue.waiting() > 0
+    }
+
+    /// How busy the instance is.
+    pub fn load(&self) -> Load {
+        Load { occupancy: self.queue.borrow().occupancy() as f32, slowness: *self.slowness.borrow() as f32 }
+    }
+
+    /// Expected time of an offer in the instance.
+    pub fn expected(&self, offer: &Offer) -> Duration {
+        let target = Duration::from_millis(u64::from(offer.target_latency_ms));
+        let known = self.expected.borrow().get(&offer.route).copied();
+        known.unwrap_or_else(|| target.mul_f64(UNSEEN_PART))
+    }
+
+    /// Waits for a slot. Dropping the future gives the place up.
+    pub async fn acquire(self: &Rc<Self>, demand: Demand) -> Result<Slot, Refusal> {
+        let now = clock::now();
+        let longest = self.queue.borrow().longest_wait(&demand, now);
+        let admission = self.queue.borrow_mut().arrive(demand.clone(), now);
+        match admission {
+            Admission::Dispatch(ticket) => Ok(Slot { slots: self.clone(), ticket }),
+            Admission::Refuse(refusal) => Err(refusal),
+            Admission::Wait { ticket, displaced } => {
+                if let Some(displaced) = displaced {
+                    self.displace(displaced, &demand);
+                }
+                self.wait(ticket, &demand, longest).await
+            }
+        }
+    }
+
+    fn displace(&self, ticket: TicketId, by: &Demand) {
+        let refusal = self.queue.borrow().refusal(RefusalReason::Displaced, by);
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+            // A request that was given up meanwhile needs no answer.
+            let _ = waiting.send(Err(refusal));
+        }
+    }
+
+    async fn wait(self: &Rc<Self>, ticket: TicketId, demand: &Demand, longest: Duration) -> Result<Slot, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        let mut place = Place { slots: self.clone(), ticket, served: false };
+        match tokio::time::timeout(longest, receiver).await {
+            Ok(Ok(Ok(()))) => {
+                place.served = true;
+                Ok(Slot { slots: self.clone(), ticket })
+            }
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            Ok(Err(_)) | Err(_) => Err(self.queue.borrow().refusal(RefusalReason::QueueTimeout, demand)),
+        }
+    }
+
+    /// Gives free slots to those that wait.
+    fn serve_waiting(self: &Rc<Self>) {
+        loop {
+            let next = self.queue.borrow_mut().next(clock::now());
+            let Some(ticket) = next else { return };
+            let waiting = self.waiting.borrow_mut().remove(&ticket);
+            let taken = waiting.is_some_and(|waiting| waiting.send(Ok(())).is_ok());
+            if !taken {
+                self.queue.borrow_mut().finish(ticket, clock::now());
+            }
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.served {
+            return;
+        }
+        self.slots.waiting.borrow_mut().remove(&self.ticket);
+        let was_waiting = self.slots.queue.borrow_mut().cancel(self.ticket);
+        if !was_waiting {
+            // The slot was given just as the wait was given up.
+            self.slots.queue.borrow_mut().finish(self.ticket, clock::now());
+            self.slots.serve_waiting();
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.slots.queue.borrow_mut().finish(self.ticket, clock::now());
+        self.slots.serve_waiting();
+    }
+}
+
+impl Slot {
+    /// The slots that this one belongs to.
+    pub fn slots(&self) -> &InstanceSlots {
+        &self.slots
+    }
+
+    /// Learns from an answer.
+    pub fn note_answer(&mut self, offer: &Offer, used: Duration) {
+        self.note_time(offer, used);
+        let mut queue = self.slots.queue.borrow_mut();
+        let in_flight = queue.in_flight();
+        queue.limit_mut().on_success(in_flight);
+    }
+
+    /// Learns from an exchange without an answer.
+    pub fn note_failure(&mut self, offer: &Offer, failure: Failure, used: Duration) {
+        let now = clock::now();
+        match failure.reason {
+            FailureReason::RefusedByInstance => self.slots.queue.borrow_mut().limit_mut().on_refused(now),
+            FailureReason::TimedOut => {
+                self.note_time(offer, used);
+                self.slots.queue.borrow_mut().limit_mut().on_failure(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_time(&self, offer: &Offer, used: Duration) {
+        let mut expected = self.slots.expected.borrow_mut();
+        match expected.get_mut(&offer.route) {
+            Some(mean) => *mean = mean.mul_f64(1.0 - SAMPLE_WEIGHT) + used.mul_f64(SAMPLE_WEIGHT),
+            None => {
+                expected.insert(offer.route.clone(), used);
+            }
+        }
+        let target = f64::from(offer.target_latency_ms.max(1)) / 1_000.0;
+        let mut slowness = self.slots.slowness.borrow_mut();
+        *slowness = *slowness * (1.0 - SAMPLE_WEIGHT) + used.as_secs_f64() / target * SAMPLE_WEIGHT;
+    }
+}
+
+/// The answer, with the slot kept until a body that is still to be read has ended.
+pub fn holding(answer: Answer, slot: Slot) -> Answer {
+    let Answer { head, body } = answer;
+    let body = match body {
+        Body::Whole(bytes) => Body::Whole(bytes),
+        Body::Stream(pieces, length) => {
+            let held = futures::StreamExt::map(pieces, move |piece| {
+                let _slot = &slot;
+                piece
+            });
+            Body::Stream(Box::pin(held), length)
+        }
+    };
+    Answer { head, body }
+}
--- /dev/null
+++ b/crates/sidecar/src/hop.rs
@@ -0,0 +1,148 @@
+//! Messages between edge and gate: `borsh` in frames with a length.
+//!
+//! A connection carries one offer at a time. An edge that gives up closes it; the gate
+//! then drops the request, in its queue or in the instance. While an offer waits or runs
+//! the gate says so every [`PROGRESS_INTERVAL`]; an edge that hears nothing for
+//! [`SILENCE_LIMIT`] knows that the gate is cut off, frozen or gone.
+
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use bytes::Bytes;
+use olivegate_http1::{RequestHead, ResponseHead};
+use olivegate_types::{Importance, InstanceName, RefusalReason};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::directory::DirectoryCopy;
+use crate::model::{Configuration, ConfigurationVersion, Revision};
+use crate::reply::{Failure, Load};
+
+/// Interval of the gate's signs of life.
+pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+/// An edge that hears nothing for this long gives the gate up.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Longest frame in bytes: a knowledge transfer at the target size fits.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// Body of an offer.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum OfferedBody {
+    /// All of it.
+    Whole(Bytes),
+    /// It follows in [`EdgeMessage::Data`]; its length where that is known.
+    Streamed(Option<u64>),
+}
+
+/// A request that an edge offers to a gate.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Offer {
+    /// The instance that is to run it.
+    pub instance: InstanceName,
+    /// Name of its route.
+    pub route: String,
+    /// Its head, as the instance is to get it but for the fields that the gate sets.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: OfferedBody,
+    /// Its id.
+    pub request_id: Bytes,
+    /// Time until the edge gives up, in milliseconds.
+    pub time_left_ms: u32,
+    /// Longest wait for a slot that is worth it, in milliseconds.
+    pub longest_wait_ms: u32,
+    /// Target latency of the route, in milliseconds.
+    pub target_latency_ms: u32,
+    /// Importance; more important ones go first.
+    pub importance: Importance,
+    /// 0 for a client's request, 1 for a call on behalf of one.
+    pub hop: u8,
+}
+
+/// What a node knows, to compare with what another one knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
+pub struct KnownState {
+    /// Version of its configuration; 0 for none.
+    pub configuration: ConfigurationVersion,
+    /// State of its directory.
+    pub directory: Revision,
+}
+
+/// Messages of an edge.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum EdgeMessage {
+    /// A request.
+    Offer(Box<Offer>),
+    /// A piece of its body.
+    Data(Bytes),
+    /// Its body is whole.
+    End,
+    /// Asks for everything that is newer than this.
+    Fetch(KnownState),
+}
+
+/// Messages of a gate.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum GateMessage {
+    /// The offer waits or runs.
+    Progress,
+    /// The request was not run and never will be.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+        /// The gate's load.
+        load: Load,
+    },
+    /// The exchange with the instance gave no answer.
+    Failed {
+        /// Why, and whether the request may have run.
+        failure: Failure,
+        /// The gate's load.
+        load: Load,
+    },
+    /// The instance's answer.
+    Answered {
+        /// Its head.
+        head: ResponseHead,
+        /// Its whole body; `None` when it follows in [`GateMessage::Data`].
+        body: Option<Bytes>,
+        /// Length of a body that follows, where that is known.
+        length: Option<u64>,
+        /// The gate's load.
+        load: Load,
+    },
+    /// A piece of the answer's body.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+    /// The rest of the answer can't be had.
+    Broken,
+    /// What the other node lacked.
+    Knowledge {
+        /// A newer configuration.
+        configuration: Option<Configuration>,
+        /// A newer directory.
+        directory: Option<DirectoryCopy>,
+    },
+}
+
+/// A connection between an edge and a gate.
+pub type HopStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Frames a connection.
+pub fn framed(stream: TcpStream) -> HopStream {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+/// A message in its frame's form.
+pub fn encode<Message: BorshSerialize>(message: &Message) -> Bytes {
+    borsh::to_vec(message).map(Bytes::from).unwrap_or_default()
+}
+
+/// The message of a frame.
+pub fn decode<Message: BorshDeserialize>(frame: &[u8]) -> std::io::Result<Message> {
+    borsh::from_slice(frame)
+}
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and histograms, in the usual text format.
+
+use std::time::Duration;
+
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+
+/// Bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+/// All metrics of a sidecar. docs/OPERATIONS.md explains each.
+pub struct Metrics {
+    registry: Registry,
+    /// Answers to clients and to the instance, by route and outcome.
+    pub answers: IntCounterVec,
+    /// Time from a request's arrival to its answer, by route.
+    pub latency: HistogramVec,
+    /// Attempts that gave no answer, by reason.
+    pub failed_attempts: IntCounterVec,
+    /// Offers that this gate refused, by reason.
+    pub refusals: IntCounterVec,
+    /// Exchanges with the instance, by result.
+    pub exchanges: IntCounterVec,
+    /// Connections made to the instance and to other nodes.
+    pub connections: IntCounterVec,
+    /// Calls of the source, by result.
+    pub source_calls: IntCounterVec,
+    /// Values of the moment: configuration version, directory revision, queue, limit.
+    pub state: IntGaugeVec,
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("constant metric names are valid");
+    registry.register(Box::new(metric.clone())).expect("metric names are distinct");
+    metric
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let latency_options = HistogramOpts::new("olivegate_sidecar_latency_seconds", "Time to the answer")
+            .buckets(LATENCY_BUCKETS.to_vec());
+        let latency = HistogramVec::new(latency_options, &["route"]).expect("constant metric names are valid");
+        registry.register(Box::new(latency.clone())).expect("metric names are distinct");
+        let state_options = Opts::new("olivegate_sidecar_state", "Values of the moment");
+        let state = IntGaugeVec::new(state_options, &["value"]).expect("constant metric names are valid");
+        registry.register(Box::new(state.clone())).expect("metric names are distinct");
+        Metrics {
+            answers: counters(
+                &registry,
+                "olivegate_sidecar_answers_total",
+                "Answers given",
+                &["route", "outcome"],
+            ),
+            latency,
+            failed_attempts: counters(
+                &registry,
+                "olivegate_sidecar_failed_attempts_total",
+                "Attempts without an answer",
+                &["reason"],
+            ),
+            refusals: counters(
+                &registry,
+                "olivegate_sidecar_refusals_total",
+                "Offers refused by this gate",
+                &["reason"],
+            ),
+            exchanges: counters(
+                &registry,
+                "olivegate_sidecar_exchanges_total",
+                "Exchanges with the instance",
+                &["result"],
+            ),
+            connections: counters(&registry, "olivegate_sidecar_connections_total", "Connections made", &["to"]),
+            source_calls: counters(
+                &registry,
+                "olivegate_sidecar_source_calls_total",
+                "Calls of the source",
+                &["result"],
+            ),
+            state,
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Notes an answer.
+    pub fn on_answer(&self, route: &str, outcome: &str, latency: Duration) {
+        self.answers.with_label_values(&[route, outcome]).inc();
+        self.latency.with_label_values(&[route]).observe(latency.as_secs_f64());
+    }
+
+    /// Sets a value of the moment.
+    pub fn set_state(&self, value: &str, number: u64) {
+        self.state.with_label_values(&[value]).set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// The text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("event=metrics_not_encoded error={error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/model.rs
@@ -0,0 +1,141 @@
+//! Configuration and instances as the product knows them.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use olivegate_types::{InstanceName, ServiceName, ZoneName};
+
+/// A version of the configuration; later ones are larger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, BorshSerialize, BorshDeserialize)]
+pub struct ConfigurationVersion(pub u64);
+
+impl fmt::Display for ConfigurationVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// Position in the source's history of changes; later ones are larger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, BorshSerialize, BorshDeserialize)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// A span of time in whole milliseconds, as nodes pass it on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, BorshSerialize, BorshDeserialize)]
+pub struct Millis(pub u32);
+
+impl Millis {
+    /// The span.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(u64::from(self.0))
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum RepeatSafety {
+    /// It may be sent again after any failure.
+    Safe,
+    /// It may run at most once.
+    Unsafe,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct WeightedPart {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the other parts.
+    pub weight: u32,
+}
+
+/// Where requests of one host and path go, and how they are treated.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Route {
+    /// Name, unique in the configuration.
+    pub name: String,
+    /// Host, in lower case.
+    pub host: String,
+    /// Beginning of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// Services that run its requests; at least one.
+    pub parts: Vec<WeightedPart>,
+    /// Whether its requests may run more than once.
+    pub safety: RepeatSafety,
+    /// Longest time that a request is held.
+    pub timeout: Option<Millis>,
+    /// Time within which an answer is worth most.
+    pub target_latency: Millis,
+    /// Rank among routes; 0 is shed last.
+    pub priority: u32,
+    /// Most instances that one request is sent to.
+    pub attempts: u32,
+}
+
+/// What clients may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ClientLimits {
+    /// Longest head in bytes.
+    pub max_head_bytes: u32,
+    /// Longest body in bytes.
+    pub max_body_bytes: u64,
+    /// Longest time between a head's first byte and its last.
+    pub head_timeout: Millis,
+    /// Longest time that a connection rests between requests.
+    pub idle_timeout: Millis,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        ClientLimits {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 64 * 1024 * 1024,
+            head_timeout: Millis(5_000),
+            idle_timeout: Millis(30_000),
+        }
+    }
+}
+
+/// One version of the configuration, whole.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Configuration {
+    /// Version.
+    pub version: ConfigurationVersion,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Limits of clients.
+    pub limits: ClientLimits,
+}
+
+/// Whether an instance takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum InstanceState {
+    /// It takes new requests.
+    Ready,
+    /// It is about to end and takes no new requests.
+    Draining,
+}
+
+/// An instance as the source lists it.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Instance {
+    /// Identity of this start of the instance.
+    pub name: InstanceName,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Where it listens; only processes of its own machine reach it.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: InstanceState,
+}
--- /dev/null
+++ b/crates/sidecar/src/reply.rs
@@ -0,0 +1,144 @@
+//! What becomes of a request: an instance's answer, or what the node says instead.
+
+use std::fmt;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use bytes::Bytes;
+use futures::stream::LocalBoxStream;
+use olivegate_http1::ResponseHead;
+use olivegate_types::{Refusal, RefusalReason};
+
+/// The rest of a body can't be had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyBroken;
+
+impl fmt::Display for BodyBroken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("the body broke off")
+    }
+}
+
+impl std::error::Error for BodyBroken {}
+
+/// Pieces of a body; its end is the end of the stream.
+pub type BodyStream = LocalBoxStream<'static, Result<Bytes, BodyBroken>>;
+
+/// A body, of a request or of an answer.
+pub enum Body {
+    /// All of it.
+    Whole(Bytes),
+    /// To be read on, with its length where that is known.
+    Stream(BodyStream, Option<u64>),
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Body::Whole(bytes) => write!(formatter, "Whole({} bytes)", bytes.len()),
+            Body::Stream(_, length) => write!(formatter, "Stream({length:?})"),
+        }
+    }
+}
+
+/// Why an exchange with an instance gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum FailureReason {
+    /// The instance can't be connected to.
+    Connect,
+    /// The connection ended or was reset.
+    Broken,
+    /// What came back is no answer.
+    Malformed,
+    /// No answer in time.
+    TimedOut,
+    /// The instance refused it unrun.
+    RefusedByInstance,
+    /// Another instance has the address.
+    WrongInstance,
+    /// The gate fell silent.
+    GateSilent,
+    /// The connection to the gate ended.
+    GateLost,
+    /// The client's own request broke off.
+    RequestBroken,
+}
+
+impl FailureReason {
+    /// Text of log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            FailureReason::Connect => "connect",
+            FailureReason::Broken => "broken",
+            FailureReason::Malformed => "malformed",
+            FailureReason::TimedOut => "timed-out",
+            FailureReason::RefusedByInstance => "refused-by-instance",
+            FailureReason::WrongInstance => "wrong-instance",
+            FailureReason::GateSilent => "gate-silent",
+            FailureReason::GateLost => "gate-lost",
+            FailureReason::RequestBroken => "request-broken",
+        }
+    }
+}
+
+/// An exchange that gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Failure {
+    /// Why.
+    pub reason: FailureReason,
+    /// False only when the instance certainly did not run the request and never will.
+    pub may_have_run: bool,
+    /// True when the request arrived at the instance, run or not.
+    pub arrived: bool,
+}
+
+impl Failure {
+    /// The request never reached the instance.
+    pub fn not_sent(reason: FailureReason) -> Self {
+        Failure { reason, may_have_run: false, arrived: false }
+    }
+
+    /// The instance has the request and says that it did not run it.
+    pub fn not_run(reason: FailureReason) -> Self {
+        Failure { reason, may_have_run: false, arrived: true }
+    }
+
+    /// Nobody can say whether the request ran.
+    pub fn unknown(reason: FailureReason) -> Self {
+        Failure { reason, may_have_run: true, arrived: true }
+    }
+}
+
+/// An answer of an instance.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head, without fields that concern one connection.
+    pub head: ResponseHead,
+    /// Its body.
+    pub body: Body,
+}
+
+/// How busy a gate is, told with each of its replies.
+#[derive(Debug, Clone, Copy, PartialEq, Default, BorshSerialize, BorshDeserialize)]
+pub struct Load {
+    /// Requests in the instance and waiting, over the limit.
+    pub occupancy: f32,
+    /// Time in the instance over the target latency of the routes, on average.
+    pub slowness: f32,
+}
+
+/// What a gate makes of an offer.
+#[derive(Debug)]
+pub enum GateReply {
+    /// Not run, and never will be.
+    Refused(Refusal),
+    /// No answer.
+    Failed(Failure),
+    /// The instance's answer.
+    Answered(Answer),
+}
+
+/// A refusal of the gate itself.
+pub fn refused(reason: RefusalReason, retry_after: Duration) -> GateReply {
+    GateReply::Refused(Refusal::new(reason, retry_after))
+}
--- /dev/null
+++ b/crates/sidecar/src/routes.rs
@@ -0,0 +1,82 @@
+//! Which route a request takes, and which part of a weighted route.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use olivegate_types::ServiceName;
+
+use crate::model::{ClientLimits, Configuration, ConfigurationVersion, Route};
+
+/// The routes of one configuration, ready for look-ups. A request is judged by one table
+/// from its arrival to its answer.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: ConfigurationVersion,
+    limits: ClientLimits,
+    /// Routes of each host, the longest prefix first.
+    by_host: HashMap<String, Vec<Rc<Route>>>,
+}
+
+impl RouteTable {
+    /// The table of `configuration`.
+    pub fn new(configuration: &Configuration) -> Self {
+        let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            by_host.entry(route.host.clone()).or_default().push(Rc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        RouteTable { version: configuration.version, limits: configuration.limits, by_host }
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> ConfigurationVersion {
+        self.version
+    }
+
+    /// Limits of clients.
+    pub fn limits(&self) -> ClientLimits {
+        self.limits
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix)).cloned()
+    }
+}
+
+/// Deals the requests of weighted routes to their parts in the proportion of the weights,
+/// by smooth weighted round robin: over any run of requests each part is within one of its
+/// share.
+#[derive(Debug, Default)]
+pub struct WeightedDealer {
+    credits: HashMap<String, Vec<i64>>,
+}
+
+impl WeightedDealer {
+    /// The service that runs the next request of `route`.
+    pub fn deal(&mut self, route: &Route) -> Option<ServiceName> {
+        if route.parts.len() <= 1 {
+            return route.parts.first().map(|part| part.service.clone());
+        }
+        let credits = self.credits.entry(route.name.clone()).or_default();
+        if credits.len() != route.parts.len() {
+            *credits = vec![0; route.parts.len()];
+        }
+        let mut total = 0;
+        for (credit, part) in credits.iter_mut().zip(&route.parts) {
+            *credit += i64::from(part.weight);
+            total += i64::from(part.weight);
+        }
+        let chosen = (0..credits.len()).max_by_key(|&index| (credits[index], std::cmp::Reverse(index)))?;
+        credits[chosen] -= total;
+        Some(route.parts[chosen].service.clone())
+    }
+
+    /// Forgets routes that are no longer configured.
+    pub fn retain(&mut self, configuration: &Configuration) {
+        self.credits.retain(|name, _| configuration.routes.iter().any(|route| route.name == *name));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/settings.rs
@@ -0,0 +1,163 @@
+//! Settings of a sidecar node: read from TOML, checked, every mistake named.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use olivegate_checked::{Mistakes, Reader};
+use olivegate_types::{NodeName, ServiceName, ZoneName};
+
+/// Addresses that the node listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// Requests of clients and of the instance beside the node.
+    pub outbound: SocketAddr,
+    /// Offers of other nodes.
+    pub inbound: SocketAddr,
+    /// Readiness.
+    pub readiness: SocketAddr,
+    /// Announcements of other nodes, by UDP.
+    pub peers: SocketAddr,
+    /// Metrics; none when absent.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Bounds that the operator promises callers, and that the node keeps.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// After this time without a fault the source counts as calm again.
+    pub contact: Duration,
+    /// Time from a stop signal to the end that the platform enforces.
+    pub grace_period: Duration,
+    /// A leaving instance gets no requests after this time.
+    pub drain: Duration,
+    /// Requests of a service that may be repeats, as a fraction of its requests.
+    pub repeat_ratio: f64,
+    /// Repeats allowed beyond that in each window, over all nodes.
+    pub repeat_slack: f64,
+    /// Window of the repeats.
+    pub repeat_window: Duration,
+}
+
+/// What the machine offers the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub max_descriptors: u64,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SidecarSettings {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Service of the instance beside it.
+    pub service: ServiceName,
+    /// Address of that instance.
+    pub instance: SocketAddr,
+    /// Addresses to listen on.
+    pub listen: ListenAddresses,
+    /// Address of the source of configuration and instances.
+    pub source: SocketAddr,
+    /// Interval at which instances renew their entries.
+    pub heartbeat: Duration,
+    /// Bounds to keep.
+    pub bounds: Bounds,
+    /// Limits of the machine.
+    pub machine: MachineLimits,
+}
+
+const ADDRESS: &str = "an address such as 127.0.0.1:8080";
+
+impl SidecarSettings {
+    /// Reads and checks settings text.
+    pub fn from_toml(text: &str) -> Result<Self, Mistakes> {
+        let mut reader = Reader::parse(text)?;
+        let settings = read(&mut reader);
+        reader.finish()?;
+        settings.ok_or_else(|| Mistakes(Vec::new()))
+    }
+
+    /// Own address, by which other nodes and the instance know this machine.
+    pub fn ip(&self) -> IpAddr {
+        self.listen.inbound.ip()
+    }
+
+    /// Address at which the node on `machine` takes offers: ports are alike on all machines.
+    pub fn inbound_of(&self, machine: IpAddr) -> SocketAddr {
+        SocketAddr::new(machine, self.listen.inbound.port())
+    }
+
+    /// Address at which the node on `machine` takes announcements.
+    pub fn peers_of(&self, machine: IpAddr) -> SocketAddr {
+        SocketAddr::new(machine, self.listen.peers.port())
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<SidecarSettings> {
+    let node = NodeName::new(reader.name("node"));
+    let zone = ZoneName::new(reader.name("zone"));
+    let service = ServiceName::new(reader.name("service"));
+    let instance = reader.parsed("instance", ADDRESS);
+    let listen = reader.section("listen", read_listen);
+    let source = reader.section("source", read_source);
+    let bounds = reader.section("bounds", read_bounds);
+    let machine = reader.section("machine", |machine| MachineLimits {
+        memory_mb: machine.number_or("memory_mb", 256.0, 16.0..=1_048_576.0) as u64,
+        max_descriptors: machine.number_or("max_descriptors", 4_096.0, 256.0..=10_000_000.0) as u64,
+    });
+    let (source, heartbeat) = source?;
+    Some(SidecarSettings {
+        node,
+        zone,
+        service,
+        instance: instance?,
+        listen: listen?,
+        source,
+        heartbeat,
+        bounds,
+        machine,
+    })
+}
+
+fn read_listen(reader: &mut Reader) -> Option<ListenAddresses> {
+    let outbound = reader.parsed("outbound", ADDRESS);
+    let inbound: Option<SocketAddr> = reader.parsed("inbound", ADDRESS);
+    let readiness = reader.parsed("readiness", ADDRESS);
+    let peers_port = reader.integer("peers_port", 1..=65_535) as u16;
+    let metrics_port = reader.integer_or("metrics_port", 0, 0..=65_535) as u16;
+    let inbound = inbound?;
+    let metrics = (metrics_port > 0).then(|| SocketAddr::new(inbound.ip(), metrics_port));
+    let peers = SocketAddr::new(inbound.ip(), peers_port);
+    Some(ListenAddresses { outbound: outbound?, inbound, readiness: readiness?, peers, metrics })
+}
+
+fn read_source(reader: &mut Reader) -> Option<(SocketAddr, Duration)> {
+    let address = reader.parsed("address", ADDRESS);
+    let heartbeat = read_millis(reader, "heartbeat_ms", 1_500.0);
+    Some((address?, heartbeat))
+}
+
+/// A span of milliseconds, whole or not.
+fn read_millis(reader: &mut Reader, field: &str, default: f64) -> Duration {
+    Duration::from_secs_f64(reader.number_or(field, default, 1.0..=3_600_000.0) / 1_000.0)
+}
+
+/// A span of seconds, whole or not.
+fn read_seconds(reader: &mut Reader, field: &str, default: f64) -> Duration {
+    Duration::from_secs_f64(reader.number_or(field, default, 0.001..=3_600.0))
+}
+
+fn read_bounds(reader: &mut Reader) -> Bounds {
+    Bounds {
+        contact: read_millis(reader, "contact_ms", 3_000.0),
+        grace_period: read_seconds(reader, "grace_period_s", 10.0),
+        drain: read_millis(reader, "drain_ms", 2_000.0),
+        repeat_ratio: reader.number_or("repeat_ratio", 0.2, 0.0..=10.0),
+        repeat_slack: reader.number_or("repeat_slack", 20.0, 0.0..=1_000_000.0),
+        repeat_window: read_seconds(reader, "repeat_window_s", 10.0),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/source.rs
@@ -0,0 +1,99 @@
+//! The port through which a node reads configuration and instances.
+//!
+//! A source can only be read. It keeps a history of numbered changes that it may forget.
+
+use std::fmt;
+use std::time::Duration;
+
+use olivegate_types::InstanceName;
+
+use crate::model::{Configuration, Instance, Revision};
+
+/// An instance and the change that wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// The instance.
+    pub instance: Instance,
+    /// Its last change.
+    pub revision: Revision,
+}
+
+/// Everything that the source holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Snapshot {
+    /// The newest configuration, if there is one that can be read.
+    pub configuration: Option<Configuration>,
+    /// All instances.
+    pub instances: Vec<ListedInstance>,
+    /// Changes after this one are not in the snapshot for certain.
+    pub revision: Revision,
+}
+
+/// One change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A configuration was written.
+    Configuration(Configuration),
+    /// An instance appeared or changed.
+    Instance(ListedInstance),
+    /// An instance's entry went away.
+    InstanceGone {
+        /// The instance.
+        name: InstanceName,
+        /// The change that removed it.
+        revision: Revision,
+    },
+}
+
+/// Changes in their order.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// Go on reading after this one.
+    pub revision: Revision,
+}
+
+/// Why the source could not be read.
+#[derive(Debug)]
+pub enum SourceError {
+    /// No connection, or it broke.
+    Unreachable(String),
+    /// No answer in time.
+    TimedOut,
+    /// It refuses for now, because of load or a fault of its own.
+    Refused(u16),
+    /// The changes asked for are forgotten: read everything again.
+    HistoryGone,
+    /// The answer can't be understood.
+    Malformed(String),
+}
+
+impl fmt::Display for SourceError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SourceError::Unreachable(reason) => write!(formatter, "unreachable: {reason}"),
+            SourceError::TimedOut => formatter.write_str("no answer in time"),
+            SourceError::Refused(status) => write!(formatter, "refused with status {status}"),
+            SourceError::HistoryGone => formatter.write_str("history is gone"),
+            SourceError::Malformed(reason) => write!(formatter, "malformed answer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for SourceError {}
+
+/// A source of configuration and instances.
+pub trait Source {
+    /// Reads everything. `limit` bounds the time of each call.
+    fn snapshot(&self, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
+
+    /// Waits up to `wait` for changes after `revision`; none when there were none.
+    /// `limit` bounds the time of the call beyond `wait`.
+    fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Changes, SourceError>>;
+}
--- /dev/null
+++ b/crates/sidecar/src/state.rs
@@ -0,0 +1,222 @@
+//! What all parts of a node share. A node runs on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use olivegate_retry::{RepeatBudget, RepeatPolicy};
+use olivegate_routing::balance::Balancer;
+use olivegate_types::{Moment, ServiceName};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+
+use crate::clock;
+use crate::directory::{Directory, HoldPolicy};
+use crate::edge::hop_pool::HopPool;
+use crate::event::LineBudget;
+use crate::gate::Gate;
+use crate::hop::KnownState;
+use crate::metrics::Metrics;
+use crate::model::Configuration;
+use crate::peers::freshness::Freshness;
+use crate::routes::{RouteTable, WeightedDealer};
+use crate::settings::SidecarSettings;
+use crate::stop::StopState;
+use crate::vocabulary::Vocabulary;
+
+/// Heartbeats within which a live instance writes a lost entry again.
+const REWRITE_HEARTBEATS: u32 = 2;
+/// Part of the repeat ratio that requests of clients may use. Each level of a call graph
+/// below a repeated request repeats too, so no level may use all of it.
+const CLIENT_REPEAT_PART: f64 = 0.25;
+/// Part of the repeat ratio that calls of instances may use.
+const CALL_REPEAT_PART: f64 = 0.5;
+/// Part of the slack that the nodes divide among them.
+const SLACK_PART: f64 = 0.5;
+
+/// Configuration and directory.
+#[derive(Debug)]
+pub struct Knowledge {
+    /// The configuration in force.
+    pub configuration: Option<Rc<Configuration>>,
+    /// Its routes.
+    pub routes: Option<Rc<RouteTable>>,
+    /// The instances.
+    pub directory: Directory,
+}
+
+/// Where a request began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// A client.
+    Client,
+    /// The instance beside this node, on behalf of a request that it runs.
+    Instance,
+}
+
+/// A node.
+pub struct Node {
+    settings: RefCell<Rc<SidecarSettings>>,
+    /// Header names.
+    pub vocabulary: Vocabulary,
+    /// Configuration and directory.
+    pub knowledge: RefCell<Knowledge>,
+    /// Told when configuration or directory changed.
+    pub knowledge_changed: Notify,
+    /// Observations of instances.
+    pub balancer: RefCell<Balancer>,
+    /// Deals weighted routes.
+    pub dealer: RefCell<WeightedDealer>,
+    budgets: RefCell<HashMap<(ServiceName, Origin), RepeatBudget>>,
+    /// Connections to gates.
+    pub hops: HopPool,
+    /// The instance beside this node.
+    pub gate: Gate,
+    /// How recent the knowledge is, and who reads the source.
+    pub freshness: RefCell<Freshness>,
+    /// True while the source can't be read from here.
+    pub source_failing: Cell<bool>,
+    /// Stop and requests in flight.
+    pub stop: Rc<StopState>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Bound on log lines about requests.
+    pub lines: LineBudget,
+    random: RefCell<SmallRng>,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(settings: SidecarSettings, vocabulary: Vocabulary) -> Self {
+        let hold = HoldPolicy {
+            disturbed_for: settings.bounds.contact,
+            rewrite_within: settings.heartbeat * REWRITE_HEARTBEATS,
+        };
+        let knowledge = Knowledge { configuration: None, routes: None, directory: Directory::new(hold) };
+        Node {
+            settings: RefCell::new(Rc::new(settings)),
+            vocabulary,
+            knowledge: RefCell::new(knowledge),
+            knowledge_changed: Notify::new(),
+            balancer: RefCell::default(),
+            dealer: RefCell::default(),
+            budgets: RefCell::default(),
+            hops: HopPool::default(),
+            gate: Gate::default(),
+            freshness: RefCell::default(),
+            source_failing: Cell::new(false),
+            stop: Rc::default(),
+            metrics: Metrics::default(),
+            lines: LineBudget::default(),
+            random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<SidecarSettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts new settings in force. Addresses that are bound already stay.
+    pub fn replace_settings(&self, settings: SidecarSettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    /// The routes in force; `None` before the first configuration.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.knowledge.borrow().routes.clone()
+    }
+
+    /// Version of the configuration and state of the directory.
+    pub fn known_state(&self) -> KnownState {
+        let knowledge = self.knowledge.borrow();
+        let configuration = knowledge.configuration.as_ref().map(|configuration| configuration.version);
+        KnownState { configuration: configuration.unwrap_or_default(), directory: knowledge.directory.revision() }
+    }
+
+    /// Puts `configuration` in force unless one as new is. True when it is in force now.
+    pub fn accept_configuration(&self, configuration: Configuration, from: &str) -> bool {
+        let current = self.known_state().configuration;
+        if configuration.version <= current {
+            return false;
+        }
+        log::info!(
+            "event=configuration_in_force version={} before={current} from={from} routes={}",
+            configuration.version,
+            configuration.routes.len(),
+        );
+        self.metrics.set_state("configuration_version", configuration.version.0);
+        self.dealer.borrow_mut().retain(&configuration);
+        let mut knowledge = self.knowledge.borrow_mut();
+        knowledge.routes = Some(Rc::new(RouteTable::new(&configuration)));
+        knowledge.configuration = Some(Rc::new(configuration));
+        drop(knowledge);
+        self.knowledge_changed.notify_waiters();
+        true
+    }
+
+    /// Changes the directory; `change` says whether anything changed.
+    pub fn update_directory(&self, from: &str, change: impl FnOnce(&mut Directory) -> bool) {
+        let (changed, revision, ready) = {
+            let directory = &mut self.knowledge.borrow_mut().directory;
+            let changed = change(directory);
+            (changed, directory.revision(), directory.ready_count())
+        };
+        self.metrics.set_state("directory_revision", revision.0);
+        if !changed {
+            return;
+        }
+        log::info!("event=directory_changed revision={revision} ready={ready} from={from}");
+        self.metrics.set_state("ready_instances", ready as u64);
+        self.gate.follow_directory(self);
+        let knowledge = self.knowledge.borrow();
+        self.balancer.borrow_mut().retain(|name| knowledge.directory.instance(name).is_some());
+        drop(knowledge);
+        self.knowledge_changed.notify_waiters();
+    }
+
+    /// True when the node can serve: it knows routes and instances and does not stop.
+    pub fn is_ready(&self) -> bool {
+        let knowledge = self.knowledge.borrow();
+        knowledge.routes.is_some() && knowledge.directory.ready_count() > 0 && !self.stop.is_stopping()
+    }
+
+    fn repeat_policy(&self, origin: Origin) -> RepeatPolicy {
+        let bounds = self.settings().bounds;
+        let nodes = self.knowledge.borrow().directory.machines().count().max(1);
+        let part = match origin {
+            Origin::Client => CLIENT_REPEAT_PART,
+            Origin::Instance => CALL_REPEAT_PART,
+        };
+        RepeatPolicy {
+            ratio: bounds.repeat_ratio * part,
+            slack: bounds.repeat_slack * SLACK_PART * part / nodes as f64,
+            window: bounds.repeat_window,
+        }
+    }
+
+    /// Counts a request to `service`.
+    pub fn count_request(&self, service: &ServiceName, origin: Origin, now: Moment) {
+        let policy = self.repeat_policy(origin);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry((service.clone(), origin)).or_default().on_request(&policy, now);
+    }
+
+    /// Takes one repeat to `service` from this node's share.
+    pub fn take_repeat(&self, service: &ServiceName, origin: Origin, now: Moment) -> bool {
+        let policy = self.repeat_policy(origin);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry((service.clone(), origin)).or_default().try_repeat(&policy, now)
+    }
+
+    /// Calls `with` with the node's random numbers.
+    pub fn random<T>(&self, with: impl FnOnce(&mut SmallRng) -> T) -> T {
+        with(&mut self.random.borrow_mut())
+    }
+
+    /// True when a line about a request may be logged now.
+    pub fn may_log(&self) -> bool {
+        self.lines.take(clock::now())
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/status_port.rs
@@ -0,0 +1,68 @@
+//! Readiness and metrics, for the platform and operators.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::state::Node;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the port until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(node.clone(), stream));
+            }
+            Err(error) => crate::edge::accept_failed("readiness", &error).await,
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(handle(&node, &request)) }
+    });
+    let serving = http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = serving.await {
+        log::debug!("event=status_connection_ended error={error}");
+    }
+}
+
+fn text(status: StatusCode, content: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(content.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn handle(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    if path == METRICS_PATH {
+        return text(StatusCode::OK, node.metrics.text());
+    }
+    if path != node.vocabulary.readiness_path {
+        return text(StatusCode::NOT_FOUND, "no such page\n");
+    }
+    if node.is_ready() {
+        return text(StatusCode::OK, "ready\n");
+    }
+    text(StatusCode::SERVICE_UNAVAILABLE, not_ready_reason(node))
+}
+
+fn not_ready_reason(node: &Node) -> String {
+    let known = node.known_state();
+    let ready = node.knowledge.borrow().directory.ready_count();
+    let stopping = node.stop.is_stopping();
+    format!("not ready: configuration={} instances={ready} stopping={stopping}\n", known.configuration)
+}
--- /dev/null
+++ b/crates/sidecar/src/vocabulary.rs
@@ -0,0 +1,22 @@
+//! Names of the header fields that a deployment speaks.
+
+/// Header names of one deployment; the adapter of its platform fills them in.
+#[derive(Debug, Clone, Copy)]
+pub struct Vocabulary {
+    /// Identifies a request; the answer carries it back.
+    pub request_id: &'static str,
+    /// Milliseconds that the sender will wait.
+    pub time_left_ms: &'static str,
+    /// Instance that is meant; any other one refuses.
+    pub expected_instance: &'static str,
+    /// Present on an instance's refusal when it did not run the request.
+    pub not_run: &'static str,
+    /// Service on whose machine the request began.
+    pub caller_service: &'static str,
+    /// Marks an answer as an instance's own.
+    pub signature: &'static str,
+    /// When to come back, in seconds.
+    pub retry_after: &'static str,
+    /// Path of the readiness question.
+    pub readiness_path: &'static str,
+}
