Overload over the call graph: importance by priority, calls told by deadlines, levels from outcomes

Clients and the instance call from the same address, so the address does not tell calls from requests. Change: importance from the route's priority; calls told by their parent's deadline (lineage); failures after a refused call are passed on as overload and lower the route's level at the gate, which returns it with replies; 0.2 of the slots are kept for each waiting lower class; slow instances cost more in the choice; late in a stop new requests of clients are refused.

--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -6,11 +6,16 @@
 //! doomed requests before any hop has worked for them. A request passes when its
 //! shedding rank, the same at each hop, is below the level.
 
+//!
+//! Where requests carry no context, [`OutcomeLevels`] learns from how they end.
+
 mod gate_levels;
 mod level_table;
+mod outcome_levels;
 
 pub use gate_levels::{Arrival, GateLevels};
 pub use level_table::LevelTable;
+pub use outcome_levels::{OutcomeLevels, ReportedLevels};
 
 use olivegate_types::{GroupName, Importance, KindName};
 
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod queue;
 pub mod retry_after;
 
-pub use admission::{Arrival, ClassKey, GateLevels, LevelTable};
+pub use admission::{Arrival, ClassKey, GateLevels, LevelTable, OutcomeLevels, ReportedLevels};
 pub use limit::AdaptiveLimit;
 pub use queue::{Admission, Demand, InstanceQueue, Settings, TicketId};
--- a/crates/overload/src/queue/mod.rs
+++ b/crates/overload/src/queue/mod.rs
@@ -88,6 +88,7 @@
     ticket: TicketId,
     group: GroupName,
     weight: u32,
+    class: Class,
     charged: Duration,
     started: Moment,
 }
@@ -103,6 +104,7 @@
     load: ClassLoad,
     next_ticket: u64,
     mean_service: Duration,
+    least_share: f64,
 }
 
 impl Waiting {
@@ -128,9 +130,17 @@
             load: ClassLoad::default(),
             next_ticket: 0,
             mean_service: Duration::ZERO,
+            least_share: 0.0,
         }
     }
 
+    /// Keeps `share` of the slots for each class that waits behind a more important one, so
+    /// that no class starves.
+    pub fn with_least_share(mut self, share: f64) -> Self {
+        self.least_share = share.clamp(0.0, 1.0);
+        self
+    }
+
     /// Follows a new bundle.
     pub fn configure(&mut self, settings: Settings, slots: u32) {
         self.settings = settings;
@@ -233,7 +243,13 @@
         let service = if self.mean_service.is_zero() { demand.expected } else { self.mean_service };
         let limit = f64::from(self.limit.current());
         let left = (limit - self.load.slots_above(class_of(demand), now)).max(limit * LEAST_LEFT);
-        (ahead + service).div_f64(left).max(longest_waited)
+        let in_order = (ahead + service).div_f64(left);
+        let in_own_share = if self.least_share > 0.0 {
+            (same_class + service).div_f64((limit * self.least_share).max(1.0))
+        } else {
+            Duration::MAX
+        };
+        in_order.min(in_own_share).max(longest_waited)
     }
 
     /// Finds room in a full queue: at the cost of the last demand of the lowest class, or,
@@ -293,6 +309,7 @@
         self.shares.charge(&demand.group, demand.expected, demand.weight);
         self.running.push(Running {
             ticket,
+            class: class_of(demand),
             group: demand.group.clone(),
             weight: demand.weight,
             charged: demand.expected,
@@ -313,7 +330,7 @@
     }
 
     fn first_in_order(&self) -> Option<usize> {
-        let best_class = self.waiting.iter().map(Waiting::class).max()?;
+        let best_class = self.below_its_share().or_else(|| self.waiting.iter().map(Waiting::class).max())?;
         let in_class = self.waiting.iter().enumerate().filter(|(_, other)| other.class() == best_class);
         let first = in_class.min_by(|(_, left), (_, right)| {
             let left_used = self.shares.used(&left.demand.group);
@@ -323,6 +340,13 @@
         first.map(|(index, _)| index)
     }
 
+    /// The least important waiting class that has fewer slots than are kept for it.
+    fn below_its_share(&self) -> Option<Class> {
+        let kept = (f64::from(self.limit.current()) * self.least_share) as usize;
+        let running = |class: Class| self.running.iter().filter(|running| running.class == class).count();
+        self.waiting.iter().map(Waiting::class).filter(|class| running(*class) < kept).min()
+    }
+
     /// A call that held a slot ended; its use is charged to its group.
     pub fn finish(&mut self, ticket: TicketId, now: Moment) {
         let Some(index) = self.running.iter().position(|running| running.ticket == ticket) else {
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -31,6 +31,12 @@
 const FREE_SLOPE: f64 = 0.1;
 /// Cost per unit of occupancy above [`NEARLY_FULL`].
 const FULL_SLOPE: f64 = 1.0;
+/// Part of the objective that requests may spend in an instance before that costs.
+const SLOW_FROM: f64 = 0.6;
+/// Cost per further part of the objective.
+const SLOW_SLOPE: f64 = 1.0;
+/// Time in which the cost of slowness fades when nothing new is reported.
+const SLOWNESS_FADES: Duration = Duration::from_secs(4);
 /// A report older than this no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(500);
 
@@ -61,12 +67,20 @@
     outstanding: u32,
     reported_occupancy: f64,
     reported_at: Option<Moment>,
+    slowness: f64,
+    slowness_at: Moment,
     failures_in_a_row: u32,
     ejections: u32,
     ejected_until: Option<Moment>,
 }
 
 impl State {
+    /// Cost of being slow, fading so that an instance that recovered is found again.
+    fn slowness_cost(&self, now: Moment) -> f64 {
+        let faded = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_FADES.as_secs_f64();
+        (self.slowness - SLOW_FROM).max(0.0) * SLOW_SLOPE * (1.0 - faded).max(0.0)
+    }
+
     /// Occupancy as last reported, unless that is too long ago.
     fn fresh_report(&self, now: Moment) -> Option<f64> {
         let fresh = self.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
@@ -141,7 +155,10 @@
         let reported = state.fresh_report(now).unwrap_or(0.0);
         let own = f64::from(state.outstanding) / f64::from(slots.max(1));
         let occupancy = reported.max(own);
-        distance + FREE_SLOPE * occupancy + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
+        distance
+            + state.slowness_cost(now)
+            + FREE_SLOPE * occupancy
+            + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
     }
 
     /// Notes that a call was sent to `instance`.
@@ -178,6 +195,13 @@
         state.reported_at = Some(now);
     }
 
+    /// Notes how long requests spend in the instance, as a part of their objective.
+    pub fn on_slowness(&mut self, instance: &InstanceName, slowness: f64, now: Moment) {
+        let state = self.states.entry(instance.clone()).or_default();
+        state.slowness = slowness;
+        state.slowness_at = now;
+    }
+
     /// Forgets instances that are no longer listed.
     pub fn retain(&mut self, listed: impl Fn(&InstanceName) -> bool) {
         self.states.retain(|instance, _| listed(instance));
--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -24,7 +24,7 @@
 use crate::edge::own_answer::OwnAnswer;
 use crate::model::ClientLimits;
 use crate::reply::{Answer, Body, BodyBroken};
-use crate::state::{Node, Origin};
+use crate::state::Node;
 use crate::stop::InFlight;
 
 /// Most requests of one connection that are read ahead.
@@ -40,7 +40,6 @@
 
 struct Connection {
     node: Rc<Node>,
-    origin: Origin,
     limits: ClientLimits,
     requests: FramedRead<OwnedReadHalf, RequestDecoder>,
     answers: OwnedWriteHalf,
@@ -61,13 +60,12 @@
 }
 
 /// Serves a connection to its end.
-pub async fn serve(node: Rc<Node>, stream: TcpStream, origin: Origin) {
+pub async fn serve(node: Rc<Node>, stream: TcpStream) {
     let limits = node.routes().map(|routes| routes.limits()).unwrap_or_default();
     let (reading, answers) = stream.into_split();
     let decoder = RequestDecoder::new(limits.max_head_bytes as usize, limits.max_body_bytes);
     let mut connection = Connection {
         node,
-        origin,
         limits,
         requests: FramedRead::new(reading, decoder),
         answers,
@@ -149,10 +147,10 @@
         let client_keeps = taken.head.keeps_connection();
         let is_head = taken.head.method == "HEAD";
         self.input_ended |= !client_keeps && self.intake.is_idle();
-        let (node, origin) = (self.node.clone(), self.origin);
+        let node = self.node.clone();
         let in_flight = node.stop.enter();
         self.pending.push_back(Box::pin(async move {
-            let answer = dispatch::answer(&node, taken, origin).await;
+            let answer = dispatch::answer(&node, taken).await;
             Ready { answer, client_keeps, is_head, _in_flight: in_flight }
         }));
     }
@@ -214,7 +212,7 @@
     is_head: bool,
     limit: Duration,
 ) -> Result<(), BodyBroken> {
-    let Answer { head, body } = answer;
+    let Answer { head, body, .. } = answer;
     let mut buffer = BytesMut::new();
     match body {
         Body::Whole(bytes) => {
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -5,8 +5,11 @@
 
 use bytes::Bytes;
 use olivegate_http1::RequestHead;
+use olivegate_overload::retry_after::retry_after;
 use olivegate_routing::balance::{Candidate, Observation};
-use olivegate_types::{Importance, InstanceName, Moment, RefusalReason, ServiceName};
+use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
+
+use rand::RngExt;
 
 use crate::clock;
 use crate::edge::attempts::{Attempts, Next};
@@ -18,12 +21,14 @@
 use crate::hop::{Offer, OfferedBody};
 use crate::model::{Instance, Route};
 use crate::reply::{Answer, Body, BodyStream, Failure, FailureReason, GateReply, Load};
-use crate::state::{Node, Origin};
+use crate::state::Node;
 
 /// When to come back to a node that knows no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Part of the target latency that a client's request may wait for a slot: a refusal after
-/// that comes too late for a second try.
+/// When to come back to a node that is about to end.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Part of the target latency that a request may wait for a slot: a refusal after that comes
+/// too late for a second try.
 const WAIT_PART: u32 = 4;
 /// Kept back from the time of a request, for the way of a refusal or of a time-out.
 const EDGE_RESERVE: Duration = Duration::from_millis(10);
@@ -31,7 +36,6 @@
 /// One request on its way.
 struct Dispatch<'a> {
     node: &'a Rc<Node>,
-    origin: Origin,
     request: CheckedRequest,
     service: ServiceName,
     head: RequestHead,
@@ -43,38 +47,47 @@
     deadline: Moment,
 }
 
+/// How a request fared before its answer was made.
+struct Outcome {
+    route: Option<Rc<Route>>,
+    result: Result<Answer, OwnAnswer>,
+}
+
+impl Outcome {
+    fn unrouted(own: OwnAnswer) -> Self {
+        Outcome { route: None, result: Err(own) }
+    }
+}
+
 /// Answers a request.
-pub async fn answer(node: &Rc<Node>, taken: TakenRequest, origin: Origin) -> Answer {
+pub async fn answer(node: &Rc<Node>, taken: TakenRequest) -> Answer {
     let arrived = clock::now();
     let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
-    let (route, result) = run(node, taken, origin, arrived).await;
-    let route_name = route.as_ref().map_or("none", |route| route.name.as_str());
+    let outcome = run(node, taken, arrived).await;
+    let route_name = outcome.route.as_ref().map_or("none", |route| route.name.as_str());
     let elapsed = clock::now().since(arrived);
-    match result {
+    let answer = match outcome.result {
         Ok(answer) => {
-            let outcome = if answer.head.status < 400 { "answered" } else { "instance-failed" };
-            node.metrics.on_answer(route_name, outcome, elapsed);
+            let result = if answer.head.status < 400 { "answered" } else { "instance-failed" };
+            node.metrics.on_answer(route_name, result, elapsed);
             answer
         }
         Err(own) => {
             node.metrics.on_answer(route_name, own.reason(), elapsed);
-            log_own_answer(node, id.as_ref(), route_name, origin, own, elapsed);
+            log_own_answer(node, id.as_ref(), route_name, own, elapsed);
             own.to_answer(&node.vocabulary, id.as_ref())
         }
+    };
+    if answer.overloaded {
+        node.lineage.borrow_mut().on_refused(route_name, clock::now());
     }
+    answer
 }
 
-fn log_own_answer(
-    node: &Node,
-    id: Option<&Bytes>,
-    route: &str,
-    origin: Origin,
-    own: OwnAnswer,
-    elapsed: Duration,
-) {
+fn log_own_answer(node: &Node, id: Option<&Bytes>, route: &str, own: OwnAnswer, elapsed: Duration) {
     if node.may_log() {
         log::info!(
-            "event=own_answer request={} route={route} origin={origin:?} status={} reason={} after_ms={}",
+            "event=own_answer request={} route={route} status={} reason={} after_ms={}",
             id.map(|id| String::from_utf8_lossy(id)).unwrap_or_default(),
             own.status(),
             own.reason(),
@@ -83,49 +96,63 @@
     }
 }
 
-async fn run(
-    node: &Rc<Node>,
-    taken: TakenRequest,
-    origin: Origin,
-    arrived: Moment,
-) -> (Option<Rc<Route>>, Result<Answer, OwnAnswer>) {
+async fn run(node: &Rc<Node>, taken: TakenRequest, arrived: Moment) -> Outcome {
     let Some(routes) = node.routes() else {
         let reason = RefusalReason::NodeNotReady;
-        return (None, Err(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER }));
+        return Outcome::unrouted(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER });
     };
     let request = match request::check(&taken.head, &routes, &node.vocabulary) {
         Ok(request) => request,
-        Err(own) => return (None, Err(own)),
+        Err(own) => return Outcome::unrouted(own),
     };
     let route = request.route.clone();
-    let Some(service) = node.dealer.borrow_mut().deal(&route) else {
-        return (Some(route), Err(OwnAnswer::Rejected { status: 404, reason: "no-service" }));
+    node.lineage.borrow_mut().observe(&route.name, arrived + request.sender_time);
+    let result = match admit(node, &route, arrived) {
+        Ok(()) => dispatch(node, taken, request, arrived).await,
+        Err(own) => Err(own),
     };
-    node.count_request(&service, origin, arrived);
+    Outcome { route: Some(route), result }
+}
+
+/// Lets a request begin, or refuses it because requests like it fail further down. Calls
+/// are never held back: work has been done for them.
+fn admit(node: &Node, route: &Route, now: Moment) -> Result<(), OwnAnswer> {
+    if node.lineage.borrow().is_call_route(&route.name) {
+        return Ok(());
+    }
+    if node.stop.is_closing() {
+        return Err(OwnAnswer::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER });
+    }
+    let level = node.levels.borrow().level(&route.name, now);
+    if level >= 1.0 || node.random(|random| random.random::<f64>()) < level {
+        return Ok(());
+    }
+    let jitter = node.random(|random| random.random::<f64>());
+    Err(OwnAnswer::NotRun { reason: RefusalReason::AdmissionLevel, retry_after: retry_after(level, jitter) })
+}
+
+async fn dispatch(
+    node: &Rc<Node>,
+    taken: TakenRequest,
+    request: CheckedRequest,
+    arrived: Moment,
+) -> Result<Answer, OwnAnswer> {
+    let dealt = node.dealer.borrow_mut().deal(&request.route);
+    let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
+    node.count_request(&service, arrived);
     let deadline = arrived + request.time;
     let head = forwarded_head(node, taken.head);
     let (whole_body, streamed) = match taken.body {
         Body::Whole(bytes) => (bytes, None),
         Body::Stream(pieces, length) => (Bytes::new(), Some((pieces, length))),
     };
-    let mut dispatch = Dispatch {
-        node,
-        origin,
-        request,
-        service,
-        head,
-        whole_body,
-        streamed,
-        body_is_spent: false,
-        arrived,
-        deadline,
-    };
+    let mut dispatch =
+        Dispatch { node, request, service, head, whole_body, streamed, body_is_spent: false, arrived, deadline };
     let limit = clock::instant_of(deadline);
-    let result = match tokio::time::timeout_at(limit, dispatch.run()).await {
+    match tokio::time::timeout_at(limit, dispatch.run()).await {
         Ok(result) => result,
         Err(_) => Err(OwnAnswer::TimedOut),
-    };
-    (Some(route), result)
+    }
 }
 
 /// The head as every instance is to get it.
@@ -154,8 +181,8 @@
                 GateReply::Refused(refusal) => attempts.on_refused(refusal),
                 GateReply::Failed(failure) => {
                     self.note_failure(&instance, failure);
-                    let (node, origin, service) = (self.node, self.origin, &self.service);
-                    attempts.on_failed(failure, || node.take_repeat(service, origin, clock::now()))
+                    let (node, service) = (self.node, &self.service);
+                    attempts.on_failed(failure, || node.take_repeat(service, clock::now()))
                 }
             };
             if let Next::GiveUp(verdict) = next {
@@ -202,7 +229,7 @@
         let (reply, load) = if instance.address.ip() == settings.ip() {
             let body = self.take_body();
             let reply = gate::run_offer(self.node, offer, body).await;
-            (reply, Some(self.node.gate.load(&name)))
+            (reply, Some(self.node.gate.load(&name, &self.request.route.name)))
         } else {
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(pieces, _)| pieces);
@@ -233,10 +260,6 @@
         let now = clock::now();
         let time_left = self.deadline.since(now);
         let route = &self.request.route;
-        let importance = match self.origin {
-            Origin::Client => importance_of_priority(route.priority),
-            Origin::Instance => Importance::PROTECTED,
-        };
         let body = match &self.streamed {
             Some((_, length)) => OfferedBody::Streamed(*length),
             None => OfferedBody::Whole(self.whole_body.clone()),
@@ -250,27 +273,24 @@
             time_left_ms: milliseconds(time_left),
             longest_wait_ms: milliseconds(self.longest_wait(now)),
             target_latency_ms: route.target_latency.0,
-            importance,
-            hop: u8::from(self.origin == Origin::Instance),
+            importance: importance_of_priority(route.priority),
+            hop: u8::from(self.node.lineage.borrow().is_call_route(&route.name)),
         }
     }
 
-    /// A client that is refused early comes back in time; a call that fails takes the work
-    /// of its whole chain with it, so it waits as long as it can.
+    /// A client that is refused early comes back in time; a chain of calls that each wait
+    /// long is late as a whole.
     fn longest_wait(&self, now: Moment) -> Duration {
-        let time_left = self.deadline.since(now);
-        match self.origin {
-            Origin::Instance => time_left,
-            Origin::Client => {
-                let whole = self.request.route.target_latency.duration() / WAIT_PART;
-                whole.saturating_sub(now.since(self.arrived)).min(time_left)
-            }
-        }
+        let whole = self.request.route.target_latency.duration() / WAIT_PART;
+        whole.saturating_sub(now.since(self.arrived)).min(self.deadline.since(now))
     }
 
     fn note_load(&self, name: &InstanceName, load: Load) {
         let now = clock::now();
-        self.node.balancer.borrow_mut().on_report(name, f64::from(load.occupancy), now);
+        let mut balancer = self.node.balancer.borrow_mut();
+        balancer.on_report(name, f64::from(load.occupancy), now);
+        balancer.on_slowness(name, f64::from(load.slowness), now);
+        self.node.levels.borrow_mut().on_report(&self.request.route.name, f64::from(load.level), now);
     }
 
     fn note_failure(&self, instance: &Instance, failure: Failure) {
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -22,7 +22,7 @@
 
 use tokio::net::TcpListener;
 
-use crate::state::{Node, Origin};
+use crate::state::Node;
 use crate::transport;
 
 /// Pause after a connection could not be accepted, for want of descriptors for example.
@@ -38,11 +38,9 @@
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, peer)) => {
+            Ok((stream, _)) => {
                 transport::configure(&stream);
-                let is_own = peer.ip() == node.settings().ip();
-                let origin = if is_own { Origin::Instance } else { Origin::Client };
-                tokio::task::spawn_local(connection::serve(node.clone(), stream, origin));
+                tokio::task::spawn_local(connection::serve(node.clone(), stream));
             }
             Err(error) => accept_failed("outbound", &error).await,
         }
--- a/crates/sidecar/src/edge/own_answer.rs
+++ b/crates/sidecar/src/edge/own_answer.rs
@@ -65,6 +65,19 @@
         }
     }
 
+    /// True when the request was not served because there was no room for it.
+    pub fn is_for_want_of_capacity(self) -> bool {
+        let OwnAnswer::NotRun { reason, .. } = self else { return false };
+        matches!(
+            reason,
+            RefusalReason::PredictedWait
+                | RefusalReason::QueueTimeout
+                | RefusalReason::Displaced
+                | RefusalReason::DeadlineExceeded
+                | RefusalReason::NoInstance
+        )
+    }
+
     /// The answer itself.
     pub fn to_answer(self, vocabulary: &Vocabulary, request_id: Option<&Bytes>) -> Answer {
         let mut fields = Fields::default();
@@ -77,6 +90,6 @@
         fields.add("Content-Type", "text/plain");
         let body = format!("{}\n", self.reason());
         let head = ResponseHead { status: self.status(), minor_version: 1, fields };
-        Answer { head, body: Body::Whole(body.into()) }
+        Answer { head, body: Body::Whole(body.into()), overloaded: self.is_for_want_of_capacity() }
     }
 }
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -111,13 +111,13 @@
             keep(stream);
             RemoteReply { reply: GateReply::Failed(failure), load: Some(load) }
         }
-        GateMessage::Answered { head, body: Some(bytes), load, .. } => {
+        GateMessage::Answered { head, body: Some(bytes), overloaded, load, .. } => {
             keep(stream);
-            let answer = Answer { head, body: Body::Whole(bytes) };
+            let answer = Answer { head, body: Body::Whole(bytes), overloaded };
             RemoteReply { reply: GateReply::Answered(answer), load: Some(load) }
         }
-        GateMessage::Answered { head, body: None, length, load } => {
-            let answer = Answer { head, body: Body::Stream(streamed_body(stream), length) };
+        GateMessage::Answered { head, body: None, length, overloaded, load } => {
+            let answer = Answer { head, body: Body::Stream(streamed_body(stream), length), overloaded };
             RemoteReply { reply: GateReply::Answered(answer), load: Some(load) }
         }
         _ => Failure::unknown(FailureReason::GateLost).into(),
--- a/crates/sidecar/src/edge/request.rs
+++ b/crates/sidecar/src/edge/request.rs
@@ -24,6 +24,8 @@
     pub route: Rc<Route>,
     /// Time that it may take, by the client's word and the route's.
     pub time: Duration,
+    /// Time that the sender will wait.
+    pub sender_time: Duration,
 }
 
 /// Checks the head of a request against the routes in force.
@@ -42,5 +44,5 @@
     let route = routes.find(&host, head.path()).ok_or(rejected(404, "no-route"))?;
     let own_time = Duration::from_millis(own_time).min(LONGEST_TIME);
     let time = route.timeout.map_or(own_time, |timeout| timeout.duration().min(own_time));
-    Ok(CheckedRequest { id: id.clone(), route, time })
+    Ok(CheckedRequest { id: id.clone(), route, time, sender_time: own_time })
 }
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -63,7 +63,7 @@
         }
         FirstPart::More(bytes) => rest_of_body(connection, bytes, whole_length),
     };
-    Ok(Answer { head: answer_head, body })
+    Ok(Answer { head: answer_head, body, overloaded: false })
 }
 
 async fn connect(node: &Node, connections: &InstanceConnections) -> Result<InstanceConnection, Failure> {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::directory::Standing;
 use crate::hop::Offer;
+use crate::lineage::RunningKey;
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use slots::InstanceSlots;
@@ -66,8 +67,8 @@
     }
 
     /// Load of one instance, to be told to an edge.
-    pub fn load(&self, name: &InstanceName) -> Load {
-        self.instances.borrow().get(name).map(|slots| slots.load()).unwrap_or_default()
+    pub fn load(&self, name: &InstanceName, route: &str) -> Load {
+        self.instances.borrow().get(name).map(|slots| slots.load(route)).unwrap_or_default()
     }
 }
 
@@ -103,6 +104,7 @@
         return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
     }
     let connections = slot.slots().connections().clone();
+    let _running = Running::begin(node, started + time_left);
     let running = exchange::run(node, &connections, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -111,9 +113,10 @@
     };
     let used = clock::now().since(started);
     match result {
-        Ok(answer) => {
+        Ok(mut answer) => {
+            answer.overloaded = answer.head.status >= 500 && node.lineage.borrow().explains_failure(clock::now());
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
-            slot.note_answer(&offer, used);
+            slot.note_answer(&offer, answer.overloaded, used);
             GateReply::Answered(slots::holding(answer, slot))
         }
         Err(failure) => {
@@ -125,6 +128,25 @@
     }
 }
 
+/// A request that the instance runs, for as long as it does.
+struct Running<'a> {
+    node: &'a Node,
+    key: RunningKey,
+}
+
+impl<'a> Running<'a> {
+    fn begin(node: &'a Node, deadline: Moment) -> Self {
+        let key = node.lineage.borrow_mut().begin(deadline);
+        Running { node, key }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.node.lineage.borrow_mut().end(self.key);
+    }
+}
+
 /// Why the instance may not get a request now.
 fn obstacle(node: &Node, name: &InstanceName) -> Option<RefusalReason> {
     if node.stop.is_stopping() {
@@ -150,10 +172,9 @@
     }
 }
 
-/// Importance of a client's request by its route's priority, 0 being the most urgent.
+/// Importance of a request by its route's priority, 0 being the most urgent.
 pub fn importance_of_priority(priority: u32) -> Importance {
-    let below_protected = Importance::PROTECTED.0 - 1;
-    Importance(below_protected.saturating_sub(u8::try_from(priority).unwrap_or(u8::MAX)))
+    Importance(Importance::PROTECTED.0.saturating_sub(u8::try_from(priority).unwrap_or(u8::MAX)))
 }
 
 /// An instance that another one answers for is gone, whatever the source says.
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use futures::{FutureExt, SinkExt, StreamExt};
-use olivegate_types::InstanceName;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -73,7 +72,7 @@
 /// the connection the request is dropped, wherever it is.
 async fn serve_offer(node: &Rc<Node>, stream: &mut HopStream, offer: Offer) -> bool {
     let _in_flight = node.stop.enter();
-    let instance = offer.instance.clone();
+    let (instance, route) = (offer.instance.clone(), offer.route.clone());
     let (body, mut feed) = body_of(&offer);
     let running = run_offer(node, offer, body);
     tokio::pin!(running);
@@ -97,7 +96,7 @@
         }
     };
     let whole_request = matches!(feed, Feed::Closed);
-    send_reply(node, stream, &instance, reply).await && whole_request
+    send_reply(stream, node.gate.load(&instance, &route), reply).await && whole_request
 }
 
 /// What a frame makes of the feed; `None` when the edge gave up or broke the protocol.
@@ -125,8 +124,7 @@
     }
 }
 
-async fn send_reply(node: &Node, stream: &mut HopStream, instance: &InstanceName, reply: GateReply) -> bool {
-    let load = node.gate.load(instance);
+async fn send_reply(stream: &mut HopStream, load: Load, reply: GateReply) -> bool {
     let message = match reply {
         GateReply::Refused(refusal) => GateMessage::Refused {
             reason: refusal.reason,
@@ -140,14 +138,14 @@
 }
 
 async fn send_answer(stream: &mut HopStream, answer: Answer, load: Load) -> bool {
-    let Answer { head, body } = answer;
+    let Answer { head, body, overloaded } = answer;
     match body {
         Body::Whole(bytes) => {
-            let message = GateMessage::Answered { head, body: Some(bytes), length: None, load };
+            let message = GateMessage::Answered { head, body: Some(bytes), length: None, overloaded, load };
             stream.send(hop::encode(&message)).await.is_ok()
         }
         Body::Stream(mut pieces, length) => {
-            let message = GateMessage::Answered { head, body: None, length, load };
+            let message = GateMessage::Answered { head, body: None, length, overloaded, load };
             if stream.send(hop::encode(&message)).await.is_err() {
                 return false;
             }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_overload::{AdaptiveLimit, Admission, Demand, InstanceQueue, Settings, TicketId};
+use olivegate_overload::{AdaptiveLimit, Admission, Demand, InstanceQueue, OutcomeLevels, Settings, TicketId};
 use olivegate_types::{Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
@@ -16,6 +16,8 @@
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
 const USED_FRACTION: f64 = 0.94;
+/// Part of the slots kept for each class that waits behind a more important one.
+const LEAST_SHARE: f64 = 0.2;
 /// Weight of a new sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Expected time in the instance of a route that was never seen, as a part of its target
@@ -30,6 +32,7 @@
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Result<(), Refusal>>>>,
     expected: RefCell<HashMap<String, Duration>>,
     slowness: RefCell<f64>,
+    levels: RefCell<OutcomeLevels>,
     connections: Rc<InstanceConnections>,
 }
 
@@ -54,10 +57,14 @@
     /// Slots of an instance that was not used yet.
     pub fn new(slots: u32) -> Self {
         InstanceSlots {
-            queue: RefCell::new(InstanceQueue::new(QUEUE, AdaptiveLimit::new(used_slots(slots), false))),
+            queue: RefCell::new(
+                InstanceQueue::new(QUEUE, AdaptiveLimit::new(used_slots(slots), false))
+                    .with_least_share(LEAST_SHARE),
+            ),
             waiting: RefCell::default(),
             expected: RefCell::default(),
             slowness: RefCell::new(0.0),
+            levels: RefCell::default(),
             connections: Rc::default(),
         }
     }
@@ -78,9 +85,13 @@
         queue.in_flight() + queue.waiting() > 0
     }
 
-    /// How busy the instance is.
-    pub fn load(&self) -> Load {
-        Load { occupancy: self.queue.borrow().occupancy() as f32, slowness: *self.slowness.borrow() as f32 }
+    /// How busy the instance is, to be told with the reply to an offer of `route`.
+    pub fn load(&self, route: &str) -> Load {
+        Load {
+            occupancy: self.queue.borrow().occupancy() as f32,
+            slowness: *self.slowness.borrow() as f32,
+            level: self.levels.borrow().level(route) as f32,
+        }
     }
 
     /// Expected time of an offer in the instance.
@@ -172,8 +183,9 @@
     }
 
     /// Learns from an answer.
-    pub fn note_answer(&mut self, offer: &Offer, used: Duration) {
+    pub fn note_answer(&mut self, offer: &Offer, overloaded: bool, used: Duration) {
         self.note_time(offer, used);
+        self.note_outcome(offer, overloaded, used);
         let mut queue = self.slots.queue.borrow_mut();
         let in_flight = queue.in_flight();
         queue.limit_mut().on_success(in_flight);
@@ -192,6 +204,17 @@
         }
     }
 
+    fn note_outcome(&self, offer: &Offer, overloaded: bool, used: Duration) {
+        let now = clock::now();
+        let began = now.saturating_sub(used);
+        let mut levels = self.slots.levels.borrow_mut();
+        let before = levels.level(&offer.route);
+        let after = levels.on_outcome(&offer.route, offer.importance, began, overloaded, now);
+        if (before - after).abs() > f64::EPSILON {
+            log::info!("event=admission_level route={} level={after:.2} before={before:.2}", offer.route);
+        }
+    }
+
     fn note_time(&self, offer: &Offer, used: Duration) {
         let mut expected = self.slots.expected.borrow_mut();
         match expected.get_mut(&offer.route) {
@@ -208,7 +231,7 @@
 
 /// The answer, with the slot kept until a body that is still to be read has ended.
 pub fn holding(answer: Answer, slot: Slot) -> Answer {
-    let Answer { head, body } = answer;
+    let Answer { head, body, overloaded } = answer;
     let body = match body {
         Body::Whole(bytes) => Body::Whole(bytes),
         Body::Stream(pieces, length) => {
@@ -219,5 +242,5 @@
             Body::Stream(Box::pin(held), length)
         }
     };
-    Answer { head, body }
+    Answer { head, body, overloaded }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -110,6 +110,8 @@
         body: Option<Bytes>,
         /// Length of a body that follows, where that is known.
         length: Option<u64>,
+        /// True when it is a failure for want of capacity further down.
+        overloaded: bool,
         /// The gate's load.
         load: Load,
     },
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`model`]: configuration and instances as the product knows them.
 //! - [`routes`]: which route a request takes, and which part of a weighted route.
 //! - [`directory`]: the instances that are known, and when one is no longer believed.
+//! - [`lineage`]: which requests are calls of the instance beside the node.
 //! - [`edge::attempts`]: what follows when an attempt did not give an answer.
 //! - [`peers::freshness`]: which nodes read the source, and when another takes over.
 //!
@@ -30,6 +31,7 @@
 pub mod follow;
 pub mod gate;
 pub mod hop;
+pub mod lineage;
 pub mod metrics;
 pub mod model;
 pub mod peers;
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -116,15 +116,25 @@
     pub head: ResponseHead,
     /// Its body.
     pub body: Body,
+    /// True when it is a failure for want of capacity further down.
+    pub overloaded: bool,
 }
 
 /// How busy a gate is, told with each of its replies.
-#[derive(Debug, Clone, Copy, PartialEq, Default, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Load {
     /// Requests in the instance and waiting, over the limit.
     pub occupancy: f32,
     /// Time in the instance over the target latency of the routes, on average.
     pub slowness: f32,
+    /// Fraction of new requests of the route that may begin.
+    pub level: f32,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Load { occupancy: 0.0, slowness: 0.0, level: 1.0 }
+    }
 }
 
 /// What a gate makes of an offer.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use olivegate_overload::ReportedLevels;
 use olivegate_retry::{RepeatBudget, RepeatPolicy};
 use olivegate_routing::balance::Balancer;
 use olivegate_types::{Moment, ServiceName};
@@ -17,6 +18,7 @@
 use crate::event::LineBudget;
 use crate::gate::Gate;
 use crate::hop::KnownState;
+use crate::lineage::Lineage;
 use crate::metrics::Metrics;
 use crate::model::Configuration;
 use crate::peers::freshness::Freshness;
@@ -27,13 +29,11 @@
 
 /// Heartbeats within which a live instance writes a lost entry again.
 const REWRITE_HEARTBEATS: u32 = 2;
-/// Part of the repeat ratio that requests of clients may use. Each level of a call graph
-/// below a repeated request repeats too, so no level may use all of it.
-const CLIENT_REPEAT_PART: f64 = 0.25;
-/// Part of the repeat ratio that calls of instances may use.
-const CALL_REPEAT_PART: f64 = 0.5;
+/// Part of the repeat ratio that one level of a call graph uses: each level below a
+/// repeated request repeats too.
+const REPEAT_PART: f64 = 0.35;
 /// Part of the slack that the nodes divide among them.
-const SLACK_PART: f64 = 0.5;
+const SLACK_PART: f64 = 0.25;
 
 /// Configuration and directory.
 #[derive(Debug)]
@@ -46,15 +46,6 @@
     pub directory: Directory,
 }
 
-/// Where a request began.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Origin {
-    /// A client.
-    Client,
-    /// The instance beside this node, on behalf of a request that it runs.
-    Instance,
-}
-
 /// A node.
 pub struct Node {
     settings: RefCell<Rc<SidecarSettings>>,
@@ -68,7 +59,11 @@
     pub balancer: RefCell<Balancer>,
     /// Deals weighted routes.
     pub dealer: RefCell<WeightedDealer>,
-    budgets: RefCell<HashMap<(ServiceName, Origin), RepeatBudget>>,
+    budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    /// How much of each route is let through, as gates report.
+    pub levels: RefCell<ReportedLevels>,
+    /// Which requests are calls of the instance.
+    pub lineage: RefCell<Lineage>,
     /// Connections to gates.
     pub hops: HopPool,
     /// The instance beside this node.
@@ -102,6 +97,8 @@
             balancer: RefCell::default(),
             dealer: RefCell::default(),
             budgets: RefCell::default(),
+            levels: RefCell::default(),
+            lineage: RefCell::default(),
             hops: HopPool::default(),
             gate: Gate::default(),
             freshness: RefCell::default(),
@@ -148,6 +145,9 @@
         );
         self.metrics.set_state("configuration_version", configuration.version.0);
         self.dealer.borrow_mut().retain(&configuration);
+        let is_configured = |name: &str| configuration.routes.iter().any(|route| route.name == name);
+        self.levels.borrow_mut().retain(is_configured);
+        self.lineage.borrow_mut().retain(is_configured);
         let mut knowledge = self.knowledge.borrow_mut();
         knowledge.routes = Some(Rc::new(RouteTable::new(&configuration)));
         knowledge.configuration = Some(Rc::new(configuration));
@@ -182,32 +182,28 @@
         knowledge.routes.is_some() && knowledge.directory.ready_count() > 0 && !self.stop.is_stopping()
     }
 
-    fn repeat_policy(&self, origin: Origin) -> RepeatPolicy {
+    fn repeat_policy(&self) -> RepeatPolicy {
         let bounds = self.settings().bounds;
         let nodes = self.knowledge.borrow().directory.machines().count().max(1);
-        let part = match origin {
-            Origin::Client => CLIENT_REPEAT_PART,
-            Origin::Instance => CALL_REPEAT_PART,
-        };
         RepeatPolicy {
-            ratio: bounds.repeat_ratio * part,
-            slack: bounds.repeat_slack * SLACK_PART * part / nodes as f64,
+            ratio: bounds.repeat_ratio * REPEAT_PART,
+            slack: bounds.repeat_slack * SLACK_PART / nodes as f64,
             window: bounds.repeat_window,
         }
     }
 
     /// Counts a request to `service`.
-    pub fn count_request(&self, service: &ServiceName, origin: Origin, now: Moment) {
-        let policy = self.repeat_policy(origin);
+    pub fn count_request(&self, service: &ServiceName, now: Moment) {
+        let policy = self.repeat_policy();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry((service.clone(), origin)).or_default().on_request(&policy, now);
+        budgets.entry(service.clone()).or_default().on_request(&policy, now);
     }
 
     /// Takes one repeat to `service` from this node's share.
-    pub fn take_repeat(&self, service: &ServiceName, origin: Origin, now: Moment) -> bool {
-        let policy = self.repeat_policy(origin);
+    pub fn take_repeat(&self, service: &ServiceName, now: Moment) -> bool {
+        let policy = self.repeat_policy();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry((service.clone(), origin)).or_default().try_repeat(&policy, now)
+        budgets.entry(service.clone()).or_default().try_repeat(&policy, now)
     }
 
     /// Calls `with` with the node's random numbers.
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -44,6 +44,12 @@
         self.stopping.get()
     }
 
+    /// True once clients have had time to leave: new requests of theirs are refused, so that
+    /// those in flight end in time. Calls of the instance go on.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Waits until idle connections are to close.
     pub async fn closing(&self) {
         loop {
