--- a/crates/overload/src/admission/outcome_levels.rs
+++ b/crates/overload/src/admission/outcome_levels.rs
@@ -25,14 +25,18 @@
 const FALL_FACTOR: f64 = 0.6;
 /// The same for the protected importance, which is shed last.
 const PROTECTED_FALL_FACTOR: f64 = 0.3;
-/// Factor and summand of a step up.
-const RISE: (f64, f64) = (1.10, 0.01);
+/// Growth of the level in the first step up.
+const FIRST_RISE: f64 = 0.08;
+/// Growth in the largest step up: the steps grow while nothing fails, since after a fault
+/// the capacity may be back at once.
+const LARGEST_RISE: f64 = 0.40;
 /// Lowest level: some requests always go through, to see whether more can.
 const LOWEST: f64 = 0.1;
 
 #[derive(Debug, Clone)]
 struct RouteLevel {
     level: f64,
+    steps_up: u32,
     window_began: Moment,
     outcomes: u32,
     overloaded: u32,
@@ -61,7 +65,8 @@
         now: Moment,
     ) -> f64 {
         if !self.routes.contains_key(route) {
-            let fresh = RouteLevel { level: 1.0, window_began: Moment::START, outcomes: 0, overloaded: 0 };
+            let fresh =
+                RouteLevel { level: 1.0, steps_up: 0, window_began: Moment::START, outcomes: 0, overloaded: 0 };
             self.routes.insert(route.to_string(), fresh);
         }
         let Some(known) = self.routes.get_mut(route) else { return 1.0 };
@@ -88,8 +93,13 @@
         let factor = if importance.is_protected() { PROTECTED_FALL_FACTOR } else { FALL_FACTOR };
         if failing > FALL_ABOVE {
             self.level = (self.level * (1.0 - failing * factor)).max(LOWEST);
+            self.steps_up = 0;
         } else if failing < RISE_BELOW {
-            self.level = (self.level * RISE.0 + RISE.1).min(1.0);
+            self.steps_up += 1;
+            let growth = (FIRST_RISE * f64::from(self.steps_up)).min(LARGEST_RISE);
+            self.level = (self.level * (1.0 + growth)).min(1.0);
+        } else {
+            self.steps_up = 0;
         }
         self.outcomes = 0;
         self.overloaded = 0;
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -5,7 +5,7 @@
 //! that goes missing while the source was disturbed is *held*: it stays in use until it
 //! comes back, says that it drains, or the source has been calm for a while.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -167,12 +167,9 @@
         if revision < self.revision {
             return false;
         }
-        let names: std::collections::HashSet<&InstanceName> =
-            listed.iter().map(|entry| &entry.instance.name).collect();
-        let missing: Vec<InstanceName> =
-            self.entries.keys().filter(|name| !names.contains(name)).cloned().collect();
+        let names: HashSet<&InstanceName> = listed.iter().map(|entry| &entry.instance.name).collect();
         let mut changed = false;
-        for name in missing {
+        for name in self.missing_from(&names) {
             changed |= self.remove(&name, now);
         }
         for entry in listed {
@@ -204,12 +201,9 @@
         if copy.revision <= self.revision && !(self.entries.is_empty() && !copy.entries.is_empty()) {
             return false;
         }
-        let names: std::collections::HashSet<&InstanceName> =
-            copy.entries.iter().map(|entry| &entry.instance.name).collect();
-        let missing: Vec<InstanceName> =
-            self.entries.keys().filter(|name| !names.contains(name)).cloned().collect();
+        let names: HashSet<&InstanceName> = copy.entries.iter().map(|entry| &entry.instance.name).collect();
         let mut changed = false;
-        for name in missing {
+        for name in self.missing_from(&names) {
             changed |= self.forget(&name, now);
         }
         for entry in &copy.entries {
@@ -236,8 +230,7 @@
     /// anything changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         self.gone.retain(|_, since| now.since(*since) < MACHINE_MEMORY);
-        let listed: std::collections::HashSet<IpAddr> =
-            self.entries.values().map(|entry| entry.instance.address.ip()).collect();
+        let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
         if self.is_disturbed(now) {
             return false;
@@ -259,6 +252,32 @@
         self.finish(self.revision, changed)
     }
 
+    /// An instance was met on its own machine before the source lists it. It is believed as
+    /// long as one that went missing.
+    pub fn observe(&mut self, instance: Instance, now: Moment) -> bool {
+        if self.standing(&instance.name) != Standing::Unknown {
+            return false;
+        }
+        self.note_machine(&instance, now);
+        let name = instance.name.clone();
+        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), held_since: Some(now) };
+        self.entries.insert(name, entry);
+        self.finish(self.revision, true)
+    }
+
+    /// Slots of the instances of `service`, where one is listed.
+    pub fn slots_of_service(&self, service: &ServiceName) -> Option<u32> {
+        let same = self.entries.values().find(|entry| entry.instance.service == *service);
+        same.map(|entry| entry.instance.slots)
+    }
+
+    /// Entries that are not in `names`; those that are held end with their hold.
+    fn missing_from(&self, names: &HashSet<&InstanceName>) -> Vec<InstanceName> {
+        let missing =
+            self.entries.iter().filter(|(name, entry)| !names.contains(name) && entry.held_since.is_none());
+        missing.map(|(name, _)| name.clone()).collect()
+    }
+
     fn insert(&mut self, listed: &ListedInstance, now: Moment) -> bool {
         let name = &listed.instance.name;
         self.note_machine(&listed.instance, now);
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -178,7 +178,10 @@
             let reply = self.offer(&instance).await;
             let next = match reply {
                 GateReply::Answered(answer) => return Ok(answer),
-                GateReply::Refused(refusal) => attempts.on_refused(refusal),
+                GateReply::Refused { refusal, successor } => {
+                    self.follow_successor(&instance, successor);
+                    attempts.on_refused(refusal)
+                }
                 GateReply::Failed(failure) => {
                     self.note_failure(&instance, failure);
                     let (node, service) = (self.node, &self.service);
@@ -285,6 +288,16 @@
         whole.saturating_sub(now.since(self.arrived)).min(self.deadline.since(now))
     }
 
+    /// The gate met another instance than the one that was meant.
+    fn follow_successor(&self, meant: &Instance, successor: Option<Box<Instance>>) {
+        let Some(successor) = successor else { return };
+        let now = clock::now();
+        self.node.update_directory("gate", |directory| {
+            let gone = directory.note_gone(&meant.name, now);
+            directory.observe(*successor, now) || gone
+        });
+    }
+
     fn note_load(&self, name: &InstanceName, load: Load) {
         let now = clock::now();
         let mut balancer = self.node.balancer.borrow_mut();
@@ -324,8 +337,8 @@
 fn observation_of(reply: &GateReply) -> Observation {
     match reply {
         GateReply::Answered(_) => Observation::Answered,
-        GateReply::Refused(refusal) if refusal.reason.is_local_to_instance() => Observation::Failed,
-        GateReply::Refused(_) => Observation::Neutral,
+        GateReply::Refused { refusal, .. } if refusal.reason.is_local_to_instance() => Observation::Failed,
+        GateReply::Refused { .. } => Observation::Neutral,
         GateReply::Failed(failure) => match failure.reason {
             FailureReason::RequestBroken | FailureReason::RefusedByInstance => Observation::Neutral,
             _ => Observation::Failed,
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -102,10 +102,10 @@
         }
     };
     match message {
-        GateMessage::Refused { reason, retry_after_ms, load } => {
+        GateMessage::Refused { reason, retry_after_ms, successor, load } => {
             keep(stream);
             let refusal = Refusal::new(reason, Duration::from_millis(u64::from(retry_after_ms)));
-            RemoteReply { reply: GateReply::Refused(refusal), load: Some(load) }
+            RemoteReply { reply: GateReply::Refused { refusal, successor }, load: Some(load) }
         }
         GateMessage::Failed { failure, load } => {
             keep(stream);
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -208,6 +208,9 @@
 /// What the instance says about not having run the request.
 fn refusal_of(node: &Node, head: &ResponseHead) -> Result<(), Failure> {
     if head.status == 421 {
+        if let Some(present) = head.fields.text(node.vocabulary.instance) {
+            super::meet_instance(node, present);
+        }
         return Err(Failure::not_run(FailureReason::WrongInstance));
     }
     let is_refusal = head.status >= 400 && head.fields.get(node.vocabulary.not_run).is_some();
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -19,13 +19,14 @@
 use std::time::Duration;
 
 use olivegate_overload::Demand;
-use olivegate_types::{GroupName, Importance, InstanceName, Moment, RefusalReason, SheddingRank};
+use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason, SheddingRank};
 use rand::RngExt;
 
 use crate::clock;
 use crate::directory::Standing;
 use crate::hop::Offer;
 use crate::lineage::RunningKey;
+use crate::model::{Instance, InstanceState};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use slots::InstanceSlots;
@@ -77,13 +78,15 @@
 pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body) -> GateReply {
     let deadline = clock::now() + Duration::from_millis(u64::from(offer.time_left_ms));
     if let Some(reason) = obstacle(node, &offer.instance) {
-        return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
+        let refusal = Refusal::new(reason, SHORT_RETRY_AFTER);
+        let successor = successor_of(node, &offer.instance);
+        return count_refusal(node, &offer, GateReply::Refused { refusal, successor });
     }
     let slots = node.gate.slots_of(node, &offer.instance);
     let demand = demand_of(node, &offer, &slots, deadline);
     let slot = match slots.acquire(demand).await {
         Ok(slot) => slot,
-        Err(refusal) => return count_refusal(node, &offer, GateReply::Refused(refusal)),
+        Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
     };
     if let Some(reason) = obstacle(node, &offer.instance) {
         return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
@@ -177,6 +180,33 @@
     Importance(Importance::PROTECTED.0.saturating_sub(u8::try_from(priority).unwrap_or(u8::MAX)))
 }
 
+/// The instance beside this node that took the place of `meant`.
+fn successor_of(node: &Node, meant: &InstanceName) -> Option<Box<Instance>> {
+    let settings = node.settings();
+    let knowledge = node.knowledge.borrow();
+    let directory = &knowledge.directory;
+    let present = directory.instance_at(settings.instance)?;
+    let takes_its_place = present.name != *meant && present.state == InstanceState::Ready;
+    takes_its_place.then(|| Box::new(Instance::clone(&present)))
+}
+
+/// The instance beside this node named itself. The source may not list it yet, when it has
+/// just started; its service is the one of this machine.
+fn meet_instance(node: &Node, name: &str) {
+    let settings = node.settings();
+    let now = clock::now();
+    let slots = node.knowledge.borrow().directory.slots_of_service(&settings.service);
+    let instance = Instance {
+        name: InstanceName::new(name),
+        service: settings.service.clone(),
+        address: settings.instance,
+        zone: settings.zone.clone(),
+        slots: slots.unwrap_or(UNLISTED_SLOTS),
+        state: InstanceState::Ready,
+    };
+    node.update_directory("gate", |directory| directory.observe(instance, now));
+}
+
 /// An instance that another one answers for is gone, whatever the source says.
 fn note_gone_instance(node: &Node, offer: &Offer, failure: Failure) {
     if failure.reason == FailureReason::WrongInstance {
@@ -186,7 +216,7 @@
 }
 
 fn count_refusal(node: &Node, offer: &Offer, reply: GateReply) -> GateReply {
-    if let GateReply::Refused(refusal) = &reply {
+    if let GateReply::Refused { refusal, .. } = &reply {
         node.metrics.refusals.with_label_values(&[refusal.reason.as_str()]).inc();
         log::debug!(
             "event=offer_refused request={} instance={} reason={}",
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -126,8 +126,9 @@
 
 async fn send_reply(stream: &mut HopStream, load: Load, reply: GateReply) -> bool {
     let message = match reply {
-        GateReply::Refused(refusal) => GateMessage::Refused {
+        GateReply::Refused { refusal, successor } => GateMessage::Refused {
             reason: refusal.reason,
+            successor,
             retry_after_ms: u32::try_from(refusal.retry_after.as_millis()).unwrap_or(u32::MAX),
             load,
         },
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::directory::DirectoryCopy;
-use crate::model::{Configuration, ConfigurationVersion, Revision};
+use crate::model::{Configuration, ConfigurationVersion, Instance, Revision};
 use crate::reply::{Failure, Load};
 
 /// Interval of the gate's signs of life.
@@ -92,6 +92,8 @@
         reason: RefusalReason,
         /// When to come back, in milliseconds.
         retry_after_ms: u32,
+        /// The instance that is there in place of the one that was meant.
+        successor: Option<Box<Instance>>,
         /// The gate's load.
         load: Load,
     },
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -9,6 +9,8 @@
 use olivegate_http1::ResponseHead;
 use olivegate_types::{Refusal, RefusalReason};
 
+use crate::model::Instance;
+
 /// The rest of a body can't be had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyBroken;
@@ -141,7 +143,12 @@
 #[derive(Debug)]
 pub enum GateReply {
     /// Not run, and never will be.
-    Refused(Refusal),
+    Refused {
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// The instance that is there in place of the one that was meant.
+        successor: Option<Box<Instance>>,
+    },
     /// No answer.
     Failed(Failure),
     /// The instance's answer.
@@ -150,5 +157,5 @@
 
 /// A refusal of the gate itself.
 pub fn refused(reason: RefusalReason, retry_after: Duration) -> GateReply {
-    GateReply::Refused(Refusal::new(reason, retry_after))
+    GateReply::Refused { refusal: Refusal::new(reason, retry_after), successor: None }
 }
--- a/crates/sidecar/src/vocabulary.rs
+++ b/crates/sidecar/src/vocabulary.rs
@@ -9,6 +9,8 @@
     pub time_left_ms: &'static str,
     /// Instance that is meant; any other one refuses.
     pub expected_instance: &'static str,
+    /// Names the instance that refuses a request meant for another one.
+    pub instance: &'static str,
     /// Present on an instance's refusal when it did not run the request.
     pub not_run: &'static str,
     /// Service on whose machine the request began.
