--- a/crates/sidecar/src/edge/own_answer.rs
+++ b/crates/sidecar/src/edge/own_answer.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// True when the request was not served because there was no room for it.
+    /// True when the request was not served because there was no room for it. Where no
+    /// instance is left at all, letting fewer requests begin helps nobody.
     pub fn is_for_want_of_capacity(self) -> bool {
         let OwnAnswer::NotRun { reason, .. } = self else { return false };
         matches!(
@@ -74,7 +75,6 @@
                 | RefusalReason::QueueTimeout
                 | RefusalReason::Displaced
                 | RefusalReason::DeadlineExceeded
-                | RefusalReason::NoInstance
         )
     }
 
