--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -60,16 +60,10 @@
     }
 
     async fn serve(self) -> Result<Ended, SidecarError> {
-        let listeners = Listeners::bind(&self.settings).await?;
         let mut terminate = signal(SignalKind::terminate()).map_err(SidecarError::Runtime)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(SidecarError::Runtime)?;
         let mut hang_up = signal(SignalKind::hangup()).map_err(SidecarError::Runtime)?;
-        log_start(&self.settings);
-        let grace_period = self.settings.bounds.grace_period;
-        let node = Rc::new(Node::new(self.settings, self.vocabulary));
-        listeners.serve(&node);
-        spawn_local(follow::follow(node.clone(), self.source));
-        spawn_local(housekeeping(node.clone()));
+        let node = start(self.settings, self.vocabulary, self.source).await?;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
@@ -78,12 +72,27 @@
             }
         }
         log::info!("event=stop_begun in_flight={}", node.stop.in_flight());
-        let drained = node.stop.run(grace_period).await;
+        let drained = node.stop.run(node.settings().bounds.grace_period).await;
         log::info!("event=stopped drained={drained} in_flight={}", node.stop.in_flight());
         Ok(if drained { Ended::Drained } else { Ended::CutOff })
     }
 }
 
+/// Starts a node's work on the present thread's local tasks and returns what they share.
+pub async fn start<S: Source + 'static>(
+    settings: SidecarSettings,
+    vocabulary: Vocabulary,
+    source: S,
+) -> Result<Rc<Node>, SidecarError> {
+    let listeners = Listeners::bind(&settings).await?;
+    log_start(&settings);
+    let node = Rc::new(Node::new(settings, vocabulary));
+    listeners.serve(&node);
+    spawn_local(follow::follow(node.clone(), source));
+    spawn_local(housekeeping(node.clone()));
+    Ok(node)
+}
+
 impl Listeners {
     async fn bind(settings: &SidecarSettings) -> Result<Self, SidecarError> {
         let listen = &settings.listen;
--- /dev/null
+++ b/crates/sidecar/tests/path/answers.rs
@@ -0,0 +1,209 @@
+//! Instances that answer oddly: no client gets another's answer, half of one, or a second run.
+
+use std::time::Duration;
+
+use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use rstest::rstest;
+
+use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+
+/// Two machines, an instance on the second, a client's way in on the first.
+async fn two_machines(script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> (Fleet, TestInstance) {
+    let fleet = Fleet::new();
+    let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
+    fleet.source.configure(configuration(1, routes));
+    fleet.list(2, "books-1", "books");
+    let instance = TestInstance::start(fleet.instance_address(2), script).await;
+    let gate = fleet.start(2, "books").await;
+    let edge = fleet.start(1, "desk").await;
+    Fleet::ready(&gate).await;
+    Fleet::ready(&edge).await;
+    (fleet, instance)
+}
+
+fn plain(seen: &Seen) -> Vec<Action> {
+    vec![Action::Send(answer(200, &seen.id(), &format!("for {}", seen.id())))]
+}
+
+#[rstest]
+fn an_answer_passes_two_nodes_unchanged() {
+    run(async {
+        let (fleet, instance) = two_machines(|seen, _| plain(seen)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&post("/once/a?b=c", "r1", "content")).await;
+        assert_eq!((answer.head.status, answer.body.as_str()), (200, "for r1"));
+        assert_eq!(answer.field("x-signature").as_deref(), Some("s-r1"));
+        let seen = instance.seen.borrow()[0].clone();
+        assert_eq!((&seen.head.method[..], &seen.head.target[..]), (&b"POST"[..], &b"/once/a?b=c"[..]));
+        assert_eq!(seen.body, "content");
+        assert_eq!(seen.field("x-caller"), "desk");
+        assert_eq!(seen.field("x-expected"), "books-1");
+        let time_left: u64 = seen.field("x-time").parse().unwrap();
+        assert!(time_left > 1_000 && time_left < 2_000, "time left {time_left}");
+    });
+}
+
+#[rstest]
+fn a_surplus_answer_in_front_is_read_over() {
+    run(async {
+        let (fleet, instance) = two_machines(|seen, before| match before {
+            // The second copy of the first answer lies in front of the second answer.
+            1 => vec![Action::Send(answer(200, "r0", "old")), Action::Send(answer(200, &seen.id(), "own"))],
+            _ => plain(seen),
+        })
+        .await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.ask(&post("/once/", "r0", "x")).await;
+        let second = client.ask(&post("/once/", "r1", "x")).await;
+        assert_eq!((second.head.status, second.body.as_str()), (200, "own"));
+        assert_eq!(instance.runs(), 2);
+    });
+}
+
+#[rstest]
+#[case::surplus_while_resting("HTTP/1.1 200 OK\r\nx-id: r0\r\nContent-Length: 3\r\n\r\nold")]
+#[case::bytes_that_are_no_answer("\x01\x02garbage")]
+fn bytes_behind_a_whole_answer_belong_to_nobody(#[case] surplus: &'static str) {
+    run(async move {
+        let (fleet, instance) = two_machines(move |seen, before| {
+            let mut actions = plain(seen);
+            if before == 0 {
+                actions.push(Action::Send(surplus.to_string()));
+            }
+            actions
+        })
+        .await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.ask(&post("/once/", "r0", "x")).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let second = client.ask(&post("/once/", "r1", "x")).await;
+        assert_eq!((second.head.status, second.body.as_str()), (200, "for r1"));
+        assert_eq!(instance.runs(), 2);
+    });
+}
+
+#[rstest]
+#[case::closed(vec![Action::Close])]
+#[case::reset(vec![Action::Reset])]
+#[case::half_an_answer(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\nContent-Length: 9\r\n\r\nhalf".into()), Action::Close])]
+#[case::unframed_and_reset(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\n\r\nhalf".into()), Action::Sleep(30), Action::Reset])]
+#[case::no_answer_at_all(vec![Action::Send("\x01\x02\x03\x04".into())])]
+fn what_may_have_run_once_is_not_run_again_nor_called_not_run(#[case] actions: Vec<Action>) {
+    run(async move {
+        let (fleet, instance) = two_machines(move |_, _| actions.clone()).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&post("/once/", "r1", "x")).await;
+        assert_eq!(answer.head.status, 502);
+        assert_eq!(answer.field("x-signature"), None);
+        assert_eq!(instance.runs(), 1);
+    });
+}
+
+#[rstest]
+fn a_broken_answer_to_a_safe_request_is_asked_for_again_elsewhere() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(2, "books-1", "books");
+        fleet.list(3, "books-2", "books");
+        let script = |seen: &Seen, before: usize| if before == 0 { vec![Action::Close] } else { plain(seen) };
+        // Whichever is asked first closes; the other one, asked first too, would close as well.
+        let first = TestInstance::start(fleet.instance_address(2), script).await;
+        let second = TestInstance::start(fleet.instance_address(3), |seen, _| plain(seen)).await;
+        for machine in [2, 3] {
+            Fleet::ready(&fleet.start(machine, "books").await).await;
+        }
+        Fleet::ready(&fleet.start(1, "desk").await).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..6 {
+            let answer = client.ask(&get("/safe/", &format!("r{number}"))).await;
+            assert_eq!(answer.head.status, 200);
+        }
+        assert_eq!(first.runs() + second.runs(), 7);
+    });
+}
+
+#[rstest]
+fn an_answer_without_length_is_whole_when_its_connection_closes() {
+    run(async {
+        let script = |seen: &Seen, _| {
+            let text = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\n\r\nall of it", seen.id());
+            vec![Action::Send(text), Action::Close]
+        };
+        let (fleet, _instance) = two_machines(script).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&get("/safe/", "r1")).await;
+        assert_eq!((answer.head.status, answer.body.as_str(), answer.whole), (200, "all of it", true));
+    });
+}
+
+#[rstest]
+fn a_large_answer_that_breaks_off_does_not_look_whole() {
+    run(async {
+        let script = |seen: &Seen, _| {
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\nTransfer-Encoding: chunked\r\n\r\n", seen.id());
+            let chunk = format!("{:x}\r\n{}\r\n", 50_000, "a".repeat(50_000));
+            vec![
+                Action::Send(head),
+                Action::Send(chunk.clone()),
+                Action::Send(chunk),
+                Action::Sleep(50),
+                Action::Reset,
+            ]
+        };
+        let (fleet, _instance) = two_machines(script).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&get("/safe/", "r1")).await;
+        assert_eq!(answer.head.status, 200);
+        assert!(!answer.whole);
+    });
+}
+
+#[rstest]
+fn a_failure_keeps_its_status_and_signature() {
+    run(async {
+        let (fleet, _instance) = two_machines(|seen, _| vec![Action::Send(answer(500, &seen.id(), "no"))]).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&get("/safe/", "r1")).await;
+        assert_eq!((answer.head.status, answer.field("x-signature").as_deref()), (500, Some("s-r1")));
+    });
+}
+
+#[rstest]
+fn only_the_instances_word_makes_a_refusal() {
+    run(async {
+        let refusal = |seen: &Seen, _| {
+            vec![Action::Send(format!(
+                "HTTP/1.1 503 X\r\nx-id: {}\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n",
+                seen.id()
+            ))]
+        };
+        let (fleet, _instance) = two_machines(refusal).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&post("/once/", "r1", "x")).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.field("retry-after").is_some());
+    });
+}
+
+#[rstest]
+fn a_restarted_instance_is_served_before_the_source_lists_it() {
+    run(async {
+        let script = |seen: &Seen, _| {
+            if seen.field("x-expected") == "books-2" {
+                return plain(seen);
+            }
+            let head = format!("HTTP/1.1 421 X\r\nx-id: {}\r\nx-instance: books-2\r\n", seen.id());
+            vec![Action::Send(head + "Content-Length: 0\r\n\r\n")]
+        };
+        let (fleet, _instance) = two_machines(script).await;
+        fleet.source.set_down(true);
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let mut statuses = Vec::new();
+        for number in 0..3 {
+            statuses.push(client.ask(&post("/once/", &format!("r{number}"), "x")).await.head.status);
+        }
+        assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+        assert!(!statuses.contains(&502), "421 says that it did not run: {statuses:?}");
+    });
+}
--- /dev/null
+++ b/crates/sidecar/tests/path/configuration.rs
@@ -0,0 +1,109 @@
+//! Configuration and instances: from the source, from other nodes, and without either.
+
+use std::time::Duration;
+
+use olivegate_sidecar::model::InstanceState;
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use rstest::rstest;
+
+use crate::support::{Action, Client, Fleet, TestInstance, answer, configuration, eventually, get, route, run};
+
+async fn instance_on(fleet: &Fleet, machine: u8) -> TestInstance {
+    let script = |seen: &crate::support::Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+    TestInstance::start(fleet.instance_address(machine), script).await
+}
+
+#[rstest]
+fn a_node_without_configuration_refuses_and_does_not_deny() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.set_down(true);
+        let node = fleet.start(1, "books").await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let answer = client.ask(&get("/safe/", "a")).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(!node.is_ready());
+    });
+}
+
+#[rstest]
+fn a_node_started_while_the_source_is_down_learns_from_another_one() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(7, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        fleet.list(2, "desk-1", "desk");
+        instance_on(&fleet, 1).await;
+        Fleet::ready(&fleet.start(1, "books").await).await;
+        fleet.source.set_down(true);
+        let late = fleet.start(2, "desk").await;
+        Fleet::ready(&late).await;
+        assert_eq!(late.known_state().configuration.0, 7);
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        assert_eq!(client.ask(&get("/safe/", "a")).await.head.status, 200);
+    });
+}
+
+#[rstest]
+fn a_version_never_goes_back() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(7, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        fleet.source.configure(configuration(6, Vec::new()));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(node.known_state().configuration.0, 7);
+        fleet.source.configure(configuration(9, vec![route("/other/", "books", Safe)]));
+        eventually("the next version is in force", || node.known_state().configuration.0 == 9).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        assert_eq!(client.ask(&get("/safe/", "a")).await.head.status, 404);
+    });
+}
+
+#[rstest]
+fn instances_that_go_missing_while_the_source_is_disturbed_stay_in_use() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        instance_on(&fleet, 1).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        fleet.source.set_down(true);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.source.unlist("books-1");
+        fleet.source.set_down(false);
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        assert_eq!(client.ask(&get("/safe/", "a")).await.head.status, 200);
+        eventually("it is gone once the source has been calm", || !node.is_ready()).await;
+    });
+}
+
+#[rstest]
+fn a_draining_instance_gets_nothing_new() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        let mut leaving = fleet.list(1, "books-1", "books");
+        fleet.list(2, "books-2", "books");
+        let first = instance_on(&fleet, 1).await;
+        let second = instance_on(&fleet, 2).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        Fleet::ready(&fleet.start(2, "books").await).await;
+        leaving.state = InstanceState::Draining;
+        fleet.source.list(leaving);
+        let service = olivegate_types::ServiceName::new("books");
+        let left = || node.knowledge.borrow().directory.ready_instances(&service).len();
+        eventually("one instance is left", || left() == 1).await;
+        let before = first.runs();
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..5 {
+            assert_eq!(client.ask(&get("/safe/", &format!("r{number}"))).await.head.status, 200);
+        }
+        assert_eq!((first.runs(), second.runs()), (before, 5));
+    });
+}
--- /dev/null
+++ b/crates/sidecar/tests/path/main.rs
@@ -0,0 +1,7 @@
+//! The whole path with real sockets: clients, nodes, instances and a source on loopback.
+
+mod answers;
+mod configuration;
+mod requests;
+mod stopping;
+mod support;
--- /dev/null
+++ b/crates/sidecar/tests/path/requests.rs
@@ -0,0 +1,149 @@
+//! Requests of clients: order, limits, leaving early, long bodies.
+
+use std::time::Duration;
+
+use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::support::{
+    Action, Client, Fleet, Seen, TestInstance, answer, configuration, eventually, get, post, route, run,
+};
+
+async fn one_machine(script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> (Fleet, TestInstance) {
+    let fleet = Fleet::new();
+    let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
+    fleet.source.configure(configuration(1, routes));
+    fleet.list(1, "books-1", "books");
+    let instance = TestInstance::start(fleet.instance_address(1), script).await;
+    Fleet::ready(&fleet.start(1, "books").await).await;
+    (fleet, instance)
+}
+
+fn slow(millis: u64) -> impl Fn(&Seen, usize) -> Vec<Action> {
+    move |seen, _| vec![Action::Sleep(millis), Action::Send(answer(200, &seen.id(), &seen.id()))]
+}
+
+#[rstest]
+fn pipelined_requests_run_together_and_are_answered_in_order() {
+    run(async {
+        let script = |seen: &Seen, before: usize| {
+            let millis = if before == 0 { 300 } else { 100 };
+            vec![Action::Sleep(millis), Action::Send(answer(200, &seen.id(), &seen.id()))]
+        };
+        let (fleet, _instance) = one_machine(script).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let began = Instant::now();
+        client.send(&(get("/safe/", "a") + &get("/safe/", "b") + &get("/safe/", "c"))).await;
+        for id in ["a", "b", "c"] {
+            assert_eq!(client.answer().await.unwrap().body, id);
+        }
+        assert!(began.elapsed() < Duration::from_millis(480), "took {:?}", began.elapsed());
+    });
+}
+
+#[rstest]
+fn a_client_that_leaves_frees_the_instance() {
+    run(async {
+        let (fleet, instance) = one_machine(slow(1_500)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.send(&get("/safe/", "a")).await;
+        eventually("the instance runs it", || instance.runs() == 1).await;
+        drop(client);
+        eventually("its connection is closed", || instance.abandoned.get() == 1).await;
+    });
+}
+
+#[rstest]
+fn a_client_that_leaves_frees_the_instance_behind_another_node() {
+    run(async {
+        let (fleet, instance) = one_machine(slow(1_500)).await;
+        Fleet::ready(&fleet.start(2, "desk").await).await;
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        client.send(&get("/safe/", "a")).await;
+        eventually("the instance runs it", || instance.runs() == 1).await;
+        drop(client);
+        eventually("its connection is closed", || instance.abandoned.get() == 1).await;
+    });
+}
+
+#[rstest]
+fn what_does_not_fit_is_refused_at_once_and_never_runs() {
+    run(async {
+        let (fleet, instance) = one_machine(slow(900)).await;
+        let mut clients = Vec::new();
+        for number in 0..3 {
+            let mut client = Client::connect(fleet.outbound(1)).await;
+            client.send(&get("/safe/", &format!("fill-{number}"))).await;
+            clients.push(client);
+        }
+        eventually("the slots are full", || instance.runs() == 3).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let began = Instant::now();
+        let answer = client.ask(&post("/once/", "late", "x")).await;
+        assert_eq!(answer.head.status, 503);
+        assert!(answer.field("retry-after").is_some());
+        assert!(began.elapsed() < Duration::from_millis(400), "took {:?}", began.elapsed());
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        assert!(instance.seen.borrow().iter().all(|seen| seen.id() != "late"));
+    });
+}
+
+#[rstest]
+fn a_request_that_outlasts_its_route_is_answered_then() {
+    run(async {
+        let (fleet, _instance) = one_machine(slow(10_000)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let request = get("/safe/", "a").replace("x-time: 2000", "x-time: 9000");
+        let began = Instant::now();
+        assert_eq!(client.ask(&request).await.head.status, 504);
+        let took = began.elapsed();
+        assert!(took > Duration::from_millis(1_900) && took < Duration::from_millis(2_200), "took {took:?}");
+    });
+}
+
+#[rstest]
+#[case::no_route("GET /nowhere/ HTTP/1.1\r\nHost: shop\r\nx-id: a\r\n\r\n", 404)]
+#[case::no_host("GET /safe/ HTTP/1.1\r\nx-id: a\r\n\r\n", 400)]
+#[case::no_id("GET /safe/ HTTP/1.1\r\nHost: shop\r\n\r\n", 400)]
+#[case::odd_time("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\r\nx-time: soon\r\n\r\n", 400)]
+#[case::two_lengths("POST /safe/ HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400)]
+fn a_request_at_fault_never_reaches_an_instance(#[case] text: &'static str, #[case] status: u16) {
+    run(async move {
+        let (fleet, instance) = one_machine(slow(0)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        assert_eq!(client.ask(text).await.head.status, status);
+        assert_eq!(instance.runs(), 0);
+    });
+}
+
+#[rstest]
+#[case::one_machine(1)]
+#[case::two_machines(2)]
+fn a_long_body_arrives_whole(#[case] edge: u8) {
+    run(async move {
+        let (fleet, instance) = one_machine(slow(0)).await;
+        if edge == 2 {
+            Fleet::ready(&fleet.start(2, "desk").await).await;
+        }
+        let body: String = (0..300_000).map(|number| char::from(b'a' + (number % 23) as u8)).collect();
+        let mut client = Client::connect(fleet.outbound(edge)).await;
+        let answer = client.ask(&post("/once/", "long", &body)).await;
+        assert_eq!(answer.head.status, 200);
+        assert_eq!(instance.seen.borrow()[0].body.len(), body.len());
+        assert_eq!(instance.seen.borrow()[0].body, body);
+    });
+}
+
+#[rstest]
+fn headers_of_one_connection_stay_there() {
+    run(async {
+        let (fleet, instance) = one_machine(slow(0)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let request = "GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\r\nConnection: X-Private\r\nX-Private: 1\r\nX-Public: 2\r\nx-caller: forged\r\nx-expected: forged\r\n\r\n";
+        assert_eq!(client.ask(request).await.head.status, 200);
+        let seen = instance.seen.borrow()[0].clone();
+        assert_eq!((seen.field("x-private").as_str(), seen.field("x-public").as_str()), ("", "2"));
+        assert_eq!((seen.field("x-caller").as_str(), seen.field("x-expected").as_str()), ("books", "books-1"));
+    });
+}
--- /dev/null
+++ b/crates/sidecar/tests/path/stopping.rs
@@ -0,0 +1,93 @@
+//! A planned stop cuts nothing off, also when clients go on coming.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use rstest::rstest;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+use crate::support::{
+    Action, Client, Fleet, Seen, TestInstance, answer, configuration, eventually, get, route, run,
+};
+
+async fn ask_readiness(fleet: &Fleet) -> u16 {
+    let mut client = Client::connect(fleet.readiness(1)).await;
+    client.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await.head.status
+}
+
+#[rstest]
+fn a_stop_ends_readiness_first_and_requests_last() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        fleet.list(2, "books-2", "books");
+        let script = |seen: &Seen, _| vec![Action::Sleep(800), Action::Send(answer(200, &seen.id(), "ok"))];
+        let instance = TestInstance::start(fleet.instance_address(1), script).await;
+        let other = TestInstance::start(fleet.instance_address(2), script).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        Fleet::ready(&fleet.start(2, "books").await).await;
+        assert_eq!(ask_readiness(&fleet).await, 200);
+        let mut early = Client::connect(fleet.outbound(1)).await;
+        early.send(&get("/safe/", "early")).await;
+        eventually("it runs", || instance.runs() + other.runs() == 1).await;
+        let stopping = spawn_local({
+            let node = node.clone();
+            async move { node.stop.run(Duration::from_secs(6)).await }
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(ask_readiness(&fleet).await, 503);
+        let answered = early.answer().await.unwrap();
+        assert_eq!((answered.head.status, answered.field("connection").as_deref()), (200, Some("close")));
+        let mut late = Client::connect(fleet.outbound(1)).await;
+        assert_eq!(late.ask(&get("/safe/", "late")).await.head.status, 200);
+        assert!(stopping.await.unwrap(), "nothing is cut off");
+    });
+}
+
+#[rstest]
+fn clients_that_go_on_coming_are_told_to_come_back_and_not_cut_off() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        fleet.list(2, "books-2", "books");
+        let script = |seen: &Seen, _| vec![Action::Sleep(400), Action::Send(answer(200, &seen.id(), "ok"))];
+        TestInstance::start(fleet.instance_address(2), script).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        Fleet::ready(&fleet.start(2, "books").await).await;
+        let began = Instant::now();
+        let stopping = spawn_local({
+            let node = node.clone();
+            async move { node.stop.run(Duration::from_secs(6)).await }
+        });
+        let statuses = Rc::new(RefCell::new(Vec::new()));
+        let clients: Vec<_> =
+            (0..4).map(|number| spawn_local(keep_asking(fleet.outbound(1), number, statuses.clone()))).collect();
+        assert!(stopping.await.unwrap(), "nothing is cut off");
+        assert!(began.elapsed() < Duration::from_secs(5), "it ends once nothing is in flight");
+        clients.iter().for_each(tokio::task::JoinHandle::abort);
+        let statuses = statuses.borrow();
+        assert_eq!(statuses.first(), Some(&200));
+        assert!(statuses.contains(&503), "clients are told to come back: {statuses:?}");
+        assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+    });
+}
+
+/// Asks again and again, a little later than the others so that some request is always in
+/// flight.
+async fn keep_asking(address: SocketAddr, number: u64, statuses: Rc<RefCell<Vec<u16>>>) {
+    tokio::time::sleep(Duration::from_millis(100 * number)).await;
+    loop {
+        let mut client = Client::connect(address).await;
+        let answer = client.ask(&get("/safe/", "again")).await;
+        statuses.borrow_mut().push(answer.head.status);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/path/support.rs
@@ -0,0 +1,388 @@
+//! Nodes, instances, a source and clients on loopback addresses, all in one thread.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use olivegate_http1::{Frame, RequestDecoder, RequestHead, ResponseDecoder, ResponseHead};
+use olivegate_sidecar::model::{
+    ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Revision,
+    Route, WeightedPart,
+};
+use olivegate_sidecar::settings::{Bounds, ListenAddresses, MachineLimits};
+use olivegate_sidecar::source::{Changes, ListedInstance, Snapshot, Source, SourceError};
+use olivegate_sidecar::state::Node;
+use olivegate_sidecar::{SidecarSettings, Vocabulary};
+use olivegate_types::{InstanceName, NodeName, ServiceName, ZoneName};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio_util::codec::FramedRead;
+
+pub const VOCABULARY: Vocabulary = Vocabulary {
+    request_id: "x-id",
+    time_left_ms: "x-time",
+    expected_instance: "x-expected",
+    instance: "x-instance",
+    not_run: "x-not-run",
+    caller_service: "x-caller",
+    signature: "x-signature",
+    retry_after: "retry-after",
+    readiness_path: "/ready",
+};
+
+pub const INSTANCE_PORT: u16 = 18_301;
+const INBOUND_PORT: u16 = 18_300;
+const OUTBOUND_PORT: u16 = 18_304;
+const READINESS_PORT: u16 = 18_302;
+const PEERS_PORT: u16 = 18_320;
+
+static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
+
+/// Runs a test on one thread, with an end of its own.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let limited = async { tokio::time::timeout(Duration::from_secs(20), test).await.expect("the test hangs") };
+    LocalSet::new().block_on(&runtime, limited);
+}
+
+/// Machines of one test; no other test uses their addresses.
+pub struct Fleet {
+    number: u8,
+    pub source: TestSource,
+}
+
+impl Fleet {
+    pub fn new() -> Self {
+        Fleet { number: NEXT_FLEET.fetch_add(1, Ordering::SeqCst), source: TestSource::default() }
+    }
+
+    pub fn ip(&self, machine: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, 77, self.number, machine))
+    }
+
+    pub fn outbound(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), OUTBOUND_PORT)
+    }
+
+    pub fn readiness(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), READINESS_PORT)
+    }
+
+    pub fn instance_address(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), INSTANCE_PORT)
+    }
+
+    /// Lists an instance of `service` on `machine`.
+    pub fn list(&self, machine: u8, name: &str, service: &str) -> Instance {
+        let instance = Instance {
+            name: InstanceName::new(name),
+            service: ServiceName::new(service),
+            address: self.instance_address(machine),
+            zone: ZoneName::new("zone"),
+            slots: 4,
+            state: InstanceState::Ready,
+        };
+        self.source.list(instance.clone());
+        instance
+    }
+
+    /// Starts the node of `machine`, beside an instance of `service`.
+    pub async fn start(&self, machine: u8, service: &str) -> Rc<Node> {
+        let ip = self.ip(machine);
+        let settings = SidecarSettings {
+            node: NodeName::new(format!("node-{machine}")),
+            zone: ZoneName::new("zone"),
+            service: ServiceName::new(service),
+            instance: self.instance_address(machine),
+            listen: ListenAddresses {
+                outbound: self.outbound(machine),
+                inbound: SocketAddr::new(ip, INBOUND_PORT),
+                readiness: self.readiness(machine),
+                peers: SocketAddr::new(ip, PEERS_PORT),
+                metrics: None,
+            },
+            source: SocketAddr::new(ip, 1),
+            heartbeat: Duration::from_millis(100),
+            bounds: Bounds {
+                contact: Duration::from_millis(300),
+                grace_period: Duration::from_secs(6),
+                drain: Duration::from_secs(2),
+                repeat_ratio: 1.0,
+                repeat_slack: 1_000.0,
+                repeat_window: Duration::from_secs(10),
+            },
+            machine: MachineLimits { memory_mb: 256, max_descriptors: 1_024 },
+        };
+        olivegate_sidecar::app::start(settings, VOCABULARY, self.source.clone()).await.unwrap()
+    }
+
+    /// Waits until `node` is ready.
+    pub async fn ready(node: &Rc<Node>) {
+        eventually("the node is ready", || node.is_ready()).await;
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("does not happen: {what}");
+}
+
+pub fn route(path_prefix: &str, service: &str, safety: RepeatSafety) -> Route {
+    Route {
+        name: format!("to-{service}{path_prefix}"),
+        host: "shop".into(),
+        path_prefix: path_prefix.into(),
+        parts: vec![WeightedPart { service: ServiceName::new(service), weight: 1 }],
+        safety,
+        timeout: Some(Millis(2_000)),
+        target_latency: Millis(1_000),
+        priority: 1,
+        attempts: 2,
+    }
+}
+
+pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
+    Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default() }
+}
+
+/// A source in memory that can be made to fail.
+#[derive(Clone, Default)]
+pub struct TestSource {
+    snapshot: Rc<RefCell<Snapshot>>,
+    down: Rc<Cell<bool>>,
+}
+
+impl TestSource {
+    pub fn configure(&self, configuration: Configuration) {
+        let mut snapshot = self.snapshot.borrow_mut();
+        snapshot.configuration = Some(configuration);
+        snapshot.revision.0 += 1;
+    }
+
+    pub fn list(&self, instance: Instance) {
+        let mut snapshot = self.snapshot.borrow_mut();
+        snapshot.revision.0 += 1;
+        let revision = snapshot.revision;
+        snapshot.instances.retain(|listed| listed.instance.name != instance.name);
+        snapshot.instances.push(ListedInstance { instance, revision });
+    }
+
+    pub fn unlist(&self, name: &str) {
+        let mut snapshot = self.snapshot.borrow_mut();
+        snapshot.revision.0 += 1;
+        snapshot.instances.retain(|listed| listed.instance.name.as_str() != name);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.down.set(down);
+    }
+}
+
+impl Source for TestSource {
+    async fn snapshot(&self, _limit: Duration) -> Result<Snapshot, SourceError> {
+        if self.down.get() {
+            return Err(SourceError::Refused(503));
+        }
+        Ok(self.snapshot.borrow().clone())
+    }
+
+    /// Forgets its history at once: each change is followed by reading everything.
+    async fn changes(&self, after: Revision, _wait: Duration, _limit: Duration) -> Result<Changes, SourceError> {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        if self.down.get() {
+            return Err(SourceError::Refused(503));
+        }
+        if self.snapshot.borrow().revision > after {
+            return Err(SourceError::HistoryGone);
+        }
+        Ok(Changes { changes: Vec::new(), revision: after })
+    }
+}
+
+/// What a test instance does with a request.
+#[derive(Debug, Clone)]
+pub enum Action {
+    Send(String),
+    Sleep(u64),
+    Close,
+    Reset,
+}
+
+/// A request that an instance received.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: RequestHead,
+    pub body: Bytes,
+}
+
+impl Seen {
+    pub fn field(&self, name: &str) -> String {
+        self.head.fields.text(name).unwrap_or_default().to_string()
+    }
+
+    pub fn id(&self) -> String {
+        self.field(VOCABULARY.request_id)
+    }
+}
+
+/// A scripted instance.
+#[derive(Clone, Default)]
+pub struct TestInstance {
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    /// Connections that ended while a request was being worked on.
+    pub abandoned: Rc<Cell<u32>>,
+}
+
+impl TestInstance {
+    /// Serves `address`; `script` says what to do with each request, given how many came
+    /// before it.
+    pub async fn start(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
+        let instance = TestInstance::default();
+        let listener = TcpListener::bind(address).await.unwrap();
+        let script = Rc::new(script);
+        let serving = instance.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serving.clone().connection(stream, script.clone()));
+            }
+        });
+        instance
+    }
+
+    async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
+        let (reading, mut writing) = stream.into_split();
+        let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
+        let mut current: Option<(RequestHead, BytesMut)> = None;
+        while let Some(Ok(frame)) = requests.next().await {
+            match (frame, current.take()) {
+                (Frame::Head(head, _), _) => current = Some((head, BytesMut::new())),
+                (Frame::Data(data), Some((head, mut body))) => {
+                    body.extend_from_slice(&data);
+                    current = Some((head, body));
+                }
+                (Frame::End, Some((head, body))) => {
+                    let seen = Seen { head, body: body.freeze() };
+                    let before = self.seen.borrow().len();
+                    self.seen.borrow_mut().push(seen.clone());
+                    for action in script(&seen, before) {
+                        match action {
+                            Action::Send(text) => {
+                                let _ = writing.write_all(text.as_bytes()).await;
+                            }
+                            Action::Sleep(millis) => tokio::select! {
+                                () = tokio::time::sleep(Duration::from_millis(millis)) => {}
+                                frame = requests.next() => {
+                                    if !matches!(frame, Some(Ok(_))) {
+                                        self.abandoned.set(self.abandoned.get() + 1);
+                                        return;
+                                    }
+                                }
+                            },
+                            Action::Close => return,
+                            Action::Reset => {
+                                let stream = requests.into_inner().reunite(writing).unwrap();
+                                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                                return;
+                            }
+                        }
+                    }
+                }
+                _ => return,
+            }
+        }
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+/// An instance's answer.
+pub fn answer(status: u16, id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-signature: s-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A whole answer as a client sees it.
+#[derive(Debug, Clone)]
+pub struct ClientAnswer {
+    pub head: ResponseHead,
+    pub body: String,
+    /// False when the connection ended inside the answer.
+    pub whole: bool,
+}
+
+impl ClientAnswer {
+    pub fn field(&self, name: &str) -> Option<String> {
+        self.head.fields.text(name).map(str::to_string)
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub writing: tokio::net::tcp::OwnedWriteHalf,
+    answers: FramedRead<tokio::net::tcp::OwnedReadHalf, ResponseDecoder>,
+}
+
+impl Client {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let (reading, writing) = TcpStream::connect(address).await.unwrap().into_split();
+        Client { writing, answers: FramedRead::new(reading, ResponseDecoder::new(65_536)) }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.writing.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// The next answer; `None` when the connection ended before it.
+    pub async fn answer(&mut self) -> Option<ClientAnswer> {
+        let mut head = None;
+        let mut body = Vec::new();
+        loop {
+            match self.answers.next().await {
+                Some(Ok(Frame::Head(read, _))) => head = Some(read),
+                Some(Ok(Frame::Data(data))) => body.extend_from_slice(&data),
+                Some(Ok(Frame::End)) => {
+                    let body = String::from_utf8_lossy(&body).into_owned();
+                    return head.map(|head| ClientAnswer { head, body, whole: true });
+                }
+                Some(Err(_)) | None => {
+                    let body = String::from_utf8_lossy(&body).into_owned();
+                    return head.map(|head| ClientAnswer { head, body, whole: false });
+                }
+            }
+        }
+    }
+
+    pub async fn ask(&mut self, text: &str) -> ClientAnswer {
+        self.send(text).await;
+        self.answer().await.expect("an answer")
+    }
+}
+
+/// A request without a body.
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n\r\n")
+}
+
+/// A request with a body.
+pub fn post(path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
