Levels step up gently where they were too high; tests of decisions and of the adapter

Cause: the new test of the level showed a saw-tooth between 0.36 and 1.0 under a constant shortage. Change: steps up begin small again at the level that was too high last time. Tests: decisions by example and by proptest (attempts, directory against any order of lists, changes and gaps, weights, repeat window, levels, least share), adapter against a stand-in of the store.

--- a/crates/overload/src/admission/outcome_levels.rs
+++ b/crates/overload/src/admission/outcome_levels.rs
@@ -30,12 +30,16 @@
 /// Growth in the largest step up: the steps grow while nothing fails, since after a fault
 /// the capacity may be back at once.
 const LARGEST_RISE: f64 = 0.40;
+/// Part of the level that was too high at which steps up begin small again.
+const BARRIER_PART: f64 = 0.85;
 /// Lowest level: some requests always go through, to see whether more can.
 const LOWEST: f64 = 0.1;
 
 #[derive(Debug, Clone)]
 struct RouteLevel {
     level: f64,
+    /// Level that was too high last time; steps up begin small again when it is reached.
+    too_high: f64,
     steps_up: u32,
     window_began: Moment,
     outcomes: u32,
@@ -65,8 +69,14 @@
         now: Moment,
     ) -> f64 {
         if !self.routes.contains_key(route) {
-            let fresh =
-                RouteLevel { level: 1.0, steps_up: 0, window_began: Moment::START, outcomes: 0, overloaded: 0 };
+            let fresh = RouteLevel {
+                level: 1.0,
+                too_high: 1.0,
+                steps_up: 0,
+                window_began: Moment::START,
+                outcomes: 0,
+                overloaded: 0,
+            };
             self.routes.insert(route.to_string(), fresh);
         }
         let Some(known) = self.routes.get_mut(route) else { return 1.0 };
@@ -87,17 +97,31 @@
 }
 
 impl RouteLevel {
+    /// One step up, larger with each step, up to the level that was too high last time; from
+    /// there on the steps begin small again.
+    fn rise(&mut self) {
+        self.steps_up += 1;
+        let growth = (FIRST_RISE * f64::from(self.steps_up)).min(LARGEST_RISE);
+        let next = (self.level * (1.0 + growth)).min(1.0);
+        let barrier = self.too_high * BARRIER_PART;
+        if self.level < barrier && next >= barrier {
+            self.level = barrier;
+            self.steps_up = 0;
+        } else {
+            self.level = next;
+        }
+    }
+
     /// Moves the level by the window's outcomes and begins a new window.
     fn judge(&mut self, importance: Importance, now: Moment) {
         let failing = f64::from(self.overloaded) / f64::from(self.outcomes);
         let factor = if importance.is_protected() { PROTECTED_FALL_FACTOR } else { FALL_FACTOR };
         if failing > FALL_ABOVE {
+            self.too_high = self.level;
             self.level = (self.level * (1.0 - failing * factor)).max(LOWEST);
             self.steps_up = 0;
         } else if failing < RISE_BELOW {
-            self.steps_up += 1;
-            let growth = (FIRST_RISE * f64::from(self.steps_up)).min(LARGEST_RISE);
-            self.level = (self.level * (1.0 + growth)).min(1.0);
+            self.rise();
         } else {
             self.steps_up = 0;
         }
--- /dev/null
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -0,0 +1,91 @@
+//! What follows an attempt without an answer.
+
+use std::time::Duration;
+
+use olivegate_sidecar::edge::attempts::{Attempts, Next, Verdict};
+use olivegate_sidecar::model::RepeatSafety::{self, Safe, Unsafe};
+use olivegate_sidecar::reply::{Failure, FailureReason};
+use olivegate_types::{InstanceName, Refusal, RefusalReason};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn refusal() -> Refusal {
+    Refusal::new(RefusalReason::PredictedWait, Duration::from_millis(100))
+}
+
+#[rstest]
+#[case::safe_may_run_twice(Safe, Failure::unknown(FailureReason::Broken), Next::TryAnother)]
+#[case::unsafe_may_not(Unsafe, Failure::unknown(FailureReason::Broken), Next::GiveUp(Verdict::Unknown))]
+#[case::not_run_is_sure(Unsafe, Failure::not_run(FailureReason::WrongInstance), Next::TryAnother)]
+#[case::not_sent_is_free(Unsafe, Failure::not_sent(FailureReason::Connect), Next::TryAnother)]
+fn after_a_failure(#[case] safety: RepeatSafety, #[case] failure: Failure, #[case] next: Next) {
+    assert_eq!(Attempts::new(safety, 2).on_failed(failure, || true), next);
+}
+
+#[rstest]
+fn without_a_repeat_left_the_verdict_follows_what_is_sure() {
+    let mut may_have_run = Attempts::new(Safe, 2);
+    let next = may_have_run.on_failed(Failure::unknown(FailureReason::Broken), || false);
+    assert_eq!(next, Next::GiveUp(Verdict::Unknown));
+    let mut not_run = Attempts::new(Unsafe, 2);
+    let next = not_run.on_failed(Failure::not_run(FailureReason::RefusedByInstance), || false);
+    assert!(matches!(next, Next::GiveUp(Verdict::NotRun(_))));
+}
+
+#[rstest]
+fn a_refusal_after_a_possible_run_is_not_called_not_run() {
+    let mut attempts = Attempts::new(Safe, 3);
+    attempts.on_failed(Failure::unknown(FailureReason::GateSilent), || true);
+    attempts.on_refused(refusal());
+    assert_eq!(attempts.on_no_candidate(), Verdict::Unknown);
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Refused,
+    NotSent,
+    NotRun,
+    Unknown,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![Just(Step::Refused), Just(Step::NotSent), Just(Step::NotRun), Just(Step::Unknown)];
+    proptest::collection::vec(step, 0..12)
+}
+
+proptest! {
+    /// However attempts end: an unsafe request reaches no instance once it may have run, no
+    /// request reaches more instances than its route allows, and `NotRun` is only said when
+    /// nothing may have run.
+    #[test]
+    fn arrivals_and_verdicts_keep_their_promises(is_safe: bool, most in 1_u32..4, grants: u16, steps in steps()) {
+        let mut attempts = Attempts::new(if is_safe { Safe } else { Unsafe }, most);
+        let (mut arrivals, mut may_have_run) = (0, false);
+        let mut verdict = None;
+        for (index, step) in steps.into_iter().enumerate() {
+            attempts.on_offer(&InstanceName::new(format!("i-{index}")));
+            let granted = grants >> (index % 16) & 1 == 1;
+            let next = match step {
+                Step::Refused => attempts.on_refused(refusal()),
+                Step::NotSent => attempts.on_failed(Failure::not_sent(FailureReason::Connect), || granted),
+                Step::NotRun => {
+                    arrivals += 1;
+                    attempts.on_failed(Failure::not_run(FailureReason::RefusedByInstance), || granted)
+                }
+                Step::Unknown => {
+                    prop_assert!(is_safe || !may_have_run);
+                    arrivals += 1;
+                    may_have_run = true;
+                    attempts.on_failed(Failure::unknown(FailureReason::Broken), || granted)
+                }
+            };
+            prop_assert!(arrivals <= most);
+            if let Next::GiveUp(given) = next {
+                verdict = Some(given);
+                break;
+            }
+        }
+        let verdict = verdict.unwrap_or_else(|| attempts.on_no_candidate());
+        prop_assert_eq!(matches!(verdict, Verdict::Unknown), may_have_run);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -0,0 +1,198 @@
+//! The directory against a source that is read in any order, with gaps and disturbances.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use olivegate_sidecar::directory::{Directory, HoldPolicy, Standing};
+use olivegate_sidecar::model::{Instance, InstanceState, Revision};
+use olivegate_sidecar::source::{Change, ListedInstance};
+use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const POLICY: HoldPolicy =
+    HoldPolicy { disturbed_for: Duration::from_millis(3_000), rewrite_within: Duration::from_millis(3_000) };
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn instance(name: &str, state: InstanceState) -> Instance {
+    Instance {
+        name: InstanceName::new(name),
+        service: ServiceName::new("books"),
+        address: "127.0.0.1:8301".parse().unwrap(),
+        zone: ZoneName::new("north"),
+        slots: 4,
+        state,
+    }
+}
+
+fn listed(name: &str, state: InstanceState, revision: u64) -> ListedInstance {
+    ListedInstance { instance: instance(name, state), revision: Revision(revision) }
+}
+
+fn ready(directory: &Directory) -> Vec<String> {
+    let instances = directory.ready_instances(&ServiceName::new("books"));
+    instances.iter().map(|instance| instance.name.to_string()).collect()
+}
+
+#[rstest]
+fn a_calm_source_is_believed_at_once() {
+    let mut directory = Directory::new(POLICY);
+    let both = [listed("a", InstanceState::Ready, 1), listed("b", InstanceState::Ready, 2)];
+    assert!(directory.apply_snapshot(&both, Revision(2), at(0)));
+    assert_eq!(ready(&directory), ["a", "b"]);
+    assert!(directory.apply_snapshot(&both[1..], Revision(3), at(10)));
+    assert_eq!(ready(&directory), ["b"]);
+    assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Gone);
+}
+
+#[rstest]
+fn what_goes_missing_in_a_disturbance_is_held_until_the_source_was_calm() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.note_disturbance(at(1_000));
+    directory.apply_snapshot(&[], Revision(2), at(1_500));
+    assert_eq!(ready(&directory), ["a"]);
+    assert!(!directory.expire(at(3_900)), "the source was disturbed until 4,000");
+    assert!(!directory.expire(at(4_400)), "it has not had the time to come back");
+    assert!(directory.expire(at(4_600)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_draining_instance_is_never_held() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision(1), at(0));
+    directory.note_disturbance(at(10));
+    directory.apply_snapshot(&[], Revision(2), at(20));
+    assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Gone);
+}
+
+#[rstest]
+fn an_older_state_changes_nothing() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 9)], Revision(9), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 4)], Revision(4), at(1));
+    directory.apply_change(&Change::Instance(listed("a", InstanceState::Ready, 5)), at(2));
+    assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Draining);
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(6) };
+    directory.apply_change(&gone, at(3));
+    assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Draining);
+}
+
+#[rstest]
+fn an_observed_instance_is_used_until_the_source_should_list_it() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.note_gone(&InstanceName::new("a"), at(100));
+    assert!(directory.observe(instance("b", InstanceState::Ready), at(100)));
+    assert_eq!(ready(&directory), ["b"]);
+    directory.apply_snapshot(&[], Revision(2), at(200));
+    assert_eq!(ready(&directory), ["b"]);
+    assert!(!directory.observe(instance("a", InstanceState::Ready), at(300)), "a is known to be gone");
+    assert!(directory.expire(at(3_200)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_copy_brings_another_node_to_the_same_state() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(5), at(0));
+    let mut other = Directory::new(POLICY);
+    assert!(other.apply_copy(&directory.copy(), at(0)));
+    assert_eq!((ready(&other), other.revision()), (vec!["a".to_string()], Revision(5)));
+    assert!(!other.apply_copy(&directory.copy(), at(1)), "nothing newer");
+}
+
+/// A change of the source, or a way of reading it.
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, bool),
+    Remove(u8),
+    ReadAll,
+    ReadChanges,
+    ForgetHistory,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (0_u8..5, any::<bool>()).prop_map(|(name, draining)| Step::Write(name, draining)),
+        2 => (0_u8..5).prop_map(Step::Remove),
+        1 => Just(Step::ReadAll),
+        3 => Just(Step::ReadChanges),
+        1 => Just(Step::ForgetHistory),
+    ];
+    proptest::collection::vec(step, 0..40)
+}
+
+#[derive(Default)]
+struct Model {
+    revision: u64,
+    entries: BTreeMap<u8, ListedInstance>,
+    history: Vec<Change>,
+}
+
+impl Model {
+    fn snapshot(&self) -> Vec<ListedInstance> {
+        self.entries.values().cloned().collect()
+    }
+
+    fn ready(&self) -> Vec<String> {
+        let ready = self.entries.values().filter(|listed| listed.instance.state == InstanceState::Ready);
+        ready.map(|listed| listed.instance.name.to_string()).collect()
+    }
+}
+
+proptest! {
+    /// In whatever order lists and changes are read, a calm source's last reading is what the
+    /// directory shows.
+    #[test]
+    fn the_directory_follows_a_calm_source(steps in steps()) {
+        let mut model = Model::default();
+        let mut directory = Directory::new(POLICY);
+        let mut time = 0;
+        for step in steps.into_iter().chain([Step::ReadChanges, Step::ReadAll]) {
+            time += 10;
+            match step {
+                Step::Write(name, draining) => {
+                    model.revision += 1;
+                    let state = if draining { InstanceState::Draining } else { InstanceState::Ready };
+                    let entry = listed(&format!("i-{name}-{}", model.revision), state, model.revision);
+                    if let Some(old) = model.entries.insert(name, entry.clone()) {
+                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision(model.revision) });
+                    }
+                    model.history.push(Change::Instance(entry));
+                }
+                Step::Remove(name) => {
+                    if let Some(old) = model.entries.remove(&name) {
+                        model.revision += 1;
+                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision(model.revision) });
+                    }
+                }
+                Step::ForgetHistory => {
+                    // A node that is told so reads everything.
+                    model.history.clear();
+                    directory.apply_snapshot(&model.snapshot(), Revision(model.revision), at(time));
+                }
+                Step::ReadAll => {
+                    directory.apply_snapshot(&model.snapshot(), Revision(model.revision), at(time));
+                    prop_assert_eq!(sorted(ready(&directory)), sorted(model.ready()));
+                }
+                Step::ReadChanges => {
+                    for change in model.history.drain(..) {
+                        directory.apply_change(&change, at(time));
+                    }
+                    directory.advance(Revision(model.revision));
+                    prop_assert_eq!(sorted(ready(&directory)), sorted(model.ready()));
+                }
+            }
+        }
+    }
+}
+
+fn sorted(mut names: Vec<String>) -> Vec<String> {
+    names.sort();
+    names
+}
--- /dev/null
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -0,0 +1,8 @@
+//! Decisions without I/O, by example and against simple oracles.
+
+mod attempts;
+mod directory;
+mod freshness;
+mod lineage;
+mod routes;
+mod settings;
--- /dev/null
+++ b/crates/sidecar/tests/decisions/routes.rs
@@ -0,0 +1,62 @@
+//! Routes and weights.
+
+use olivegate_sidecar::model::{
+    ClientLimits, Configuration, ConfigurationVersion, Millis, RepeatSafety, Route, WeightedPart,
+};
+use olivegate_sidecar::routes::{RouteTable, WeightedDealer};
+use olivegate_types::ServiceName;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn route(name: &str, host: &str, path_prefix: &str, weights: &[u32]) -> Route {
+    let part =
+        |(index, &weight): (usize, &u32)| WeightedPart { service: ServiceName::new(format!("s{index}")), weight };
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        parts: weights.iter().enumerate().map(part).collect(),
+        safety: RepeatSafety::Safe,
+        timeout: None,
+        target_latency: Millis(100),
+        priority: 0,
+        attempts: 1,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(&Configuration { version: ConfigurationVersion(1), routes, limits: ClientLimits::default() })
+}
+
+#[rstest]
+#[case::longest("a", "/x/y/z", Some("deep"))]
+#[case::shorter("a", "/x/other", Some("wide"))]
+#[case::whole_segments("a", "/x", None)]
+#[case::other_host("b", "/x/y/z", Some("other"))]
+#[case::unknown_host("c", "/x/", None)]
+fn the_longest_prefix_of_the_host_wins(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let routes =
+        vec![route("wide", "a", "/x/", &[1]), route("deep", "a", "/x/y/", &[1]), route("other", "b", "/x/", &[1])];
+    let found = table(routes).find(host, path);
+    assert_eq!(found.as_ref().map(|route| route.name.as_str()), expected);
+}
+
+proptest! {
+    /// After any number of requests each part is within one of its share.
+    #[test]
+    fn each_part_gets_its_share(weights in proptest::collection::vec(1_u32..100, 1..5), requests in 1_usize..400) {
+        let route = route("r", "a", "/", &weights);
+        let mut dealer = WeightedDealer::default();
+        let mut counts = vec![0_usize; weights.len()];
+        for _ in 0..requests {
+            let service = dealer.deal(&route).unwrap();
+            let index = route.parts.iter().position(|part| part.service == service).unwrap();
+            counts[index] += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (count, weight) in counts.iter().zip(&weights) {
+            let share = requests as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((*count as f64 - share).abs() <= weights.len() as f64, "{count} of {share}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/tests/decisions/settings.rs
@@ -0,0 +1,49 @@
+//! Settings: what is read, and that every mistake is named.
+
+use std::time::Duration;
+
+use olivegate_sidecar::SidecarSettings;
+use rstest::rstest;
+
+const SETTINGS: &str = r#"
+node = "sidecar-1"
+zone = "north"
+service = "books"
+instance = "10.1.0.8:8301"
+[listen]
+outbound = "10.1.0.8:8304"
+inbound = "10.1.0.8:8300"
+readiness = "10.1.0.8:8302"
+peers_port = 7620
+[source]
+address = "10.200.1.7:8309"
+heartbeat_ms = 1500
+[bounds]
+contact_ms = 3000
+grace_period_s = 6.5
+repeat_ratio = 0.2
+[machine]
+memory_mb = 260
+"#;
+
+#[rstest]
+fn whole_settings_are_read() {
+    let settings = SidecarSettings::from_toml(SETTINGS).unwrap();
+    assert_eq!(settings.node.as_str(), "sidecar-1");
+    assert_eq!(settings.listen.peers.to_string(), "10.1.0.8:7620");
+    assert_eq!(settings.bounds.grace_period, Duration::from_millis(6_500));
+    assert_eq!(settings.bounds.drain, Duration::from_secs(2), "the default");
+    assert_eq!(settings.inbound_of("10.1.0.9".parse().unwrap()).to_string(), "10.1.0.9:8300");
+}
+
+#[rstest]
+#[case::missing("node = \"sidecar-1\"", "", "field=node")]
+#[case::not_an_address("10.1.0.8:8304", "nowhere", "field=listen.outbound")]
+#[case::unknown_field("[machine]", "[machine]\nfoo = 1", "field=machine.foo")]
+#[case::out_of_range("repeat_ratio = 0.2", "repeat_ratio = -1", "field=bounds.repeat_ratio")]
+#[case::no_number("contact_ms = 3000", "contact_ms = \"soon\"", "field=bounds.contact_ms")]
+#[case::port("peers_port = 7620", "peers_port = 0", "field=listen.peers_port")]
+fn a_mistake_is_named(#[case] right: &str, #[case] wrong: &str, #[case] named: &str) {
+    let mistakes = SidecarSettings::from_toml(&SETTINGS.replace(right, wrong)).unwrap_err().to_string();
+    assert!(mistakes.contains(named), "{mistakes}");
+}
