Logs: one line for each decision, bounded, never waiting for their reader; logs explain, summary

Cause: on-call engineers have only logs and metrics; lines were written straight to standard output, which can block, and showed no decisions of the gate. Tests: the stuck reader (it found an unbounded batch, mended), the budgets, the story's order.

--- a/crates/olivegate/src/command.rs
+++ b/crates/olivegate/src/command.rs
@@ -23,6 +23,10 @@
       Run a node beside one instance, on the users' platform.
   olivegate sidecar check FILE
       Check a sidecar's settings file; every mistake is named.
+  olivegate logs explain REQUEST_ID FILE...
+      Print the story of a request from the logs of many nodes.
+  olivegate logs summary FILE...
+      Count refusals and failures by second, route and cause.
   olivegate settings check FILE
       Check a settings file; every mistake is named.
   olivegate bundle check FILE
@@ -59,6 +63,18 @@
         /// Least severe level that is logged.
         log_level: LevelFilter,
     },
+    /// Tell the story of a request.
+    LogsExplain {
+        /// The request.
+        request: String,
+        /// Log files of nodes.
+        files: Vec<PathBuf>,
+    },
+    /// Count refusals and failures.
+    LogsSummary {
+        /// Log files of nodes.
+        files: Vec<PathBuf>,
+    },
     /// Run a sidecar.
     Sidecar {
         /// Settings file.
@@ -167,6 +183,7 @@
     match name.as_str() {
         "node" => read_node(arguments),
         "sidecar" => read_sidecar(arguments),
+        "logs" => read_logs(arguments),
         "settings" => match subcommand(arguments)?.as_str() {
             "check" => Ok(Command::SettingsCheck { file: arguments.free_from_str()? }),
             other => Err(UsageError::UnknownCommand(format!("settings {other}"))),
@@ -212,6 +229,23 @@
     }
 }
 
+fn read_logs(arguments: &mut Arguments) -> Result<Command, UsageError> {
+    let command = subcommand(arguments)?;
+    let request = match command.as_str() {
+        "explain" => Some(arguments.free_from_str()?),
+        "summary" => None,
+        other => return Err(UsageError::UnknownCommand(format!("logs {other}"))),
+    };
+    let mut files = vec![arguments.free_from_str()?];
+    while let Some(file) = arguments.opt_free_from_str()? {
+        files.push(file);
+    }
+    Ok(match request {
+        Some(request) => Command::LogsExplain { request, files },
+        None => Command::LogsSummary { files },
+    })
+}
+
 fn read_bundle(arguments: &mut Arguments) -> Result<Command, UsageError> {
     match subcommand(arguments)?.as_str() {
         "check" => Ok(Command::BundleCheck { file: arguments.free_from_str()? }),
--- a/crates/olivegate/src/error.rs
+++ b/crates/olivegate/src/error.rs
@@ -16,6 +16,8 @@
     Node(String),
     /// The admin port gave no usable answer.
     Admin(String),
+    /// No log line is about this request.
+    NotInLogs(String),
     /// Calls in flight were cut off by a stop.
     CutOff,
 }
@@ -35,6 +37,9 @@
             }
             CommandError::Node(reason) => write!(formatter, "node failed: {reason}"),
             CommandError::Admin(reason) => write!(formatter, "admin port: {reason}"),
+            CommandError::NotInLogs(request) => {
+                write!(formatter, "request={request}: no line about it in these files")
+            }
             CommandError::CutOff => formatter.write_str("calls in flight were cut off after the stop timeout"),
         }
     }
--- a/crates/olivegate/src/lib.rs
+++ b/crates/olivegate/src/lib.rs
@@ -3,12 +3,16 @@
 //! - [`command`]: which command was asked for; usage errors.
 //! - [`node_command`]: `node` and `settings check`.
 //! - [`sidecar_command`]: `sidecar` and `sidecar check`.
+//! - [`logs_command`]: `logs explain` and `logs summary`.
+//! - [`log_output`]: log lines to standard output without waiting for its reader.
 //! - [`bundle_command`]: `bundle check`, `sign`, `diff` and `key`.
 //! - [`operator_command`]: `status` and `explain`.
 
 pub mod bundle_command;
 pub mod command;
 pub mod error;
+pub mod log_output;
+pub mod logs_command;
 pub mod node_command;
 pub mod operator_command;
 pub mod sidecar_command;
@@ -53,6 +57,8 @@
             Ok(())
         }
         Command::Node { settings, overrides, log_level } => node_command::run(&settings, &overrides, log_level),
+        Command::LogsExplain { request, files } => logs_command::explain(&request, &files),
+        Command::LogsSummary { files } => logs_command::print_summary(&files),
         Command::Sidecar { settings, log_level } => sidecar_command::run(&settings, log_level),
         Command::SidecarCheck { file } => sidecar_command::check(&file),
         Command::SettingsCheck { file } => node_command::check(&file),
--- a/crates/olivegate/src/sidecar_command.rs
+++ b/crates/olivegate/src/sidecar_command.rs
@@ -9,6 +9,7 @@
 use simplelog::{ConfigBuilder, WriteLogger};
 
 use crate::error::CommandError;
+use crate::log_output::QueuedOutput;
 
 fn read_settings(file: &Path) -> Result<SidecarSettings, CommandError> {
     let text = std::fs::read_to_string(file).map_err(|error| CommandError::Read(file.to_path_buf(), error))?;
@@ -30,7 +31,7 @@
         .set_thread_level(LevelFilter::Off)
         .add_filter_allow_str("olivegate")
         .build();
-    if WriteLogger::init(level, config, std::io::stdout()).is_err() {
+    if WriteLogger::init(level, config, QueuedOutput::new(std::io::stdout())).is_err() {
         eprintln!("olivegate: logging was started before");
     }
 }
--- /dev/null
+++ b/crates/olivegate/tests/logs.rs
@@ -0,0 +1,79 @@
+//! Logs: written without waiting for a reader, read again as the story of a request.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use olivegate::log_output::QueuedOutput;
+use olivegate::logs_command::{merge, parse, story, summary};
+use rstest::rstest;
+
+const EDGE: &str = "\
+2026-01-01T10:00:00.100Z [INFO] event=offered request=r1 route=books instance=i-1
+2026-01-01T10:00:00.100Z [INFO] event=offered request=r2 route=books instance=i-1
+2026-01-01T09:59:58.500Z [INFO] event=own_answer request=r1 route=books status=503 reason=predicted-wait attempts=\"i-1:predicted-wait\"
+";
+const GATE: &str = "\
+12.3 sidecar-2 2026-01-01T10:00:00.101Z [INFO] event=offer_refused request=r1 route=books instance=i-1 reason=predicted-wait
+no event here
+";
+
+#[rstest]
+fn a_story_keeps_each_nodes_order_also_when_its_clock_steps_back() {
+    let lines = merge(vec![parse("edge", EDGE), parse("gate", GATE)]);
+    let events: Vec<String> =
+        story(&lines, "r1").iter().map(|line| line.field("event").unwrap().to_string()).collect();
+    assert_eq!(events, ["offered", "own_answer", "offer_refused"]);
+    assert!(story(&lines, "r9").is_empty());
+}
+
+#[rstest]
+fn a_summary_counts_causes_by_second() {
+    let counts = summary(&merge(vec![parse("edge", EDGE), parse("gate", GATE)]));
+    let counts: Vec<(&str, usize)> = counts.iter().map(|(cause, count)| (cause.as_str(), *count)).collect();
+    let expected = [
+        ("2026-01-01T09:59:58 own_answer route=books reason=predicted-wait", 1),
+        ("2026-01-01T10:00:00 offer_refused route=books reason=predicted-wait", 1),
+    ];
+    assert_eq!(counts, expected);
+}
+
+/// A destination that takes nothing until it is told to.
+#[derive(Clone, Default)]
+struct Stuck {
+    gate: Arc<Mutex<()>>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        drop(self.gate.lock().unwrap());
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[rstest]
+fn a_reader_that_is_stuck_holds_nobody_up_and_learns_what_it_missed() {
+    let destination = Stuck::default();
+    let stuck = destination.gate.lock().unwrap();
+    let mut output = QueuedOutput::new(destination.clone());
+    let began = Instant::now();
+    for number in 0..50_000 {
+        writeln!(output, "event=line number={number}").unwrap();
+    }
+    assert!(began.elapsed() < Duration::from_secs(5), "took {:?}", began.elapsed());
+    assert!(output.dropped() > 40_000);
+    drop(stuck);
+    let told = || {
+        String::from_utf8_lossy(&destination.written.lock().unwrap()).contains("event=log_lines_dropped count=")
+    };
+    while !told() {
+        assert!(began.elapsed() < Duration::from_secs(20), "the loss is never told");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -62,6 +62,15 @@
     Neutral,
 }
 
+/// A gate's report as an edge remembers it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Report {
+    /// Requests in the instance and waiting, over its limit.
+    pub occupancy: f64,
+    /// Age of the report; the longest span when there was none.
+    pub age: Duration,
+}
+
 #[derive(Debug, Clone, Default)]
 struct State {
     outstanding: u32,
@@ -195,6 +204,13 @@
         state.reported_at = Some(now);
     }
 
+    /// What the gate of `instance` last reported.
+    pub fn reported(&self, instance: &InstanceName, now: Moment) -> Report {
+        let state = self.states.get(instance);
+        let age = state.and_then(|state| state.reported_at).map_or(Duration::MAX, |at| now.since(at));
+        Report { occupancy: state.map_or(0.0, |state| state.reported_occupancy), age }
+    }
+
     /// Notes how long requests spend in the instance, as a part of their objective.
     pub fn on_slowness(&mut self, instance: &InstanceName, slowness: f64, now: Moment) {
         let state = self.states.entry(instance.clone()).or_default();
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -36,6 +36,7 @@
     may_have_run: bool,
     tried: Vec<InstanceName>,
     last_refusal: Option<Refusal>,
+    trail: String,
 }
 
 impl Attempts {
@@ -48,9 +49,25 @@
             may_have_run: false,
             tried: Vec::new(),
             last_refusal: None,
+            trail: String::new(),
         }
     }
 
+    /// What became of each attempt, in order, for log lines.
+    pub fn trail(&self) -> &str {
+        &self.trail
+    }
+
+    fn note(&mut self, result: &str) {
+        if !self.trail.is_empty() {
+            self.trail.push(',');
+        }
+        let instance = self.tried.last().map_or("none", |name| name.as_str());
+        self.trail.push_str(instance);
+        self.trail.push(':');
+        self.trail.push_str(result);
+    }
+
     /// Instances that the request was offered to.
     pub fn tried(&self) -> &[InstanceName] {
         &self.tried
@@ -73,6 +90,7 @@
 
     /// The gate refused.
     pub fn on_refused(&mut self, refusal: Refusal) -> Next {
+        self.note(refusal.reason.as_str());
         self.last_refusal = Some(refusal);
         Next::TryAnother
     }
@@ -80,6 +98,7 @@
     /// The exchange gave no answer. `take_repeat` takes a repeat from the budget and is
     /// asked only when one is needed.
     pub fn on_failed(&mut self, failure: Failure, take_repeat: impl FnOnce() -> bool) -> Next {
+        self.note(failure.reason.as_str());
         self.arrivals += u32::from(failure.arrived);
         self.may_have_run |= failure.may_have_run;
         if self.may_have_run && self.safety == RepeatSafety::Unsafe {
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
+use crate::event::{LineClass, shown};
 use crate::gate::{self, importance_of_priority};
 use crate::hop::{Offer, OfferedBody};
 use crate::model::{Instance, Route};
@@ -50,12 +51,13 @@
 /// How a request fared before its answer was made.
 struct Outcome {
     route: Option<Rc<Route>>,
-    result: Result<Answer, OwnAnswer>,
+    /// What became of each attempt.
+    trail: String,
 }
 
 impl Outcome {
-    fn unrouted(own: OwnAnswer) -> Self {
-        Outcome { route: None, result: Err(own) }
+    fn route_name(&self) -> &str {
+        self.route.as_ref().map_or("none", |route| route.name.as_str())
     }
 }
 
@@ -63,55 +65,80 @@
 pub async fn answer(node: &Rc<Node>, taken: TakenRequest) -> Answer {
     let arrived = clock::now();
     let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
-    let outcome = run(node, taken, arrived).await;
-    let route_name = outcome.route.as_ref().map_or("none", |route| route.name.as_str());
+    let shown_id = id.clone().unwrap_or_default();
+    let mut outcome = Outcome { route: None, trail: String::new() };
+    let result = run(node, taken, arrived, &mut outcome).await;
     let elapsed = clock::now().since(arrived);
-    let answer = match outcome.result {
+    let answer = match result {
         Ok(answer) => {
             let result = if answer.head.status < 400 { "answered" } else { "instance-failed" };
-            node.metrics.on_answer(route_name, result, elapsed);
+            node.metrics.on_answer(outcome.route_name(), result, elapsed);
+            log_answer(node, &shown_id, &outcome, &answer, elapsed);
             answer
         }
         Err(own) => {
-            node.metrics.on_answer(route_name, own.reason(), elapsed);
-            log_own_answer(node, id.as_ref(), route_name, own, elapsed);
+            node.metrics.on_answer(outcome.route_name(), own.reason(), elapsed);
+            log_own_answer(node, &shown_id, &outcome, own, elapsed);
             own.to_answer(&node.vocabulary, id.as_ref())
         }
     };
     if answer.overloaded {
-        node.lineage.borrow_mut().on_refused(route_name, clock::now());
+        node.lineage.borrow_mut().on_refused(outcome.route_name(), clock::now());
     }
     answer
 }
 
-fn log_own_answer(node: &Node, id: Option<&Bytes>, route: &str, own: OwnAnswer, elapsed: Duration) {
-    if node.may_log() {
+fn log_own_answer(node: &Node, id: &[u8], outcome: &Outcome, own: OwnAnswer, elapsed: Duration) {
+    let class = match own {
+        OwnAnswer::NotRun { .. } => LineClass::Refusal,
+        _ => LineClass::Failure,
+    };
+    if !node.may_log(class, id) {
+        return;
+    }
+    log::info!(
+        "event=own_answer request={} route={} status={} reason={} version={} after_ms={} attempts={:?}",
+        shown(id),
+        outcome.route_name(),
+        own.status(),
+        own.reason(),
+        node.known_state().configuration,
+        elapsed.as_millis(),
+        outcome.trail,
+    );
+}
+
+fn log_answer(node: &Node, id: &[u8], outcome: &Outcome, answer: &Answer, elapsed: Duration) {
+    let class = if answer.head.status < 500 { LineClass::Routine } else { LineClass::Failure };
+    if node.may_log(class, id) {
         log::info!(
-            "event=own_answer request={} route={route} status={} reason={} after_ms={}",
-            id.map(|id| String::from_utf8_lossy(id)).unwrap_or_default(),
-            own.status(),
-            own.reason(),
+            "event=answered request={} route={} status={} overloaded={} after_ms={} attempts={:?}",
+            shown(id),
+            outcome.route_name(),
+            answer.head.status,
+            answer.overloaded,
             elapsed.as_millis(),
+            outcome.trail,
         );
     }
 }
 
-async fn run(node: &Rc<Node>, taken: TakenRequest, arrived: Moment) -> Outcome {
+async fn run(
+    node: &Rc<Node>,
+    taken: TakenRequest,
+    arrived: Moment,
+    outcome: &mut Outcome,
+) -> Result<Answer, OwnAnswer> {
     let Some(routes) = node.routes() else {
         let reason = RefusalReason::NodeNotReady;
-        return Outcome::unrouted(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER });
-    };
-    let request = match request::check(&taken.head, &routes, &node.vocabulary) {
-        Ok(request) => request,
-        Err(own) => return Outcome::unrouted(own),
+        return Err(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER });
     };
+    let request = request::check(&taken.head, &routes, &node.vocabulary)?;
     let route = request.route.clone();
+    outcome.route = Some(route.clone());
     node.lineage.borrow_mut().observe(&route.name, arrived + request.sender_time);
-    let result = match admit(node, &route, arrived) {
-        Ok(()) => dispatch(node, taken, request, arrived).await,
-        Err(own) => Err(own),
-    };
-    Outcome { route: Some(route), result }
+    admit(node, &route, arrived)?;
+    dispatch(node, taken, request, arrived, &mut outcome.trail).await
 }
 
 /// Lets a request begin, or refuses it because requests like it fail further down. Calls
@@ -136,6 +163,7 @@
     taken: TakenRequest,
     request: CheckedRequest,
     arrived: Moment,
+    trail: &mut String,
 ) -> Result<Answer, OwnAnswer> {
     let dealt = node.dealer.borrow_mut().deal(&request.route);
     let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
@@ -149,10 +177,10 @@
     let mut dispatch =
         Dispatch { node, request, service, head, whole_body, streamed, body_is_spent: false, arrived, deadline };
     let limit = clock::instant_of(deadline);
-    match tokio::time::timeout_at(limit, dispatch.run()).await {
-        Ok(result) => result,
-        Err(_) => Err(OwnAnswer::TimedOut),
-    }
+    let mut attempts = Attempts::new(dispatch.request.route.safety, dispatch.request.route.attempts);
+    let result = tokio::time::timeout_at(limit, dispatch.run(&mut attempts)).await;
+    *trail = attempts.trail().to_string();
+    result.unwrap_or(Err(OwnAnswer::TimedOut))
 }
 
 /// The head as every instance is to get it.
@@ -167,11 +195,9 @@
 }
 
 impl Dispatch<'_> {
-    async fn run(&mut self) -> Result<Answer, OwnAnswer> {
-        let route = self.request.route.clone();
-        let mut attempts = Attempts::new(route.safety, route.attempts);
+    async fn run(&mut self, attempts: &mut Attempts) -> Result<Answer, OwnAnswer> {
         loop {
-            let Some(instance) = self.choose(&attempts) else {
+            let Some(instance) = self.choose(attempts) else {
                 return Err(attempts.on_no_candidate().into());
             };
             attempts.on_offer(&instance.name);
@@ -229,6 +255,7 @@
         let name = instance.name.clone();
         let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
         self.node.balancer.borrow_mut().on_send(&name);
+        self.log_offer(instance);
         let (reply, load) = if instance.address.ip() == settings.ip() {
             let body = self.take_body();
             let reply = gate::run_offer(self.node, offer, body).await;
@@ -246,6 +273,22 @@
         reply
     }
 
+    fn log_offer(&self, instance: &Instance) {
+        if self.node.may_log(LineClass::Routine, &self.request.id) {
+            let occupancy = self.node.balancer.borrow().reported(&instance.name, clock::now());
+            log::info!(
+                "event=offered request={} route={} instance={} zone={} occupancy={:.2} report_age_ms={} left_ms={}",
+                shown(&self.request.id),
+                self.request.route.name,
+                instance.name,
+                instance.zone,
+                occupancy.occupancy,
+                occupancy.age.as_millis(),
+                self.deadline.since(clock::now()).as_millis(),
+            );
+        }
+    }
+
     fn take_body(&mut self) -> Body {
         match self.take_stream() {
             Some((pieces, length)) => Body::Stream(pieces, length),
@@ -308,10 +351,10 @@
 
     fn note_failure(&self, instance: &Instance, failure: Failure) {
         self.node.metrics.failed_attempts.with_label_values(&[failure.reason.as_str()]).inc();
-        if self.node.may_log() {
+        if self.node.may_log(LineClass::Failure, &self.request.id) {
             log::info!(
                 "event=attempt_failed request={} route={} instance={} reason={} may_have_run={}",
-                String::from_utf8_lossy(&self.request.id),
+                shown(&self.request.id),
                 self.request.route.name,
                 instance.name,
                 failure.reason.as_str(),
--- a/crates/sidecar/src/event.rs
+++ b/crates/sidecar/src/event.rs
@@ -1,35 +1,77 @@
 //! Log lines about requests, bounded in volume.
 //!
-//! Failures and refusals are logged within a budget of lines a second; what is left out is
-//! counted and told. Everything else about single requests is logged at debug level.
+//! Each line is `event=NAME key=value ...`; docs/OPERATIONS.md lists names and fields. What
+//! goes well is logged for a sample of requests, chosen by the request's id so that all nodes
+//! choose the same ones. Refusals and failures are logged for every request. Each class has a
+//! budget of lines a second; what is left out is counted and told.
 
 use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use olivegate_types::Moment;
 
-/// Lines about failed or refused requests in one second.
-const LINES_PER_SECOND: u32 = 60;
+/// One request in so many is followed through all its decisions.
+const SAMPLED_ONE_IN: u64 = 32;
+
+/// Classes of lines about requests, each with a budget of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LineClass {
+    /// A decision on the way of a sampled request.
+    Routine,
+    /// Something was refused; nothing is lost.
+    Refusal,
+    /// Something failed, or was given up.
+    Failure,
+}
+
+/// Budgets by class, in lines a second.
+const BUDGETS: [(LineClass, u32); 3] =
+    [(LineClass::Routine, 40), (LineClass::Refusal, 30), (LineClass::Failure, 50)];
 
-/// Budget of log lines about requests.
 #[derive(Debug, Default)]
-pub struct LineBudget {
+struct Budget {
     second: Cell<u64>,
     used: Cell<u32>,
     left_out: Cell<u64>,
 }
 
-impl LineBudget {
-    /// True when a line may be written now. Says first how many were left out before.
-    pub fn take(&self, now: Moment) -> bool {
+/// Budgets of log lines about requests.
+#[derive(Debug, Default)]
+pub struct LineBudgets {
+    budgets: [Budget; BUDGETS.len()],
+}
+
+/// True when the request with this id is followed through all its decisions.
+pub fn is_sampled(request_id: &[u8]) -> bool {
+    let mut hasher = DefaultHasher::new();
+    request_id.hash(&mut hasher);
+    hasher.finish() % SAMPLED_ONE_IN == 0
+}
+
+impl LineBudgets {
+    /// True when a line of `class` about this request may be written now. Says first how many
+    /// were left out before.
+    pub fn take(&self, class: LineClass, request_id: &[u8], now: Moment) -> bool {
+        if class == LineClass::Routine && !is_sampled(request_id) {
+            return false;
+        }
+        let index = class as usize;
+        let (_, allowed) = BUDGETS[index];
+        self.budgets[index].take(class, allowed, now)
+    }
+}
+
+impl Budget {
+    fn take(&self, class: LineClass, allowed: u32, now: Moment) -> bool {
         let second = now.since_start().as_secs();
         if self.second.replace(second) != second {
             self.used.set(0);
             let left_out = self.left_out.take();
             if left_out > 0 {
-                log::warn!("event=lines_left_out count={left_out}");
+                log::warn!("event=lines_left_out class={class:?} count={left_out}");
             }
         }
-        if self.used.get() < LINES_PER_SECOND {
+        if self.used.get() < allowed {
             self.used.set(self.used.get() + 1);
             return true;
         }
@@ -37,3 +79,8 @@
         false
     }
 }
+
+/// An id as log lines show it.
+pub fn shown(request_id: &[u8]) -> std::borrow::Cow<'_, str> {
+    String::from_utf8_lossy(request_id)
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::clock;
 use crate::directory::Standing;
+use crate::event::{LineClass, shown};
 use crate::hop::Offer;
 use crate::lineage::RunningKey;
 use crate::model::{Instance, InstanceState};
@@ -67,6 +68,11 @@
         });
     }
 
+    /// Queue and limit of one instance, for log lines.
+    pub fn status(&self, name: &InstanceName) -> String {
+        self.instances.borrow().get(name).map(|slots| slots.status()).unwrap_or_default()
+    }
+
     /// Load of one instance, to be told to an edge.
     pub fn load(&self, name: &InstanceName, route: &str) -> Load {
         self.instances.borrow().get(name).map(|slots| slots.load(route)).unwrap_or_default()
@@ -106,6 +112,7 @@
     if time_left.is_zero() {
         return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
     }
+    log_start(node, &offer, time_left);
     let connections = slot.slots().connections().clone();
     let _running = Running::begin(node, started + time_left);
     let running = exchange::run(node, &connections, &offer, body, time_left);
@@ -125,12 +132,41 @@
         Err(failure) => {
             node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
             slot.note_failure(&offer, failure, used);
+            log_failure(node, &offer, failure, used);
             note_gone_instance(node, &offer, failure);
             GateReply::Failed(failure)
         }
     }
 }
 
+fn log_start(node: &Node, offer: &Offer, time_left: Duration) {
+    if node.may_log(LineClass::Routine, &offer.request_id) {
+        let status = node.gate.status(&offer.instance);
+        log::info!(
+            "event=started request={} route={} instance={} {status} waited_ms={} left_ms={}",
+            shown(&offer.request_id),
+            offer.route,
+            offer.instance,
+            u128::from(offer.time_left_ms).saturating_sub((time_left + ANSWER_TRAVEL).as_millis()),
+            time_left.as_millis(),
+        );
+    }
+}
+
+fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration) {
+    if node.may_log(LineClass::Failure, &offer.request_id) {
+        log::info!(
+            "event=exchange_failed request={} route={} instance={} reason={} may_have_run={} after_ms={}",
+            shown(&offer.request_id),
+            offer.route,
+            offer.instance,
+            failure.reason.as_str(),
+            failure.may_have_run,
+            used.as_millis(),
+        );
+    }
+}
+
 /// A request that the instance runs, for as long as it does.
 struct Running<'a> {
     node: &'a Node,
@@ -218,12 +254,17 @@
 fn count_refusal(node: &Node, offer: &Offer, reply: GateReply) -> GateReply {
     if let GateReply::Refused { refusal, .. } = &reply {
         node.metrics.refusals.with_label_values(&[refusal.reason.as_str()]).inc();
-        log::debug!(
-            "event=offer_refused request={} instance={} reason={}",
-            String::from_utf8_lossy(&offer.request_id),
-            offer.instance,
-            refusal.reason,
-        );
+        if node.may_log(LineClass::Refusal, &offer.request_id) {
+            let status = node.gate.status(&offer.instance);
+            log::info!(
+                "event=offer_refused request={} route={} instance={} reason={} {status} left_ms={}",
+                shown(&offer.request_id),
+                offer.route,
+                offer.instance,
+                refusal.reason,
+                offer.time_left_ms,
+            );
+        }
     }
     reply
 }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Queue and limit, for log lines.
+    pub fn status(&self) -> String {
+        let queue = self.queue.borrow();
+        format!("in_flight={} waiting={} limit={}", queue.in_flight(), queue.waiting(), queue.current_limit())
+    }
+
     /// Expected time of an offer in the instance.
     pub fn expected(&self, offer: &Offer) -> Duration {
         let target = Duration::from_millis(u64::from(offer.target_latency_ms));
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -15,7 +15,7 @@
 use crate::clock;
 use crate::directory::{Directory, HoldPolicy};
 use crate::edge::hop_pool::HopPool;
-use crate::event::LineBudget;
+use crate::event::{LineBudgets, LineClass};
 use crate::gate::Gate;
 use crate::hop::KnownState;
 use crate::lineage::Lineage;
@@ -77,7 +77,7 @@
     /// Metrics.
     pub metrics: Metrics,
     /// Bound on log lines about requests.
-    pub lines: LineBudget,
+    pub lines: LineBudgets,
     random: RefCell<SmallRng>,
 }
 
@@ -105,7 +105,7 @@
             source_failing: Cell::new(false),
             stop: Rc::default(),
             metrics: Metrics::default(),
-            lines: LineBudget::default(),
+            lines: LineBudgets::default(),
             random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
         }
     }
@@ -211,8 +211,8 @@
         with(&mut self.random.borrow_mut())
     }
 
-    /// True when a line about a request may be logged now.
-    pub fn may_log(&self) -> bool {
-        self.lines.take(clock::now())
+    /// True when a line of `class` about this request may be logged now.
+    pub fn may_log(&self, class: LineClass, request_id: &[u8]) -> bool {
+        self.lines.take(class, request_id, clock::now())
     }
 }
