A stopping gate serves on while clients leave, and seems busy meanwhile

Change: offers are taken until idle clients have left; the load that is told grows by 2, so edges choose others where there are any. Test: the_last_gate_of_a_service_serves_on_while_clients_leave, seen failing before.

--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -259,7 +259,7 @@
         let (reply, load) = if instance.address.ip() == settings.ip() {
             let body = self.take_body();
             let reply = gate::run_offer(self.node, offer, body).await;
-            (reply, Some(self.node.gate.load(&name, &self.request.route.name)))
+            (reply, Some(self.node.gate.load(&name, &self.request.route.name, &self.node.stop)))
         } else {
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(pieces, _)| pieces);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -30,12 +30,15 @@
 use crate::model::{Instance, InstanceState};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
+use crate::stop::StopState;
 use slots::InstanceSlots;
 
 /// Slots assumed for an instance that the directory does not list yet.
 const UNLISTED_SLOTS: u32 = 8;
 /// When to come back after a refusal that says nothing about load.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Occupancy that a stopping node adds to its own.
+const STOPPING_OCCUPANCY: f32 = 2.0;
 /// Kept back from the time that the instance gets, for the way of its answer.
 const ANSWER_TRAVEL: Duration = Duration::from_millis(15);
 
@@ -73,9 +76,14 @@
         self.instances.borrow().get(name).map(|slots| slots.status()).unwrap_or_default()
     }
 
-    /// Load of one instance, to be told to an edge.
-    pub fn load(&self, name: &InstanceName, route: &str) -> Load {
-        self.instances.borrow().get(name).map(|slots| slots.load(route)).unwrap_or_default()
+    /// Load of one instance, to be told to an edge. A node that stops seems busy, so that it
+    /// is chosen only where nothing else is left.
+    pub fn load(&self, name: &InstanceName, route: &str, stop: &StopState) -> Load {
+        let mut load = self.instances.borrow().get(name).map(|slots| slots.load(route)).unwrap_or_default();
+        if stop.is_stopping() {
+            load.occupancy += STOPPING_OCCUPANCY;
+        }
+        load
     }
 }
 
@@ -188,7 +196,7 @@
 
 /// Why the instance may not get a request now.
 fn obstacle(node: &Node, name: &InstanceName) -> Option<RefusalReason> {
-    if node.stop.is_stopping() {
+    if node.stop.is_closing() {
         return Some(RefusalReason::NodeNotReady);
     }
     match node.knowledge.borrow().directory.standing(name) {
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -96,7 +96,7 @@
         }
     };
     let whole_request = matches!(feed, Feed::Closed);
-    send_reply(stream, node.gate.load(&instance, &route), reply).await && whole_request
+    send_reply(stream, node.gate.load(&instance, &route, &node.stop), reply).await && whole_request
 }
 
 /// What a frame makes of the feed; `None` when the edge gave up or broke the protocol.
--- a/crates/sidecar/tests/path/stopping.rs
+++ b/crates/sidecar/tests/path/stopping.rs
@@ -50,6 +50,31 @@
     });
 }
 
+#[rstest]
+fn the_last_gate_of_a_service_serves_on_while_clients_leave() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        let script = |seen: &Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+        TestInstance::start(fleet.instance_address(1), script).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        Fleet::ready(&fleet.start(2, "desk").await).await;
+        let stopping = spawn_local({
+            let node = node.clone();
+            async move { node.stop.run(Duration::from_secs(6)).await }
+        });
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        for number in 0..15 {
+            assert_eq!(client.ask(&get("/safe/", &format!("r{number}"))).await.head.status, 200);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(stopping.await.unwrap());
+        assert_eq!(client.ask(&get("/safe/", "after")).await.head.status, 503);
+    });
+}
+
 #[rstest]
 fn clients_that_go_on_coming_are_told_to_come_back_and_not_cut_off() {
     run(async {
