--- a/crates/olivegate/src/sidecar_command.rs
+++ b/crates/olivegate/src/sidecar_command.rs
@@ -43,7 +43,9 @@
     let source = PlatformStore::new(settings.source);
     let path = file.to_path_buf();
     let read_again = Box::new(move || read_settings(&path).map_err(|error| error.to_string()));
-    match SidecarApp::new(settings, VOCABULARY, source, read_again).run() {
+    let ended = SidecarApp::new(settings, VOCABULARY, source, read_again).run();
+    log::logger().flush();
+    match ended {
         Ok(Ended::Drained) => Ok(()),
         Ok(Ended::CutOff) => Err(CommandError::CutOff),
         Err(error) => Err(CommandError::Node(error.to_string())),
--- a/crates/olivegate/tests/logs.rs
+++ b/crates/olivegate/tests/logs.rs
@@ -57,6 +57,15 @@
     }
 }
 
+#[rstest]
+fn what_was_logged_last_is_written_before_the_end() {
+    let destination = Stuck::default();
+    let mut output = QueuedOutput::new(destination.clone());
+    writeln!(output, "event=stopped").unwrap();
+    output.flush().unwrap();
+    assert_eq!(destination.written.lock().unwrap().as_slice(), b"event=stopped\n");
+}
+
 #[rstest]
 fn a_reader_that_is_stuck_holds_nobody_up_and_learns_what_it_missed() {
     let destination = Stuck::default();
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -35,7 +35,8 @@
     arrivals: u32,
     may_have_run: bool,
     tried: Vec<InstanceName>,
-    last_refusal: Option<Refusal>,
+    /// The refusal that the client is told: want of capacity before anything else.
+    refusal: Option<Refusal>,
     trail: String,
 }
 
@@ -48,7 +49,7 @@
             arrivals: 0,
             may_have_run: false,
             tried: Vec::new(),
-            last_refusal: None,
+            refusal: None,
             trail: String::new(),
         }
     }
@@ -91,7 +92,10 @@
     /// The gate refused.
     pub fn on_refused(&mut self, refusal: Refusal) -> Next {
         self.note(refusal.reason.as_str());
-        self.last_refusal = Some(refusal);
+        let tells_more = self.refusal.is_none_or(|known| !known.reason.is_for_want_of_capacity());
+        if tells_more || refusal.reason.is_for_want_of_capacity() {
+            self.refusal = Some(refusal);
+        }
         Next::TryAnother
     }
 
@@ -124,6 +128,6 @@
             return Verdict::Unknown;
         }
         let short = std::time::Duration::from_millis(250);
-        Verdict::NotRun(self.last_refusal.unwrap_or(Refusal::new(RefusalReason::NoInstance, short)))
+        Verdict::NotRun(self.refusal.unwrap_or(Refusal::new(RefusalReason::NoInstance, short)))
     }
 }
--- a/crates/sidecar/src/edge/own_answer.rs
+++ b/crates/sidecar/src/edge/own_answer.rs
@@ -69,13 +69,7 @@
     /// instance is left at all, letting fewer requests begin helps nobody.
     pub fn is_for_want_of_capacity(self) -> bool {
         let OwnAnswer::NotRun { reason, .. } = self else { return false };
-        matches!(
-            reason,
-            RefusalReason::PredictedWait
-                | RefusalReason::QueueTimeout
-                | RefusalReason::Displaced
-                | RefusalReason::DeadlineExceeded
-        )
+        reason.is_for_want_of_capacity()
     }
 
     /// The answer itself.
--- a/crates/sidecar/tests/decisions/attempts.rs
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -40,6 +40,17 @@
     assert_eq!(attempts.on_no_candidate(), Verdict::Unknown);
 }
 
+#[rstest]
+fn want_of_capacity_is_told_before_other_refusals() {
+    let mut attempts = Attempts::new(Unsafe, 2);
+    let leaving = Refusal::new(RefusalReason::NodeNotReady, Duration::from_millis(100));
+    attempts.on_refused(leaving);
+    attempts.on_refused(refusal());
+    attempts.on_refused(leaving);
+    assert_eq!(attempts.on_no_candidate(), Verdict::NotRun(refusal()));
+    assert_eq!(attempts.trail(), "none:node-not-ready,none:predicted-wait,none:node-not-ready");
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Refused,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -120,6 +120,17 @@
         Self::ALL.into_iter().find(|reason| reason.as_str() == text)
     }
 
+    /// True when there was no room for the request: where fewer requests begin, more end well.
+    pub fn is_for_want_of_capacity(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::PredictedWait
+                | RefusalReason::QueueTimeout
+                | RefusalReason::Displaced
+                | RefusalReason::DeadlineExceeded
+        )
+    }
+
     /// True when another instance may well take the request: the cause is the
     /// instance or its gate, not a lack of capacity.
     pub fn is_local_to_instance(self) -> bool {
