--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -38,6 +38,8 @@
 struct Dispatch<'a> {
     node: &'a Rc<Node>,
     request: CheckedRequest,
+    /// It is a call of the instance beside this node.
+    is_call: bool,
     service: ServiceName,
     head: RequestHead,
     whole_body: Bytes,
@@ -167,15 +169,26 @@
 ) -> Result<Answer, OwnAnswer> {
     let dealt = node.dealer.borrow_mut().deal(&request.route);
     let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
-    node.count_request(&service, arrived);
+    let is_call = node.lineage.borrow().is_call_route(&request.route.name);
+    node.count_request(&service, is_call, arrived);
     let deadline = arrived + request.time;
     let head = forwarded_head(node, taken.head);
     let (whole_body, streamed) = match taken.body {
         Body::Whole(bytes) => (bytes, None),
         Body::Stream(pieces, length) => (Bytes::new(), Some((pieces, length))),
     };
-    let mut dispatch =
-        Dispatch { node, request, service, head, whole_body, streamed, body_is_spent: false, arrived, deadline };
+    let mut dispatch = Dispatch {
+        node,
+        request,
+        is_call,
+        service,
+        head,
+        whole_body,
+        streamed,
+        body_is_spent: false,
+        arrived,
+        deadline,
+    };
     let limit = clock::instant_of(deadline);
     let mut attempts = Attempts::new(dispatch.request.route.safety, dispatch.request.route.attempts);
     let result = tokio::time::timeout_at(limit, dispatch.run(&mut attempts)).await;
@@ -210,8 +223,8 @@
                 }
                 GateReply::Failed(failure) => {
                     self.note_failure(&instance, failure);
-                    let (node, service) = (self.node, &self.service);
-                    attempts.on_failed(failure, || node.take_repeat(service, clock::now()))
+                    let (node, service, is_call) = (self.node, &self.service, self.is_call);
+                    attempts.on_failed(failure, || node.take_repeat(service, is_call, clock::now()))
                 }
             };
             if let Next::GiveUp(verdict) = next {
@@ -320,7 +333,7 @@
             longest_wait_ms: milliseconds(self.longest_wait(now)),
             target_latency_ms: route.target_latency.0,
             importance: importance_of_priority(route.priority),
-            hop: u8::from(self.node.lineage.borrow().is_call_route(&route.name)),
+            hop: u8::from(self.is_call),
         }
     }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -29,11 +29,15 @@
 
 /// Heartbeats within which a live instance writes a lost entry again.
 const REWRITE_HEARTBEATS: u32 = 2;
-/// Part of the repeat ratio that one level of a call graph uses: each level below a
-/// repeated request repeats too.
-const REPEAT_PART: f64 = 0.35;
-/// Part of the slack that the nodes divide among them.
-const SLACK_PART: f64 = 0.25;
+/// Part of the repeat ratio that clients' requests may use. What is repeated makes its calls
+/// again, so each level of a call graph adds to the repeats of the levels below it; clients
+/// come back by themselves anyway.
+const REQUEST_REPEAT_PART: f64 = 0.10;
+/// Part of the repeat ratio that calls of instances may use at each level; three levels and
+/// the requests above them stay within the whole.
+const CALL_REPEAT_PART: f64 = 0.28;
+/// Part of the slack that the nodes divide among them: one repeat above can be several below.
+const SLACK_PART: f64 = 0.05;
 
 /// Configuration and directory.
 #[derive(Debug)]
@@ -59,7 +63,8 @@
     pub balancer: RefCell<Balancer>,
     /// Deals weighted routes.
     pub dealer: RefCell<WeightedDealer>,
-    budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    /// By service, and whether for calls of the instance.
+    budgets: RefCell<HashMap<(ServiceName, bool), RepeatBudget>>,
     /// How much of each route is let through, as gates report.
     pub levels: RefCell<ReportedLevels>,
     /// Which requests are calls of the instance.
@@ -182,28 +187,29 @@
         knowledge.routes.is_some() && knowledge.directory.ready_count() > 0 && !self.stop.is_stopping()
     }
 
-    fn repeat_policy(&self) -> RepeatPolicy {
+    fn repeat_policy(&self, is_call: bool) -> RepeatPolicy {
         let bounds = self.settings().bounds;
         let nodes = self.knowledge.borrow().directory.machines().count().max(1);
+        let part = if is_call { CALL_REPEAT_PART } else { REQUEST_REPEAT_PART };
         RepeatPolicy {
-            ratio: bounds.repeat_ratio * REPEAT_PART,
+            ratio: bounds.repeat_ratio * part,
             slack: bounds.repeat_slack * SLACK_PART / nodes as f64,
             window: bounds.repeat_window,
         }
     }
 
-    /// Counts a request to `service`.
-    pub fn count_request(&self, service: &ServiceName, now: Moment) {
-        let policy = self.repeat_policy();
+    /// Counts a request or call to `service`.
+    pub fn count_request(&self, service: &ServiceName, is_call: bool, now: Moment) {
+        let policy = self.repeat_policy(is_call);
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.clone()).or_default().on_request(&policy, now);
+        budgets.entry((service.clone(), is_call)).or_default().on_request(&policy, now);
     }
 
-    /// Takes one repeat to `service` from this node's share.
-    pub fn take_repeat(&self, service: &ServiceName, now: Moment) -> bool {
-        let policy = self.repeat_policy();
+    /// Takes one repeat of a request or call to `service` from this node's share.
+    pub fn take_repeat(&self, service: &ServiceName, is_call: bool, now: Moment) -> bool {
+        let policy = self.repeat_policy(is_call);
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.clone()).or_default().try_repeat(&policy, now)
+        budgets.entry((service.clone(), is_call)).or_default().try_repeat(&policy, now)
     }
 
     /// Calls `with` with the node's random numbers.
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -114,7 +114,7 @@
                 grace_period: Duration::from_secs(6),
                 drain: Duration::from_secs(2),
                 repeat_ratio: 1.0,
-                repeat_slack: 1_000.0,
+                repeat_slack: 100_000.0,
                 repeat_window: Duration::from_secs(10),
             },
             machine: MachineLimits { memory_mb: 256, max_descriptors: 1_024 },
