Offers of what may run once are confirmed; silent gates are avoided early

Ruled out: levels (they followed the failures). Change: a gate grants a slot and runs what may run once only when the edge has confirmed it, so an edge that gives up before is sure; a gate that owes a sign of life for 280 ms costs more in the choice; a gate that said nothing at all counts as no arrival. Tests: tests/path/gates.rs with played gates; three of five seen failing without confirmation.

--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -35,6 +35,10 @@
 const SLOW_FROM: f64 = 0.6;
 /// Cost per further part of the objective.
 const SLOW_SLOPE: f64 = 1.0;
+/// Cost of an instance whose gate has fallen silent.
+const SILENT_COST: f64 = 4.0;
+/// Time after which a silent gate is tried again.
+const SILENCE_LIFETIME: Duration = Duration::from_millis(1_000);
 /// Time in which the cost of slowness fades when nothing new is reported.
 const SLOWNESS_FADES: Duration = Duration::from_secs(4);
 /// A report older than this no longer counts.
@@ -78,6 +82,7 @@
     reported_at: Option<Moment>,
     slowness: f64,
     slowness_at: Moment,
+    silent_at: Option<Moment>,
     failures_in_a_row: u32,
     ejections: u32,
     ejected_until: Option<Moment>,
@@ -90,6 +95,12 @@
         (self.slowness - SLOW_FROM).max(0.0) * SLOW_SLOPE * (1.0 - faded).max(0.0)
     }
 
+    /// Cost of a gate that does not say that it lives.
+    fn silence_cost(&self, now: Moment) -> f64 {
+        let is_silent = self.silent_at.is_some_and(|at| now.since(at) < SILENCE_LIFETIME);
+        if is_silent { SILENT_COST } else { 0.0 }
+    }
+
     /// Occupancy as last reported, unless that is too long ago.
     fn fresh_report(&self, now: Moment) -> Option<f64> {
         let fresh = self.reported_at.is_some_and(|at| now.since(at) <= REPORT_LIFETIME);
@@ -165,6 +176,7 @@
         let own = f64::from(state.outstanding) / f64::from(slots.max(1));
         let occupancy = reported.max(own);
         distance
+            + state.silence_cost(now)
             + state.slowness_cost(now)
             + FREE_SLOPE * occupancy
             + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
@@ -197,10 +209,16 @@
         }
     }
 
+    /// Notes that the gate of `instance` should have said that it lives, and did not.
+    pub fn on_silence(&mut self, instance: &InstanceName, now: Moment) {
+        self.states.entry(instance.clone()).or_default().silent_at = Some(now);
+    }
+
     /// Notes the occupancy that the gate reported with a reply.
     pub fn on_report(&mut self, instance: &InstanceName, occupancy: f64, now: Moment) {
         let state = self.states.entry(instance.clone()).or_default();
         state.reported_occupancy = occupancy;
+        state.silent_at = None;
         state.reported_at = Some(now);
     }
 
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -18,9 +18,10 @@
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
 use crate::event::{LineClass, shown};
+use crate::gate::confirmation::Confirmation;
 use crate::gate::{self, importance_of_priority};
 use crate::hop::{Offer, OfferedBody};
-use crate::model::{Instance, Route};
+use crate::model::{Instance, RepeatSafety, Route};
 use crate::reply::{Answer, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
 
@@ -264,19 +265,20 @@
     /// Offers the request to the gate of `instance`.
     async fn offer(&mut self, instance: &Instance) -> GateReply {
         let settings = self.node.settings();
-        let offer = self.offer_message(instance);
+        let is_remote = instance.address.ip() != settings.ip();
+        let offer = self.offer_message(instance, is_remote);
         let name = instance.name.clone();
         let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
         self.node.balancer.borrow_mut().on_send(&name);
         self.log_offer(instance);
-        let (reply, load) = if instance.address.ip() == settings.ip() {
+        let (reply, load) = if !is_remote {
             let body = self.take_body();
-            let reply = gate::run_offer(self.node, offer, body).await;
+            let reply = gate::run_offer(self.node, offer, body, Confirmation::NotNeeded).await;
             (reply, Some(self.node.gate.load(&name, &self.request.route.name, &self.node.stop)))
         } else {
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(pieces, _)| pieces);
-            let remote = remote::offer(self.node, address, offer, body, self.request.route.safety).await;
+            let remote = remote::offer(self.node, address, offer, body).await;
             (remote.reply, remote.load)
         };
         sent.observation = observation_of(&reply);
@@ -315,7 +317,7 @@
         stream
     }
 
-    fn offer_message(&self, instance: &Instance) -> Offer {
+    fn offer_message(&self, instance: &Instance, is_remote: bool) -> Offer {
         let now = clock::now();
         let time_left = self.deadline.since(now);
         let route = &self.request.route;
@@ -334,6 +336,7 @@
             target_latency_ms: route.target_latency.0,
             importance: importance_of_priority(route.priority),
             hop: u8::from(self.is_call),
+            needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
     }
 
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
-use olivegate_types::Refusal;
+use olivegate_types::{InstanceName, Refusal};
+use tokio::time::Instant;
 
-use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, SILENCE_LIMIT};
-use crate::model::RepeatSafety;
+use crate::clock;
+use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, SILENCE_LIMIT, SUSPECT_AFTER};
 use crate::reply::{Answer, Body, BodyBroken, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
 
@@ -26,69 +28,138 @@
     }
 }
 
-/// Offers a request and waits for what becomes of it. A request that may run only once is
-/// not given up when the gate falls silent: nothing better can be done with it than wait.
-pub async fn offer(
-    node: &Rc<Node>,
-    address: SocketAddr,
-    offer: Offer,
-    body: Option<BodyStream>,
-    safety: RepeatSafety,
-) -> RemoteReply {
-    let Ok(mut stream) = node.hops.connection(address).await else {
+/// Offers a request and waits for what becomes of it. A request that may run only once and
+/// was confirmed is not given up when the gate falls silent: nothing better can be done with
+/// it than wait.
+pub async fn offer(node: &Rc<Node>, address: SocketAddr, offer: Offer, body: Option<BodyStream>) -> RemoteReply {
+    let Ok(stream) = node.hops.connection(address).await else {
         return Failure::not_sent(FailureReason::GateLost).into();
     };
-    let message = hop::encode(&EdgeMessage::Offer(Box::new(offer)));
-    if stream.send(message).await.is_err() {
-        return Failure::unknown(FailureReason::GateLost).into();
+    let instance = offer.instance.clone();
+    let progress = Progress { needs_confirmation: offer.needs_confirmation, confirmed: false, heard: false };
+    let mut exchange = Exchange { node, instance, stream, sending: body, progress };
+    let message = EdgeMessage::Offer(Box::new(offer));
+    if exchange.send(message).await.is_err() {
+        return exchange.progress.failure(FailureReason::GateLost).into();
+    }
+    match exchange.reply().await {
+        Ok(message) => {
+            let whole_request = exchange.sending.is_none();
+            take_reply(node, address, exchange.stream, message, whole_request)
+        }
+        Err(failure) => failure.into(),
     }
-    let mut sending = body;
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = next_frame(&mut stream, safety) => frame,
-            piece = next_piece(&mut sending) => {
-                let (message, is_last) = match piece {
-                    Some(Ok(data)) => (EdgeMessage::Data(data), false),
-                    Some(Err(BodyBroken)) => return Failure::unknown(FailureReason::RequestBroken).into(),
-                    None => (EdgeMessage::End, true),
-                };
-                if is_last {
-                    sending = None;
+}
+
+/// How far an offer has come, as the edge knows.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    needs_confirmation: bool,
+    confirmed: bool,
+    /// The gate said something about the offer.
+    heard: bool,
+}
+
+impl Progress {
+    /// What is sure when the exchange fails now.
+    fn failure(self, reason: FailureReason) -> Failure {
+        if self.needs_confirmation && !self.confirmed {
+            return Failure::not_sent(reason);
+        }
+        // A gate that lives says so in time; one that said nothing has not passed it on.
+        let arrived = self.heard || reason != FailureReason::GateSilent;
+        Failure { reason, may_have_run: true, arrived }
+    }
+
+    /// A body follows the confirmation, where one is needed: the gate reads it only then.
+    fn takes_body(self) -> bool {
+        !self.needs_confirmation || self.confirmed
+    }
+
+    fn patience(self) -> Duration {
+        if self.needs_confirmation && self.confirmed { Duration::from_secs(3_600) } else { SILENCE_LIMIT }
+    }
+}
+
+/// One offer on its connection.
+struct Exchange<'a> {
+    node: &'a Node,
+    instance: InstanceName,
+    stream: HopStream,
+    sending: Option<BodyStream>,
+    progress: Progress,
+}
+
+impl Exchange<'_> {
+    async fn send(&mut self, message: EdgeMessage) -> std::io::Result<()> {
+        self.stream.send(hop::encode(&message)).await
+    }
+
+    /// The gate's reply; sends the body meanwhile and confirms when a slot is granted.
+    async fn reply(&mut self) -> Result<GateMessage, Failure> {
+        let mut silent_since = Instant::now();
+        loop {
+            let suspect_at = silent_since + SUSPECT_AFTER;
+            let is_suspected = Instant::now() >= suspect_at;
+            let limit = if is_suspected { silent_since + self.progress.patience() } else { suspect_at };
+            tokio::select! {
+                biased;
+                frame = self.stream.next() => {
+                    silent_since = Instant::now();
+                    self.progress.heard = true;
+                    match self.message_of(frame)? {
+                        GateMessage::Progress => {}
+                        GateMessage::Granted => self.confirm().await?,
+                        message => return Ok(message),
+                    }
+                }
+                piece = next_piece(&mut self.sending), if self.progress.takes_body() => {
+                    self.send_piece(piece).await?;
+                }
+                () = tokio::time::sleep_until(limit) => {
+                    if is_suspected {
+                        return Err(self.progress.failure(FailureReason::GateSilent));
+                    }
+                    self.node.balancer.borrow_mut().on_silence(&self.instance, clock::now());
                 }
-                // A gate that has replied already may have closed; its reply is read next.
-                let _ = stream.send(hop::encode(&message)).await;
-                continue;
+            }
+        }
+    }
+
+    fn message_of(&self, frame: Option<std::io::Result<BytesMut>>) -> Result<GateMessage, Failure> {
+        let lost = || self.progress.failure(FailureReason::GateLost);
+        let frame = frame.and_then(Result::ok).ok_or_else(lost)?;
+        hop::decode(&frame).map_err(|_| lost())
+    }
+
+    async fn confirm(&mut self) -> Result<(), Failure> {
+        self.progress.confirmed = true;
+        let sent = self.send(EdgeMessage::Confirm).await;
+        sent.map_err(|_| self.progress.failure(FailureReason::GateLost))
+    }
+
+    async fn send_piece(&mut self, piece: Option<Result<Bytes, BodyBroken>>) -> Result<(), Failure> {
+        let message = match piece {
+            Some(Ok(data)) => EdgeMessage::Data(data),
+            Some(Err(BodyBroken)) => return Err(Failure::unknown(FailureReason::RequestBroken)),
+            None => {
+                self.sending = None;
+                EdgeMessage::End
             }
         };
-        let message = match frame {
-            Ok(GateMessage::Progress) => continue,
-            Ok(message) => message,
-            Err(reason) => return Failure::unknown(reason).into(),
-        };
-        return take_reply(node, address, stream, message, sending.is_none());
+        // A gate that has replied already may have closed; its reply is read next.
+        let _ = self.send(message).await;
+        Ok(())
     }
 }
 
-async fn next_piece(body: &mut Option<BodyStream>) -> Option<Result<bytes::Bytes, BodyBroken>> {
+async fn next_piece(body: &mut Option<BodyStream>) -> Option<Result<Bytes, BodyBroken>> {
     match body {
         Some(pieces) => pieces.next().await,
         None => futures::future::pending().await,
     }
 }
 
-async fn next_frame(stream: &mut HopStream, safety: RepeatSafety) -> Result<GateMessage, FailureReason> {
-    let patience = match safety {
-        RepeatSafety::Safe => SILENCE_LIMIT,
-        RepeatSafety::Unsafe => Duration::from_secs(3_600),
-    };
-    match tokio::time::timeout(patience, stream.next()).await {
-        Ok(Some(Ok(frame))) => hop::decode(&frame).map_err(|_| FailureReason::GateLost),
-        Ok(_) => Err(FailureReason::GateLost),
-        Err(_) => Err(FailureReason::GateSilent),
-    }
-}
-
 fn take_reply(
     node: &Rc<Node>,
     address: SocketAddr,
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -6,8 +6,10 @@
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`exchange`]: one request and its answer on such a connection.
+//! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
 
+pub mod confirmation;
 pub mod exchange;
 pub mod instance_connection;
 pub mod serve;
@@ -31,6 +33,7 @@
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use crate::stop::StopState;
+use confirmation::Confirmation;
 use slots::InstanceSlots;
 
 /// Slots assumed for an instance that the directory does not list yet.
@@ -89,7 +92,7 @@
 
 /// Runs an offer: waits for a slot, then has the instance run it. Dropping the future
 /// cancels the request, wherever it is.
-pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body) -> GateReply {
+pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body, confirmation: Confirmation) -> GateReply {
     let deadline = clock::now() + Duration::from_millis(u64::from(offer.time_left_ms));
     if let Some(reason) = obstacle(node, &offer.instance) {
         let refusal = Refusal::new(reason, SHORT_RETRY_AFTER);
@@ -102,6 +105,9 @@
         Ok(slot) => slot,
         Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
     };
+    if !confirmation.obtain().await {
+        return count_refusal(node, &offer, refused(RefusalReason::GateUnreachable, SHORT_RETRY_AFTER));
+    }
     if let Some(reason) = obstacle(node, &offer.instance) {
         return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
     }
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::edge::accept_failed;
+use crate::gate::confirmation::{GrantRelay, confirmation};
 use crate::gate::run_offer;
 use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, OfferedBody, PROGRESS_INTERVAL};
 use crate::peers;
@@ -40,7 +41,7 @@
                 let knowledge = peers::knowledge_for(&node, known);
                 stream.send(hop::encode(&knowledge)).await.is_ok()
             }
-            Ok(EdgeMessage::Data(_) | EdgeMessage::End) | Err(_) => false,
+            Ok(EdgeMessage::Data(_) | EdgeMessage::End | EdgeMessage::Confirm) | Err(_) => false,
         };
         if !goes_on {
             return;
@@ -74,7 +75,8 @@
     let _in_flight = node.stop.enter();
     let (instance, route) = (offer.instance.clone(), offer.route.clone());
     let (body, mut feed) = body_of(&offer);
-    let running = run_offer(node, offer, body);
+    let (confirmation, mut relay) = confirmation(offer.needs_confirmation);
+    let running = run_offer(node, offer, body, confirmation);
     tokio::pin!(running);
     let mut progress =
         tokio::time::interval_at(tokio::time::Instant::now() + PROGRESS_INTERVAL, PROGRESS_INTERVAL);
@@ -82,10 +84,15 @@
         let is_full = matches!(feed, Feed::Full(..));
         tokio::select! {
             biased;
-            frame = stream.next(), if !is_full => match next_feed(feed, frame) {
+            frame = stream.next(), if !is_full => match next_feed(feed, frame, &mut relay) {
                 Some(next) => feed = next,
                 None => return false,
             },
+            () = relay.granted() => {
+                if stream.send(hop::encode(&GateMessage::Granted)).await.is_err() {
+                    return false;
+                }
+            }
             reply = &mut running => break reply,
             next = make_room(&mut feed), if is_full => feed = next,
             _ = progress.tick() => {
@@ -100,9 +107,13 @@
 }
 
 /// What a frame makes of the feed; `None` when the edge gave up or broke the protocol.
-fn next_feed(feed: Feed, frame: Option<std::io::Result<bytes::BytesMut>>) -> Option<Feed> {
+fn next_feed(feed: Feed, frame: Option<std::io::Result<bytes::BytesMut>>, relay: &mut GrantRelay) -> Option<Feed> {
     let frame = frame?.ok()?;
     match (hop::decode::<EdgeMessage>(&frame).ok()?, feed) {
+        (EdgeMessage::Confirm, feed) => {
+            relay.confirm();
+            Some(feed)
+        }
         (EdgeMessage::Data(data), Feed::Open(sender)) => Some(Feed::Full(sender, data)),
         (EdgeMessage::Data(_), Feed::Closed) => Some(Feed::Closed),
         (EdgeMessage::End, Feed::Open(_)) => Some(Feed::Closed),
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -1,6 +1,8 @@
 //! Messages between edge and gate: `borsh` in frames with a length.
 //!
-//! A connection carries one offer at a time. An edge that gives up closes it; the gate
+//! A connection carries one offer at a time. What may run only once is offered in two steps:
+//! the gate grants a slot, and runs the request only when the edge has confirmed it. An edge
+//! that gives up before it confirmed knows that the request will never run. An edge that gives up closes it; the gate
 //! then drops the request, in its queue or in the instance. While an offer waits or runs
 //! the gate says so every [`PROGRESS_INTERVAL`]; an edge that hears nothing for
 //! [`SILENCE_LIMIT`] knows that the gate is cut off, frozen or gone.
@@ -20,8 +22,12 @@
 
 /// Interval of the gate's signs of life.
 pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+/// A gate that says nothing for this long is suspected: others are preferred.
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(280);
 /// An edge that hears nothing for this long gives the gate up.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// A gate waits so long for the edge's confirmation.
+pub const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
 /// Longest frame in bytes: a knowledge transfer at the target size fits.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
@@ -57,6 +63,8 @@
     pub importance: Importance,
     /// 0 for a client's request, 1 for a call on behalf of one.
     pub hop: u8,
+    /// True when it may run only once the edge has confirmed it.
+    pub needs_confirmation: bool,
 }
 
 /// What a node knows, to compare with what another one knows.
@@ -77,6 +85,8 @@
     Data(Bytes),
     /// Its body is whole.
     End,
+    /// The granted request may run.
+    Confirm,
     /// Asks for everything that is newer than this.
     Fetch(KnownState),
 }
@@ -86,6 +96,8 @@
 pub enum GateMessage {
     /// The offer waits or runs.
     Progress,
+    /// The offer has a slot and waits to be confirmed.
+    Granted,
     /// The request was not run and never will be.
     Refused {
         /// Why.
--- /dev/null
+++ b/crates/sidecar/tests/path/gates.rs
@@ -0,0 +1,150 @@
+//! Gates that are frozen, cut off or gone: what an edge knows about a request it offered.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::{SinkExt, StreamExt};
+use olivegate_sidecar::hop::{self, EdgeMessage, GateMessage};
+use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+
+/// What a gate that is no node of ours does with an offer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gate {
+    /// It takes the connection and says nothing.
+    Frozen,
+    /// It grants the slot and says nothing more, whatever it is told.
+    FrozenAfterGrant,
+    /// It closes the connection once it has read the offer.
+    Lost,
+}
+
+/// Plays the gate of `address`.
+async fn play(address: SocketAddr, gate: Gate) {
+    let listener = TcpListener::bind(address).await.unwrap();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut stream = hop::framed(stream);
+            spawn_local(async move {
+                while let Some(Ok(frame)) = stream.next().await {
+                    let is_offer = matches!(hop::decode::<EdgeMessage>(&frame), Ok(EdgeMessage::Offer(_)));
+                    match gate {
+                        Gate::Lost => return,
+                        Gate::FrozenAfterGrant if is_offer => {
+                            stream.send(hop::encode(&GateMessage::Granted)).await.unwrap();
+                        }
+                        _ => {}
+                    }
+                }
+            });
+        }
+    });
+}
+
+/// An edge on machine 1; a gate that is played on machine 2, and a node with a good instance
+/// on machine 3.
+async fn with(gate: Gate) -> (Fleet, TestInstance) {
+    let fleet = Fleet::new();
+    let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
+    fleet.source.configure(configuration(1, routes));
+    fleet.list(2, "books-1", "books");
+    fleet.list(3, "books-2", "books");
+    play(fleet.inbound(2), gate).await;
+    let script = |seen: &Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+    let instance = TestInstance::start(fleet.instance_address(3), script).await;
+    Fleet::ready(&fleet.start(3, "books").await).await;
+    Fleet::ready(&fleet.start(1, "desk").await).await;
+    (fleet, instance)
+}
+
+async fn ask_often(fleet: &Fleet, request: impl Fn(&str) -> String) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for number in 0..8 {
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        statuses.push(client.ask(&request(&format!("r{number}"))).await.head.status);
+    }
+    statuses
+}
+
+#[rstest]
+#[case::frozen(Gate::Frozen)]
+#[case::lost(Gate::Lost)]
+fn what_was_not_confirmed_goes_to_another_gate(#[case] gate: Gate) {
+    run(async move {
+        let (fleet, instance) = with(gate).await;
+        let statuses = ask_often(&fleet, |id| post("/once/", id, "x")).await;
+        assert_eq!(statuses, [200; 8]);
+        assert_eq!(instance.runs(), 8, "each ran once");
+    });
+}
+
+#[rstest]
+fn what_was_confirmed_is_not_sent_again() {
+    run(async {
+        let (fleet, instance) = with(Gate::FrozenAfterGrant).await;
+        let statuses = ask_often(&fleet, |id| post("/once/", id, "x")).await;
+        let answered = statuses.iter().filter(|status| **status == 200).count();
+        assert_eq!(instance.runs(), answered);
+        assert!(statuses.iter().all(|status| [200, 504].contains(status)), "{statuses:?}");
+    });
+}
+
+#[rstest]
+fn a_safe_request_leaves_a_frozen_gate_in_time_and_later_ones_avoid_it() {
+    run(async {
+        let (fleet, _instance) = with(Gate::Frozen).await;
+        let began = Instant::now();
+        assert_eq!(ask_often(&fleet, |id| get("/safe/", id)).await, [200; 8]);
+        assert!(began.elapsed() < Duration::from_millis(1_900), "took {:?}", began.elapsed());
+    });
+}
+
+#[rstest]
+fn a_gate_that_is_not_confirmed_never_runs_the_request() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/once/", "books", Unsafe)]));
+        fleet.list(3, "books-2", "books");
+        let script = |seen: &Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+        let instance = TestInstance::start(fleet.instance_address(3), script).await;
+        Fleet::ready(&fleet.start(3, "books").await).await;
+        let mut stream = hop::framed(tokio::net::TcpStream::connect(fleet.inbound(3)).await.unwrap());
+        stream.send(hop::encode(&EdgeMessage::Offer(Box::new(offer())))).await.unwrap();
+        let mut told = Vec::new();
+        while let Ok(Some(Ok(frame))) = tokio::time::timeout(Duration::from_secs(2), stream.next()).await {
+            told.push(hop::decode::<GateMessage>(&frame).unwrap());
+            if matches!(told.last(), Some(GateMessage::Refused { .. })) {
+                break;
+            }
+        }
+        assert_eq!(told.first(), Some(&GateMessage::Granted));
+        assert!(matches!(told.last(), Some(GateMessage::Refused { .. })), "{told:?}");
+        assert_eq!(instance.runs(), 0);
+    });
+}
+
+fn offer() -> hop::Offer {
+    hop::Offer {
+        instance: olivegate_types::InstanceName::new("books-2"),
+        route: "once".into(),
+        head: olivegate_http1::RequestHead {
+            method: "POST".into(),
+            target: "/once/".into(),
+            minor_version: 1,
+            fields: olivegate_http1::Fields::default(),
+        },
+        body: hop::OfferedBody::Whole("x".into()),
+        request_id: "r1".into(),
+        time_left_ms: 5_000,
+        longest_wait_ms: 100,
+        target_latency_ms: 1_000,
+        importance: olivegate_types::Importance::PROTECTED,
+        hop: 0,
+        needs_confirmation: true,
+    }
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod gates;
 mod requests;
 mod stopping;
 mod support;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -70,6 +70,10 @@
         SocketAddr::new(self.ip(machine), OUTBOUND_PORT)
     }
 
+    pub fn inbound(&self, machine: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), INBOUND_PORT)
+    }
+
     pub fn readiness(&self, machine: u8) -> SocketAddr {
         SocketAddr::new(self.ip(machine), READINESS_PORT)
     }
