Nodes pass on changes, not whole lists; news goes to a few, fetches are two at a time

Change: copies hold what is newer than the asker's state, removals included; whole lists only where removals are no longer remembered; only readers announce to their zone, others to four; at most two fetches at a time, on kept connections. Tests: copies at any moments lead to the same state (proptest), held entries, forgotten removals.

--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -39,12 +39,25 @@
     pub held: bool,
 }
 
-/// All entries as nodes pass them on.
+/// An instance whose entry went away.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct GoneEntry {
+    /// The instance.
+    pub name: InstanceName,
+    /// The change that removed it.
+    pub revision: Revision,
+}
+
+/// What a node passes on to one that knows less.
 #[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
 pub struct DirectoryCopy {
-    /// The entries.
+    /// The state that it adds to; `None` when it is all there is.
+    pub base: Option<Revision>,
+    /// Entries that are newer than the base, and all that are held.
     pub entries: Vec<DirectoryEntry>,
-    /// State of the source that they show.
+    /// Entries that went away since the base.
+    pub gone: Vec<GoneEntry>,
+    /// State of the source after it.
     pub revision: Revision,
 }
 
@@ -61,6 +74,13 @@
     Unknown,
 }
 
+/// Remembers that an entry went away.
+#[derive(Debug, Clone, Copy)]
+struct Tombstone {
+    revision: Revision,
+    since: Moment,
+}
+
 /// A machine that has, or lately had, an instance.
 #[derive(Debug, Clone)]
 struct Machine {
@@ -81,7 +101,9 @@
     policy: HoldPolicy,
     revision: Revision,
     entries: BTreeMap<InstanceName, Entry>,
-    gone: HashMap<InstanceName, Moment>,
+    gone: HashMap<InstanceName, Tombstone>,
+    /// Removals after this one are all in `gone`.
+    gone_since: Revision,
     machines: HashMap<IpAddr, Machine>,
     disturbed_at: Option<Moment>,
     ready: HashMap<ServiceName, Rc<Vec<Rc<Instance>>>>,
@@ -95,6 +117,7 @@
             revision: Revision::default(),
             entries: BTreeMap::new(),
             gone: HashMap::new(),
+            gone_since: Revision::default(),
             machines: HashMap::new(),
             disturbed_at: None,
             ready: HashMap::new(),
@@ -170,7 +193,10 @@
         let names: HashSet<&InstanceName> = listed.iter().map(|entry| &entry.instance.name).collect();
         let mut changed = false;
         for name in self.missing_from(&names) {
-            changed |= self.remove(&name, now);
+            changed |= self.remove(&name, revision, now);
+        }
+        if self.revision == Revision::default() {
+            self.gone_since = revision;
         }
         for entry in listed {
             changed |= self.insert(entry, now);
@@ -184,7 +210,7 @@
             Change::Instance(listed) => self.insert(listed, now),
             Change::InstanceGone { name, revision } => {
                 let newer = self.entries.get(name).is_none_or(|entry| entry.revision < *revision);
-                newer && self.remove(name, now)
+                newer && self.remove(name, *revision, now)
             }
             Change::Configuration(_) => false,
         };
@@ -198,13 +224,20 @@
 
     /// Takes over what another node knows, when that is newer. True when anything changed.
     pub fn apply_copy(&mut self, copy: &DirectoryCopy, now: Moment) -> bool {
-        if copy.revision <= self.revision && !(self.entries.is_empty() && !copy.entries.is_empty()) {
+        if copy.revision <= self.revision || copy.base.is_some_and(|base| base > self.revision) {
             return false;
         }
-        let names: HashSet<&InstanceName> = copy.entries.iter().map(|entry| &entry.instance.name).collect();
         let mut changed = false;
-        for name in self.missing_from(&names) {
-            changed |= self.forget(&name, now);
+        if copy.base.is_none() {
+            let names: HashSet<&InstanceName> = copy.entries.iter().map(|entry| &entry.instance.name).collect();
+            for name in self.missing_from(&names) {
+                changed |= self.forget(&name, copy.revision, now);
+            }
+            self.gone_since = self.gone_since.max(copy.revision);
+        }
+        for gone in &copy.gone {
+            let is_newer = self.entries.get(&gone.name).is_some_and(|entry| entry.revision < gone.revision);
+            changed |= is_newer && self.forget(&gone.name, gone.revision, now);
         }
         for entry in &copy.entries {
             let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
@@ -216,20 +249,26 @@
         self.finish(copy.revision, changed)
     }
 
-    /// What other nodes may take over.
-    pub fn copy(&self) -> DirectoryCopy {
-        let entries = self.entries.values().map(|entry| DirectoryEntry {
+    /// What a node that knows the state `known` lacks: the changes since, or everything when
+    /// removals since then are no longer remembered.
+    pub fn copy_since(&self, known: Revision) -> DirectoryCopy {
+        let is_whole = known < self.gone_since || known == Revision::default();
+        let base = if is_whole { None } else { Some(known) };
+        let is_news = |entry: &&Entry| is_whole || entry.revision > known || entry.held_since.is_some();
+        let entries = self.entries.values().filter(is_news).map(|entry| DirectoryEntry {
             instance: Instance::clone(&entry.instance),
             revision: entry.revision,
             held: entry.held_since.is_some(),
         });
-        DirectoryCopy { entries: entries.collect(), revision: self.revision }
+        let removed = self.gone.iter().filter(|(_, tombstone)| !is_whole && tombstone.revision > known);
+        let gone = removed.map(|(name, tombstone)| GoneEntry { name: name.clone(), revision: tombstone.revision });
+        DirectoryCopy { base, entries: entries.collect(), gone: gone.collect(), revision: self.revision }
     }
 
     /// Ends holds that have lasted long enough; call every second or so. True when
     /// anything changed.
     pub fn expire(&mut self, now: Moment) -> bool {
-        self.gone.retain(|_, since| now.since(*since) < MACHINE_MEMORY);
+        self.forget_old_removals(now);
         let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
         if self.is_disturbed(now) {
@@ -241,14 +280,26 @@
             self.entries.iter().filter(|(_, entry)| over(entry)).map(|(name, _)| name.clone()).collect();
         let mut changed = false;
         for name in ended {
-            changed |= self.forget(&name, now);
+            changed |= self.forget(&name, Revision::default(), now);
         }
         self.finish(self.revision, changed)
     }
 
+    fn forget_old_removals(&mut self, now: Moment) {
+        let mut forgotten = self.gone_since;
+        self.gone.retain(|_, tombstone| {
+            let is_kept = now.since(tombstone.since) < MACHINE_MEMORY;
+            if !is_kept {
+                forgotten = forgotten.max(tombstone.revision);
+            }
+            is_kept
+        });
+        self.gone_since = forgotten;
+    }
+
     /// An instance is known to be gone from its own machine, whatever the source says.
     pub fn note_gone(&mut self, name: &InstanceName, now: Moment) -> bool {
-        let changed = self.forget(name, now);
+        let changed = self.forget(name, Revision::default(), now);
         self.finish(self.revision, changed)
     }
 
@@ -294,12 +345,12 @@
     }
 
     /// An entry went missing: held when the source was disturbed, else gone.
-    fn remove(&mut self, name: &InstanceName, now: Moment) -> bool {
+    fn remove(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
         if self.is_disturbed(now) && self.standing(name) == Standing::Ready {
             self.hold(name, now);
             return false;
         }
-        self.forget(name, now)
+        self.forget(name, revision, now)
     }
 
     fn hold(&mut self, name: &InstanceName, now: Moment) {
@@ -308,10 +359,12 @@
         }
     }
 
-    fn forget(&mut self, name: &InstanceName, now: Moment) -> bool {
+    /// Removes an entry. `revision` is the change that removed it, or the default when only
+    /// this node thinks so.
+    fn forget(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
         let Some(entry) = self.entries.remove(name) else { return false };
         self.note_machine(&entry.instance, now);
-        self.gone.insert(name.clone(), now);
+        self.gone.insert(name.clone(), Tombstone { revision, since: now });
         true
     }
 
--- a/crates/sidecar/src/event.rs
+++ b/crates/sidecar/src/event.rs
@@ -45,7 +45,7 @@
 pub fn is_sampled(request_id: &[u8]) -> bool {
     let mut hasher = DefaultHasher::new();
     request_id.hash(&mut hasher);
-    hasher.finish() % SAMPLED_ONE_IN == 0
+    hasher.finish().is_multiple_of(SAMPLED_ONE_IN)
 }
 
 impl LineBudgets {
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -22,16 +22,21 @@
 use crate::clock;
 use crate::hop::{self, EdgeMessage, GateMessage, KnownState};
 use crate::state::Node;
-use crate::transport;
 
 /// Interval of a reader's announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
-/// Most nodes that one announcement goes to.
-const FAN_OUT: usize = 32;
+/// Shortest time between two announcements of changes.
+const CHANGE_PAUSE: Duration = Duration::from_millis(20);
+/// Most nodes of its zone that a reader announces to.
+const ZONE_FAN_OUT: usize = 32;
+/// Nodes of any zone that a reader announces to besides, and that any node passes news to.
+const FAN_OUT: usize = 4;
+/// Fetches at a time: a peer that does not answer must not keep the node from another one.
+const FETCHES: usize = 2;
 /// Time limit of a fetch.
-const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time limit of a connection to another node.
-const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+const FETCH_LIMIT: Duration = Duration::from_millis(600);
+/// A node whose last reading is younger announces itself as a reader.
+const READS_LATELY: Duration = Duration::from_secs(10);
 /// Largest announcement in bytes.
 const MAX_DATAGRAM: usize = 512;
 
@@ -100,7 +105,8 @@
         node.freshness.borrow_mut().on_announced(Duration::from_millis(u64::from(age)), clock::now());
     }
     let is_behind = news.configuration > known.configuration || news.directory > known.directory;
-    if !is_behind || !fetching.borrow_mut().insert(sender.ip()) {
+    let has_room = fetching.borrow().len() < FETCHES;
+    if !is_behind || !has_room || !fetching.borrow_mut().insert(sender.ip()) {
         return;
     }
     let (node, fetching) = (node.clone(), fetching.clone());
@@ -117,12 +123,13 @@
 /// Fetches from `peer` what this node lacks.
 async fn fetch(node: &Node, peer: IpAddr) -> std::io::Result<()> {
     let address = node.settings().inbound_of(peer);
-    let mut stream = hop::framed(transport::connect(address, CONNECT_LIMIT).await?);
+    let mut stream = node.hops.connection(address).await?;
     stream.send(hop::encode(&EdgeMessage::Fetch(node.known_state()))).await?;
     let frame = stream.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
     let GateMessage::Knowledge { configuration, directory } = hop::decode(&frame)? else {
         return Err(std::io::ErrorKind::InvalidData.into());
     };
+    node.hops.keep(address, stream);
     let from = peer.to_string();
     if let Some(configuration) = configuration {
         node.accept_configuration(configuration, &from);
@@ -138,29 +145,59 @@
 pub fn knowledge_for(node: &Node, other: KnownState) -> GateMessage {
     let knowledge = node.knowledge.borrow();
     let newer = knowledge.configuration.as_ref().filter(|own| own.version > other.configuration);
-    let directory = (knowledge.directory.revision() > other.directory).then(|| knowledge.directory.copy());
+    let is_behind = knowledge.directory.revision() > other.directory;
+    let directory = is_behind.then(|| knowledge.directory.copy_since(other.directory));
     GateMessage::Knowledge { configuration: newer.map(|own| own.as_ref().clone()), directory }
 }
 
 async fn announce_changes(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         node.knowledge_changed.notified().await;
-        announce(&node, &socket).await;
+        let to = if reads_source(&node) { Audience::Zone } else { Audience::Few };
+        announce(&node, &socket, to).await;
+        tokio::time::sleep(CHANGE_PAUSE).await;
     }
 }
 
 async fn announce_readings(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-        let age = node.freshness.borrow().own_age(clock::now());
-        let reads = age.is_some_and(|age| age < Duration::from_secs(30));
-        if reads {
-            announce(&node, &socket).await;
+        if reads_source(&node) {
+            announce(&node, &socket, Audience::Zone).await;
         }
     }
 }
 
-async fn announce(node: &Node, socket: &UdpSocket) {
+/// True when this node has read the source lately.
+fn reads_source(node: &Node) -> bool {
+    let age = node.freshness.borrow().own_age(clock::now());
+    age.is_some_and(|age| age < READS_LATELY)
+}
+
+/// Who an announcement goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Audience {
+    /// Some nodes at random, which pass it on.
+    Few,
+    /// The nodes of the zone as well: a reader's word.
+    Zone,
+}
+
+fn audience(node: &Node, audience: Audience) -> HashSet<IpAddr> {
+    let settings = node.settings();
+    let knowledge = node.knowledge.borrow();
+    let directory = &knowledge.directory;
+    let others = directory.machines().filter(|machine| *machine != settings.ip());
+    let mut chosen: HashSet<IpAddr> = node.random(|random| others.sample(random, FAN_OUT)).into_iter().collect();
+    if audience == Audience::Zone {
+        let zone =
+            directory.machines_of_zone(&settings.zone).into_iter().filter(|machine| *machine != settings.ip());
+        chosen.extend(node.random(|random| zone.sample(random, ZONE_FAN_OUT)));
+    }
+    chosen
+}
+
+async fn announce(node: &Node, socket: &UdpSocket, to: Audience) {
     let settings = node.settings();
     let age = node.freshness.borrow().own_age(clock::now());
     let announcement = Announcement {
@@ -169,12 +206,7 @@
         reading_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
     };
     let datagram = hop::encode(&announcement);
-    let machines: Vec<IpAddr> = {
-        let knowledge = node.knowledge.borrow();
-        let others = knowledge.directory.machines().filter(|machine| *machine != settings.ip());
-        node.random(|random| others.sample(random, FAN_OUT))
-    };
-    for machine in machines {
+    for machine in audience(node, to) {
         // A datagram that can't be sent is lost like any other; the next one follows.
         let _ = socket.send_to(&datagram, settings.peers_of(machine)).await;
     }
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -101,9 +101,50 @@
     let mut directory = Directory::new(POLICY);
     directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(5), at(0));
     let mut other = Directory::new(POLICY);
-    assert!(other.apply_copy(&directory.copy(), at(0)));
+    assert!(other.apply_copy(&directory.copy_since(other.revision()), at(0)));
     assert_eq!((ready(&other), other.revision()), (vec!["a".to_string()], Revision(5)));
-    assert!(!other.apply_copy(&directory.copy(), at(1)), "nothing newer");
+    assert!(!other.apply_copy(&directory.copy_since(other.revision()), at(1)), "nothing newer");
+}
+
+#[rstest]
+fn a_copy_of_changes_holds_changes_only_and_leads_to_the_same_state() {
+    let mut directory = Directory::new(POLICY);
+    let three = ["a", "b", "c"].map(|name| listed(name, InstanceState::Ready, 1));
+    directory.apply_snapshot(&three, Revision(3), at(0));
+    let mut other = Directory::new(POLICY);
+    other.apply_copy(&directory.copy_since(Revision::default()), at(0));
+    directory.apply_change(&Change::InstanceGone { name: InstanceName::new("b"), revision: Revision(4) }, at(10));
+    directory.apply_change(&Change::Instance(listed("d", InstanceState::Ready, 5)), at(10));
+    directory.advance(Revision(5));
+    let changes = directory.copy_since(Revision(3));
+    assert_eq!((changes.base, changes.entries.len(), changes.gone.len()), (Some(Revision(3)), 1, 1));
+    assert!(other.apply_copy(&changes, at(20)));
+    assert_eq!((ready(&other), other.revision()), (ready(&directory), Revision(5)));
+}
+
+#[rstest]
+fn a_removal_that_is_no_longer_remembered_needs_everything() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_change(&Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) }, at(10));
+    directory.advance(Revision(2));
+    assert_eq!(directory.copy_since(Revision(1)).base, Some(Revision(1)));
+    directory.expire(at(120_000));
+    assert_eq!(directory.copy_since(Revision(1)).base, None);
+}
+
+#[rstest]
+fn held_entries_are_passed_on_as_held() {
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    let mut other = Directory::new(POLICY);
+    other.apply_copy(&directory.copy_since(Revision::default()), at(0));
+    directory.note_disturbance(at(100));
+    directory.apply_snapshot(&[], Revision(2), at(200));
+    other.apply_copy(&directory.copy_since(Revision(1)), at(210));
+    assert_eq!(ready(&other), ["a"]);
+    assert!(other.expire(at(4_000)), "the other node ends the hold by itself");
+    assert!(ready(&other).is_empty());
 }
 
 /// A change of the source, or a way of reading it.
@@ -192,6 +233,42 @@
     }
 }
 
+proptest! {
+    /// A node that learns from another by copies, at any moments, ends where that one is.
+    #[test]
+    fn copies_at_any_moments_lead_to_the_same_state(steps in steps(), fetches in proptest::collection::vec(any::<bool>(), 42)) {
+        let mut model = Model::default();
+        let (mut reader, mut follower) = (Directory::new(POLICY), Directory::new(POLICY));
+        for (index, step) in steps.into_iter().enumerate() {
+            let now = at(10 * index as u64);
+            match step {
+                Step::Write(name, draining) => {
+                    model.revision += 1;
+                    let state = if draining { InstanceState::Draining } else { InstanceState::Ready };
+                    let entry = listed(&format!("i-{name}"), state, model.revision);
+                    model.entries.insert(name, entry.clone());
+                    reader.apply_change(&Change::Instance(entry), now);
+                }
+                Step::Remove(name) => {
+                    if let Some(old) = model.entries.remove(&name) {
+                        model.revision += 1;
+                        let revision = Revision(model.revision);
+                        reader.apply_change(&Change::InstanceGone { name: old.instance.name, revision }, now);
+                    }
+                }
+                _ => {
+                    reader.apply_snapshot(&model.snapshot(), Revision(model.revision), now);
+                }
+            }
+            reader.advance(Revision(model.revision));
+            if fetches[index] {
+                follower.apply_copy(&reader.copy_since(follower.revision()), now);
+                prop_assert_eq!(sorted(ready(&follower)), sorted(ready(&reader)));
+            }
+        }
+    }
+}
+
 fn sorted(mut names: Vec<String>) -> Vec<String> {
     names.sort();
     names
