--- a/crates/node/src/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The node's clocks, read only by I/O code and passed to the cores.
+//! The clocks of a process, read only by I/O code and passed to decisions.
 
 use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -10,8 +10,8 @@
 use olivegate_types::Moment;
 use tokio::time::Sleep;
 
-use crate::clock;
 use crate::error::NodeError;
+use olivegate_clock as clock;
 
 /// Any body that a node passes on, never collected as a whole unless it is small.
 pub type AnyBody = UnsyncBoxBody<Bytes, NodeError>;
--- a/crates/node/src/control_loops/health.rs
+++ b/crates/node/src/control_loops/health.rs
@@ -7,11 +7,11 @@
 
 use olivegate_types::header;
 
-use crate::clock;
 use crate::directory::Instance;
 use crate::fetch;
 use crate::reply::header_text;
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Time between two rounds.
 const INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/node/src/control_loops/membership.rs
+++ b/crates/node/src/control_loops/membership.rs
@@ -7,9 +7,9 @@
 use olivegate_membership::{MemberState, Output};
 use tokio::time::MissedTickBehavior;
 
-use crate::clock;
 use crate::control_loops::bundle;
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Time between two ticks of the detector.
 const TICK: Duration = Duration::from_millis(25);
--- a/crates/node/src/control_loops/seats.rs
+++ b/crates/node/src/control_loops/seats.rs
@@ -16,8 +16,8 @@
 use olivegate_routing::rendezvous;
 use olivegate_types::{Moment, ZoneName};
 
-use crate::clock;
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Time between two looks at the seats.
 const INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/node/src/edge/admit.rs
+++ b/crates/node/src/edge/admit.rs
@@ -16,11 +16,11 @@
 use rand::RngExt;
 
 use crate::body::{self, AnyBody};
-use crate::clock;
 use crate::explain::Decision;
 use crate::gate::dispatch::class_of;
 use crate::reply::{FinalAnswer, header_text, header_value};
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Bodies up to this size are kept for a retry, in bytes.
 const MAX_KEPT_REQUEST_BODY: u64 = 64 << 10;
--- a/crates/node/src/edge/answer.rs
+++ b/crates/node/src/edge/answer.rs
@@ -9,12 +9,12 @@
 use olivegate_types::{Moment, Outcome, RequestId, header};
 
 use crate::body::{self, AnyBody, GuardedBody};
-use crate::clock;
 use crate::edge::admit::Admitted;
 use crate::edge::claim::HeldClaim;
 use crate::explain::Decision;
 use crate::reply::{FinalAnswer, header_value, insert, insert_retry_after};
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Time to come back after a back end failed.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/node/src/edge/attempts.rs
+++ b/crates/node/src/edge/attempts.rs
@@ -8,7 +8,6 @@
 use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
 
 use crate::body::AnyBody;
-use crate::clock;
 use crate::directory::Instance;
 use crate::edge::admit::Admitted;
 use crate::edge::forward;
@@ -16,6 +15,7 @@
 use crate::gate::dispatch::{GateResult, class_of};
 use crate::gate::{GateCall, GateReply, dispatch};
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Time to come back when no instance can be reached.
 const NO_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(500);
--- a/crates/node/src/edge/claim.rs
+++ b/crates/node/src/edge/claim.rs
@@ -10,12 +10,12 @@
 use olivegate_types::{Digest, Moment, Outcome, RefusalReason, RequestContext, header};
 
 use crate::body::{self, AnyBody};
-use crate::clock;
 use crate::control_loops::seats;
 use crate::edge::admit::Admitted;
 use crate::explain::Decision;
 use crate::reply::{FinalAnswer, insert};
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Longest time for a round of votes.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/node/src/edge/forward.rs
+++ b/crates/node/src/edge/forward.rs
@@ -8,12 +8,12 @@
 use olivegate_types::{NodeName, Outcome, Refusal, RefusalReason, header};
 
 use crate::body::{AnyBody, GuardedBody};
-use crate::clock;
 use crate::connections::Lease;
 use crate::gate::GateCall;
 use crate::gate::dispatch::{GateReply, GateResult};
 use crate::reply::{header_text, header_value, insert};
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// The gate is given this much less time than is left, so that its own refusal arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(4);
--- a/crates/node/src/edge/mod.rs
+++ b/crates/node/src/edge/mod.rs
@@ -19,13 +19,13 @@
 use hyper::{Request, Response};
 
 use crate::body::AnyBody;
-use crate::clock;
 use crate::edge::admit::Admitted;
 use crate::edge::attempts::{AttemptResult, Attempts};
 use crate::edge::claim::ClaimRequest;
 use crate::explain::Decision;
 use crate::reply::FinalAnswer;
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Handles one call from a caller or a back end.
 pub async fn handle(node: &Node, request: Request<Incoming>) -> Response<AnyBody> {
--- a/crates/node/src/gate/dispatch.rs
+++ b/crates/node/src/gate/dispatch.rs
@@ -9,13 +9,13 @@
 use olivegate_types::{Moment, Refusal, RefusalReason, RequestContext, header};
 
 use crate::body::{AnyBody, GuardedBody};
-use crate::clock;
 use crate::connections::Lease;
 use crate::directory::Instance;
 use crate::explain::Decision;
 use crate::gate::slots::{InstanceGate, Slot};
 use crate::reply::{header_text, insert};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Times that a stale idle connection is replaced before the instance counts as unreachable.
 const STALE_CONNECTIONS: usize = 3;
--- a/crates/node/src/gate/slots.rs
+++ b/crates/node/src/gate/slots.rs
@@ -11,9 +11,9 @@
 use olivegate_types::{KindName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
-use crate::clock;
 use crate::connections::ConnectionPool;
 use crate::state::lock;
+use olivegate_clock as clock;
 
 /// A wait may be this much longer than the longest one accepted in prediction.
 const WAIT_TOLERANCE: f64 = 1.25;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,6 @@
 
 pub mod app;
 pub mod body;
-pub mod clock;
 pub mod connections;
 pub mod control_loops;
 pub mod directory;
--- a/crates/node/src/ports/admin.rs
+++ b/crates/node/src/ports/admin.rs
@@ -13,10 +13,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::{self, AnyBody};
-use crate::clock;
 use crate::ports::accept;
 use crate::state::{Node, lock};
 use crate::stop::StopSignal;
+use olivegate_clock as clock;
 
 /// Time limit for asking each peer for its explanation.
 const EXPLAIN_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/node/src/ports/control.rs
+++ b/crates/node/src/ports/control.rs
@@ -12,9 +12,9 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::clock;
 use crate::ports::accept;
 use crate::state::{Node, lock};
+use olivegate_clock as clock;
 
 /// Calls of one connection that run at a time.
 const CONCURRENT_CALLS: usize = 256;
--- a/crates/node/src/ports/data.rs
+++ b/crates/node/src/ports/data.rs
@@ -12,13 +12,13 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::{self, AnyBody};
-use crate::clock;
 use crate::edge::forward::write_reply;
 use crate::gate::dispatch::GateResult;
 use crate::gate::{GateCall, GateReply, dispatch};
 use crate::ports::{accept, close_when_stopping, serve_until_closing};
 use crate::reply::{FinalAnswer, header_text, header_value};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Largest request head, in bytes: the caller port's and what edges add.
 const MAX_HEAD: usize = 32 << 10;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -15,7 +15,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
-use crate::clock;
 use crate::control_loops::seats::SeatTable;
 use crate::directory::{Directory, Instance};
 use crate::edge::peers::PeerPool;
@@ -24,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::settings::{ListenAddresses, NodeSettings};
 use crate::stop::StopSignal;
+use olivegate_clock as clock;
 
 /// Earlier bundles kept, so that a request ends under the version that admitted it.
 const BUNDLES_KEPT: usize = 8;
--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -13,7 +13,8 @@
 use crate::source::Source;
 use crate::state::Node;
 use crate::vocabulary::Vocabulary;
-use crate::{clock, edge, follow, gate, peers, status_port, transport};
+use crate::{edge, follow, gate, peers, status_port, transport};
+use olivegate_clock as clock;
 
 /// Interval of work that no event starts.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -11,9 +11,9 @@
 
 use rand::RngExt;
 
-use crate::clock;
 use crate::edge::attempts::{Attempts, Next};
 use crate::edge::intake::TakenRequest;
+use crate::edge::outcome::{Outcome, log_answer, log_own_answer};
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
@@ -24,6 +24,7 @@
 use crate::model::{Instance, RepeatSafety, Route};
 use crate::reply::{Answer, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// When to come back to a node that knows no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -51,19 +52,6 @@
     deadline: Moment,
 }
 
-/// How a request fared before its answer was made.
-struct Outcome {
-    route: Option<Rc<Route>>,
-    /// What became of each attempt.
-    trail: String,
-}
-
-impl Outcome {
-    fn route_name(&self) -> &str {
-        self.route.as_ref().map_or("none", |route| route.name.as_str())
-    }
-}
-
 /// Answers a request.
 pub async fn answer(node: &Rc<Node>, taken: TakenRequest) -> Answer {
     let arrived = clock::now();
@@ -91,41 +79,6 @@
     answer
 }
 
-fn log_own_answer(node: &Node, id: &[u8], outcome: &Outcome, own: OwnAnswer, elapsed: Duration) {
-    let class = match own {
-        OwnAnswer::NotRun { .. } => LineClass::Refusal,
-        _ => LineClass::Failure,
-    };
-    if !node.may_log(class, id) {
-        return;
-    }
-    log::info!(
-        "event=own_answer request={} route={} status={} reason={} version={} after_ms={} attempts={:?}",
-        shown(id),
-        outcome.route_name(),
-        own.status(),
-        own.reason(),
-        node.known_state().configuration,
-        elapsed.as_millis(),
-        outcome.trail,
-    );
-}
-
-fn log_answer(node: &Node, id: &[u8], outcome: &Outcome, answer: &Answer, elapsed: Duration) {
-    let class = if answer.head.status < 500 { LineClass::Routine } else { LineClass::Failure };
-    if node.may_log(class, id) {
-        log::info!(
-            "event=answered request={} route={} status={} overloaded={} after_ms={} attempts={:?}",
-            shown(id),
-            outcome.route_name(),
-            answer.head.status,
-            answer.overloaded,
-            elapsed.as_millis(),
-            outcome.trail,
-        );
-    }
-}
-
 async fn run(
     node: &Rc<Node>,
     taken: TakenRequest,
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -6,6 +6,7 @@
 //! - [`dispatch`]: route, instance, attempts, answer.
 //! - [`attempts`]: what follows an attempt without an answer.
 //! - [`remote`] and [`hop_pool`]: offers to gates on other machines.
+//! - [`outcome`]: how a request fared, and the log lines that tell it.
 //! - [`own_answer`]: answers that the node gives itself.
 
 pub mod attempts;
@@ -13,6 +14,7 @@
 pub mod dispatch;
 pub mod hop_pool;
 pub mod intake;
+pub mod outcome;
 pub mod own_answer;
 pub mod remote;
 pub mod request;
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -9,10 +9,10 @@
 use olivegate_types::{InstanceName, Refusal};
 use tokio::time::Instant;
 
-use crate::clock;
 use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, SILENCE_LIMIT, SUSPECT_AFTER};
 use crate::reply::{Answer, Body, BodyBroken, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// A gate's reply and its load, where it told that.
 pub struct RemoteReply {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -8,10 +8,10 @@
 
 use rand::RngExt;
 
-use crate::clock;
 use crate::model::Revision;
 use crate::source::{Change, Changes, Snapshot, Source, SourceError};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Longest wait for changes in one call.
 const CHANGES_WAIT: Duration = Duration::from_millis(700);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -24,7 +24,6 @@
 use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason, SheddingRank};
 use rand::RngExt;
 
-use crate::clock;
 use crate::directory::Standing;
 use crate::event::{LineClass, shown};
 use crate::hop::Offer;
@@ -34,6 +33,7 @@
 use crate::state::Node;
 use crate::stop::StopState;
 use confirmation::Confirmation;
+use olivegate_clock as clock;
 use slots::InstanceSlots;
 
 /// Slots assumed for an instance that the directory does not list yet.
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -9,10 +9,10 @@
 use olivegate_types::{Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
-use crate::clock;
 use crate::gate::instance_connection::InstanceConnections;
 use crate::hop::Offer;
 use crate::reply::{Answer, Body, Failure, FailureReason, Load};
+use olivegate_clock as clock;
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
 const USED_FRACTION: f64 = 0.94;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -23,7 +23,6 @@
 //! - [`app`]: puts all this together; start, reload and stop.
 
 pub mod app;
-pub mod clock;
 pub mod directory;
 pub mod edge;
 pub mod error;
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -19,9 +19,9 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::clock;
 use crate::hop::{self, EdgeMessage, GateMessage, KnownState};
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// Interval of a reader's announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -12,7 +12,6 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
-use crate::clock;
 use crate::directory::{Directory, HoldPolicy};
 use crate::edge::hop_pool::HopPool;
 use crate::event::{LineBudgets, LineClass};
@@ -26,6 +25,7 @@
 use crate::settings::SidecarSettings;
 use crate::stop::StopState;
 use crate::vocabulary::Vocabulary;
+use olivegate_clock as clock;
 
 /// Heartbeats within which a live instance writes a lost entry again.
 const REWRITE_HEARTBEATS: u32 = 2;
