Instances that fail many exchanges cost more in the choice

Ruled out: gates (all reasons "broken"), missing instances. Change: a gate reports the fraction of its exchanges without an answer; edges add it to the cost, fading within 4 s so that an instance that recovered is found again.

--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -39,8 +39,10 @@
 const SILENT_COST: f64 = 4.0;
 /// Time after which a silent gate is tried again.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(1_000);
-/// Time in which the cost of slowness fades when nothing new is reported.
-const SLOWNESS_FADES: Duration = Duration::from_secs(4);
+/// Cost of an instance all of whose exchanges fail.
+const FAILING_SLOPE: f64 = 3.0;
+/// Time in which the cost of being slow or failing fades when nothing new is reported.
+const HEALTH_FADES: Duration = Duration::from_secs(4);
 /// A report older than this no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(500);
 
@@ -66,6 +68,15 @@
     Neutral,
 }
 
+/// How an instance fares, on average over its last exchanges.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Health {
+    /// Time that requests spend in it, over their objective.
+    pub slowness: f64,
+    /// Fraction of exchanges without an answer.
+    pub failing: f64,
+}
+
 /// A gate's report as an edge remembers it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
@@ -80,8 +91,8 @@
     outstanding: u32,
     reported_occupancy: f64,
     reported_at: Option<Moment>,
-    slowness: f64,
-    slowness_at: Moment,
+    health: Health,
+    health_at: Moment,
     silent_at: Option<Moment>,
     failures_in_a_row: u32,
     ejections: u32,
@@ -89,10 +100,12 @@
 }
 
 impl State {
-    /// Cost of being slow, fading so that an instance that recovered is found again.
-    fn slowness_cost(&self, now: Moment) -> f64 {
-        let faded = now.since(self.slowness_at).as_secs_f64() / SLOWNESS_FADES.as_secs_f64();
-        (self.slowness - SLOW_FROM).max(0.0) * SLOW_SLOPE * (1.0 - faded).max(0.0)
+    /// Cost of being slow or failing, which fades so that an instance that recovered is found
+    /// again.
+    fn health_cost(&self, now: Moment) -> f64 {
+        let faded = now.since(self.health_at).as_secs_f64() / HEALTH_FADES.as_secs_f64();
+        let slow = (self.health.slowness - SLOW_FROM).max(0.0) * SLOW_SLOPE;
+        (slow + self.health.failing * FAILING_SLOPE) * (1.0 - faded).max(0.0)
     }
 
     /// Cost of a gate that does not say that it lives.
@@ -177,7 +190,7 @@
         let occupancy = reported.max(own);
         distance
             + state.silence_cost(now)
-            + state.slowness_cost(now)
+            + state.health_cost(now)
             + FREE_SLOPE * occupancy
             + FULL_SLOPE * (occupancy - NEARLY_FULL).max(0.0)
     }
@@ -229,11 +242,11 @@
         Report { occupancy: state.map_or(0.0, |state| state.reported_occupancy), age }
     }
 
-    /// Notes how long requests spend in the instance, as a part of their objective.
-    pub fn on_slowness(&mut self, instance: &InstanceName, slowness: f64, now: Moment) {
+    /// Notes how an instance fares, as its gate reported.
+    pub fn on_health(&mut self, instance: &InstanceName, health: Health, now: Moment) {
         let state = self.states.entry(instance.clone()).or_default();
-        state.slowness = slowness;
-        state.slowness_at = now;
+        state.health = health;
+        state.health_at = now;
     }
 
     /// Forgets instances that are no longer listed.
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use olivegate_http1::RequestHead;
 use olivegate_overload::retry_after::retry_after;
-use olivegate_routing::balance::{Candidate, Observation};
+use olivegate_routing::balance::{Candidate, Health, Observation};
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
 use rand::RngExt;
@@ -314,7 +314,8 @@
         let now = clock::now();
         let mut balancer = self.node.balancer.borrow_mut();
         balancer.on_report(name, f64::from(load.occupancy), now);
-        balancer.on_slowness(name, f64::from(load.slowness), now);
+        let health = Health { slowness: f64::from(load.slowness), failing: f64::from(load.failing) };
+        balancer.on_health(name, health, now);
         self.node.levels.borrow_mut().on_report(&self.request.route.name, f64::from(load.level), now);
     }
 
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -1,6 +1,6 @@
 //! Queue and limit of one instance, and waiting for a slot.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,8 @@
 const LEAST_SHARE: f64 = 0.2;
 /// Weight of a new sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Weight of one exchange in the fraction that fails.
+const FAILING_WEIGHT: f64 = 0.04;
 /// Expected time in the instance of a route that was never seen, as a part of its target
 /// latency.
 const UNSEEN_PART: f64 = 0.1;
@@ -32,6 +34,7 @@
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Result<(), Refusal>>>>,
     expected: RefCell<HashMap<String, Duration>>,
     slowness: RefCell<f64>,
+    failing: Cell<f64>,
     levels: RefCell<OutcomeLevels>,
     connections: Rc<InstanceConnections>,
 }
@@ -64,6 +67,7 @@
             waiting: RefCell::default(),
             expected: RefCell::default(),
             slowness: RefCell::new(0.0),
+            failing: Cell::new(0.0),
             levels: RefCell::default(),
             connections: Rc::default(),
         }
@@ -90,6 +94,7 @@
         Load {
             occupancy: self.queue.borrow().occupancy() as f32,
             slowness: *self.slowness.borrow() as f32,
+            failing: self.failing.get() as f32,
             level: self.levels.borrow().level(route) as f32,
         }
     }
@@ -190,6 +195,7 @@
 
     /// Learns from an answer.
     pub fn note_answer(&mut self, offer: &Offer, overloaded: bool, used: Duration) {
+        self.note_failing(false);
         self.note_time(offer, used);
         self.note_outcome(offer, overloaded, used);
         let mut queue = self.slots.queue.borrow_mut();
@@ -200,6 +206,11 @@
     /// Learns from an exchange without an answer.
     pub fn note_failure(&mut self, offer: &Offer, failure: Failure, used: Duration) {
         let now = clock::now();
+        let is_instances_fault =
+            !matches!(failure.reason, FailureReason::RequestBroken | FailureReason::RefusedByInstance);
+        if is_instances_fault {
+            self.note_failing(true);
+        }
         match failure.reason {
             FailureReason::RefusedByInstance => self.slots.queue.borrow_mut().limit_mut().on_refused(now),
             FailureReason::TimedOut => {
@@ -210,6 +221,12 @@
         }
     }
 
+    fn note_failing(&self, failed: bool) {
+        let sample = f64::from(u8::from(failed));
+        let failing = self.slots.failing.get();
+        self.slots.failing.set(failing + (sample - failing) * FAILING_WEIGHT);
+    }
+
     fn note_outcome(&self, offer: &Offer, overloaded: bool, used: Duration) {
         let now = clock::now();
         let began = now.saturating_sub(used);
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -129,13 +129,15 @@
     pub occupancy: f32,
     /// Time in the instance over the target latency of the routes, on average.
     pub slowness: f32,
+    /// Fraction of exchanges without an answer, on average.
+    pub failing: f32,
     /// Fraction of new requests of the route that may begin.
     pub level: f32,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Load { occupancy: 0.0, slowness: 0.0, level: 1.0 }
+        Load { occupancy: 0.0, slowness: 0.0, failing: 0.0, level: 1.0 }
     }
 }
 
