--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -28,6 +28,8 @@
 
 /// When to come back to a node that knows no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When to come back to a node that holds as many requests as its memory allows.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// When to come back to a node that is about to end.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Part of the target latency that a request may wait for a slot: a refusal after that comes
@@ -106,6 +108,9 @@
     if node.stop.is_closing() {
         return Err(OwnAnswer::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER });
     }
+    if node.stop.in_flight() > node.settings().machine.most_requests() {
+        return Err(OwnAnswer::NotRun { reason: RefusalReason::PredictedWait, retry_after: FULL_RETRY_AFTER });
+    }
     let level = node.levels.borrow().level(&route.name, now);
     if level >= 1.0 || node.random(|random| random.random::<f64>()) < level {
         return Ok(());
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -20,9 +20,11 @@
 pub mod request;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 use crate::state::Node;
 use crate::transport;
@@ -38,11 +40,17 @@
 
 /// Takes connections of clients and of the instance until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let room = Arc::new(Semaphore::new(node.settings().machine.most_connections()));
     loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 transport::configure(&stream);
-                tokio::task::spawn_local(connection::serve(node.clone(), stream));
+                let serving = connection::serve(node.clone(), stream);
+                tokio::task::spawn_local(async move {
+                    serving.await;
+                    drop(place);
+                });
             }
             Err(error) => accept_failed("outbound", &error).await,
         }
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -1,11 +1,12 @@
 //! Offers of other nodes: reads them, runs them, and says how it goes.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::{FutureExt, SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::edge::accept_failed;
 use crate::gate::confirmation::{GrantRelay, confirmation};
@@ -21,11 +22,17 @@
 
 /// Takes connections until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    let room = Arc::new(Semaphore::new(node.settings().machine.most_connections()));
     loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
                 transport::configure(&stream);
-                tokio::task::spawn_local(connection(node.clone(), stream));
+                let serving = connection(node.clone(), stream);
+                tokio::task::spawn_local(async move {
+                    serving.await;
+                    drop(place);
+                });
             }
             Err(error) => accept_failed("inbound", &error).await,
         }
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -38,6 +38,14 @@
     pub repeat_window: Duration,
 }
 
+/// Descriptors kept for files, the source, readiness and the instance.
+const KEPT_DESCRIPTORS: u64 = 300;
+/// Memory that one request may take on its way, in kilobytes: its body and its answer, each
+/// up to the size that is read whole.
+const REQUEST_KILOBYTES: u64 = 128;
+/// Part of the memory that requests on their way may take.
+const REQUEST_MEMORY_PART: u64 = 4;
+
 /// What the machine offers the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MachineLimits {
@@ -47,6 +55,21 @@
     pub max_descriptors: u64,
 }
 
+impl MachineLimits {
+    /// Most connections that each of the two ports for requests accepts at a time. An accepted
+    /// connection may need one of the node's own.
+    pub fn most_connections(&self) -> usize {
+        let left = self.max_descriptors.saturating_sub(KEPT_DESCRIPTORS) / 4;
+        usize::try_from(left.max(16)).unwrap_or(usize::MAX)
+    }
+
+    /// Most requests that may be on their way at a time.
+    pub fn most_requests(&self) -> usize {
+        let requests = self.memory_mb * 1_024 / REQUEST_MEMORY_PART / REQUEST_KILOBYTES;
+        usize::try_from(requests.max(16)).unwrap_or(usize::MAX)
+    }
+}
+
 /// Checked settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SidecarSettings {
--- a/crates/sidecar/tests/decisions/settings.rs
+++ b/crates/sidecar/tests/decisions/settings.rs
@@ -36,6 +36,15 @@
     assert_eq!(settings.inbound_of("10.1.0.9".parse().unwrap()).to_string(), "10.1.0.9:8300");
 }
 
+#[rstest]
+fn bounds_of_memory_and_descriptors_follow_the_machine() {
+    let of = |text: &str| SidecarSettings::from_toml(&SETTINGS.replace("memory_mb = 260", text)).unwrap().machine;
+    let small = of("memory_mb = 64\nmax_descriptors = 512");
+    let large = of("memory_mb = 260\nmax_descriptors = 4100");
+    assert_eq!((small.most_requests(), large.most_requests()), (128, 520));
+    assert_eq!((small.most_connections(), large.most_connections()), (53, 950));
+}
+
 #[rstest]
 #[case::missing("node = \"sidecar-1\"", "", "field=node")]
 #[case::not_an_address("10.1.0.8:8304", "nowhere", "field=listen.outbound")]
