Readings pass through a zone by a tree; nodes that start read once; a test made certain

Change: a reading goes to eight machines of the zone's order, and from each of them to eight more; a node that starts reads once and waits for the first; changes that come within 40 ms are read by one call. Test: a_broken_answer_... asked an instance that was not always chosen first (failed once); now whichever is asked first closes, so the count is certain.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -23,6 +23,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Interval at which a node that does not read looks whether it should.
 const IDLE_POLL: Duration = Duration::from_millis(100);
+/// Pause after changes, so that those that come together are read by one call.
+const GATHER: Duration = Duration::from_millis(40);
 /// Failures in a row that show that the source is disturbed.
 const FAILURES_TO_DISTURB: u32 = 2;
 
@@ -80,7 +82,12 @@
         }
         Position::After(revision) => {
             let changes = source.changes(revision, CHANGES_WAIT, CALL_LIMIT).await?;
-            Ok(take_changes(node, changes))
+            let is_busy = !changes.changes.is_empty();
+            let position = take_changes(node, changes);
+            if is_busy {
+                tokio::time::sleep(GATHER).await;
+            }
+            Ok(position)
         }
     }
 }
--- a/crates/sidecar/src/peers/freshness.rs
+++ b/crates/sidecar/src/peers/freshness.rs
@@ -14,6 +14,8 @@
 const RANK_STEP: Duration = Duration::from_millis(80);
 /// Ranks that wait longer than the one before.
 const STEPPED_RANKS: u32 = 4;
+/// A reading that is later by this much is news.
+const PASSED_ON_AFTER: Duration = Duration::from_millis(150);
 /// A node that took over goes on reading for this long.
 const KEEP_READING: Duration = Duration::from_secs(4);
 
@@ -31,10 +33,18 @@
         self.read_here = Some(now);
     }
 
-    /// Notes that a reader of this zone told of a reading made `age` ago.
-    pub fn on_announced(&mut self, age: Duration, now: Moment) {
+    /// Notes that a node of this zone told of a reading made `age` ago. True when it is news
+    /// that is to be passed on.
+    pub fn on_announced(&mut self, age: Duration, now: Moment) -> bool {
         let read = now.saturating_sub(age);
+        let is_news = self.read_by_others.is_none_or(|known| read.since(known) >= PASSED_ON_AFTER);
         self.read_by_others = self.read_by_others.max(Some(read));
+        is_news
+    }
+
+    /// Age of the latest reading that this node knows of, its own or another's.
+    pub fn latest_age(&self, now: Moment) -> Option<Duration> {
+        self.read_here.max(self.read_by_others).map(|read| now.since(read))
     }
 
     /// Age of this node's own last reading.
@@ -42,16 +52,18 @@
         self.read_here.map(|read| now.since(read))
     }
 
-    /// True when a node of this rank, 0 being the first, is to read now.
+    /// True when a node of this rank, 0 being the first, is to read now. A node that has just
+    /// started reads once and then waits to hear from the first; one that takes over from a
+    /// reader goes on for a while.
     pub fn should_read(&mut self, rank: u32, now: Moment) -> bool {
         if rank == 0 || self.reading_until.is_some_and(|until| now < until) {
             return true;
         }
         let patience = STALE_AFTER + RANK_STEP * rank.min(STEPPED_RANKS);
-        let stale = self.read_by_others.is_none_or(|read| now.since(read) > patience);
-        if stale {
+        let is_stale = self.latest_age(now).is_none_or(|age| age > patience);
+        if is_stale && self.read_by_others.is_some() {
             self.reading_until = Some(now + KEEP_READING);
         }
-        stale
+        is_stale
     }
 }
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! from those that it does.
 
 pub mod freshness;
+pub mod relay;
 
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
@@ -27,9 +28,7 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two announcements of changes.
 const CHANGE_PAUSE: Duration = Duration::from_millis(20);
-/// Most nodes of its zone that a reader announces to.
-const ZONE_FAN_OUT: usize = 32;
-/// Nodes of any zone that a reader announces to besides, and that any node passes news to.
+/// Nodes of any zone, drawn at random, that an announcement goes to besides.
 const FAN_OUT: usize = 4;
 /// Fetches at a time: a peer that does not answer must not keep the node from another one.
 const FETCHES: usize = 2;
@@ -47,29 +46,22 @@
     pub known: KnownState,
     /// Its zone.
     pub zone: ZoneName,
-    /// Age of its own last reading of the source in milliseconds; `None` when it does not
-    /// read.
+    /// Age of the latest reading of the source that it knows of, in milliseconds; `None` when
+    /// it knows of none.
     pub reading_age_ms: Option<u32>,
 }
 
 /// Rank of this node among the machines of its zone; alike on all nodes that know the same
 /// machines.
 pub fn own_reader_rank(node: &Node) -> u32 {
-    let settings = node.settings();
-    let own = settings.ip();
-    let knowledge = node.knowledge.borrow();
-    let own_score = reader_score(own);
-    let copy = knowledge.directory.machines_of_zone(&settings.zone);
-    copy.into_iter().filter(|machine| *machine != own && reader_score(*machine) < own_score).count() as u32
+    let own = node.settings().ip();
+    relay::rank_of(&zone_order(node), own)
 }
 
-/// Place of a machine in the order of readers.
-fn reader_score(machine: IpAddr) -> (u64, IpAddr) {
-    let bits = match machine {
-        IpAddr::V4(address) => u64::from(address.to_bits()),
-        IpAddr::V6(address) => address.to_bits() as u64,
-    };
-    (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29), machine)
+fn zone_order(node: &Node) -> Vec<IpAddr> {
+    let settings = node.settings();
+    let machines = node.knowledge.borrow().directory.machines_of_zone(&settings.zone);
+    relay::order_of(machines, settings.ip())
 }
 
 /// Announces and listens until the process ends.
@@ -85,25 +77,35 @@
             continue;
         };
         match borsh::from_slice::<Announcement>(&buffer[..length]) {
-            Ok(announcement) => on_announcement(&node, &fetching, announcement, sender),
+            Ok(announcement) => {
+                if on_reading(&node, &announcement) {
+                    announce(&node, &socket, Audience::Children).await;
+                }
+                on_announcement(&node, &fetching, &announcement, sender);
+            }
             Err(error) => log::debug!("event=announcement_malformed from={sender} error={error}"),
         }
     }
 }
 
+/// Notes a reading of this zone; true when it is to be passed on.
+fn on_reading(node: &Node, announcement: &Announcement) -> bool {
+    let Some(age) = announcement.reading_age_ms else { return false };
+    if announcement.zone != node.settings().zone {
+        return false;
+    }
+    let age = Duration::from_millis(u64::from(age));
+    node.freshness.borrow_mut().on_announced(age, clock::now())
+}
+
 fn on_announcement(
     node: &Rc<Node>,
     fetching: &Rc<std::cell::RefCell<HashSet<IpAddr>>>,
-    announcement: Announcement,
+    announcement: &Announcement,
     sender: SocketAddr,
 ) {
     let known = node.known_state();
     let news = announcement.known;
-    if let Some(age) = announcement.reading_age_ms
-        && announcement.zone == node.settings().zone
-    {
-        node.freshness.borrow_mut().on_announced(Duration::from_millis(u64::from(age)), clock::now());
-    }
     let is_behind = news.configuration > known.configuration || news.directory > known.directory;
     let has_room = fetching.borrow().len() < FETCHES;
     if !is_behind || !has_room || !fetching.borrow_mut().insert(sender.ip()) {
@@ -153,8 +155,7 @@
 async fn announce_changes(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         node.knowledge_changed.notified().await;
-        let to = if reads_source(&node) { Audience::Zone } else { Audience::Few };
-        announce(&node, &socket, to).await;
+        announce(&node, &socket, Audience::ChildrenAndFew).await;
         tokio::time::sleep(CHANGE_PAUSE).await;
     }
 }
@@ -163,7 +164,7 @@
     loop {
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         if reads_source(&node) {
-            announce(&node, &socket, Audience::Zone).await;
+            announce(&node, &socket, Audience::ChildrenAndFew).await;
         }
     }
 }
@@ -177,29 +178,33 @@
 /// Who an announcement goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Audience {
-    /// Some nodes at random, which pass it on.
-    Few,
-    /// The nodes of the zone as well: a reader's word.
-    Zone,
+    /// Those that this node passes readings of its zone on to.
+    Children,
+    /// Some nodes at random as well.
+    ChildrenAndFew,
 }
 
 fn audience(node: &Node, audience: Audience) -> HashSet<IpAddr> {
-    let settings = node.settings();
-    let knowledge = node.knowledge.borrow();
-    let directory = &knowledge.directory;
-    let others = directory.machines().filter(|machine| *machine != settings.ip());
-    let mut chosen: HashSet<IpAddr> = node.random(|random| others.sample(random, FAN_OUT)).into_iter().collect();
-    if audience == Audience::Zone {
-        let zone =
-            directory.machines_of_zone(&settings.zone).into_iter().filter(|machine| *machine != settings.ip());
-        chosen.extend(node.random(|random| zone.sample(random, ZONE_FAN_OUT)));
+    let own = node.settings().ip();
+    let order = zone_order(node);
+    let mut chosen: HashSet<IpAddr> =
+        relay::children(&order, relay::rank_of(&order, own)).iter().copied().collect();
+    if reads_source(node) {
+        // Also when it took over from the first.
+        chosen.extend(relay::children(&order, 0));
+        chosen.extend(order.first());
+    }
+    if audience == Audience::ChildrenAndFew {
+        let knowledge = node.knowledge.borrow();
+        chosen.extend(node.random(|random| knowledge.directory.machines().sample(random, FAN_OUT)));
     }
+    chosen.remove(&own);
     chosen
 }
 
 async fn announce(node: &Node, socket: &UdpSocket, to: Audience) {
     let settings = node.settings();
-    let age = node.freshness.borrow().own_age(clock::now());
+    let age = node.freshness.borrow().latest_age(clock::now());
     let announcement = Announcement {
         known: node.known_state(),
         zone: settings.zone.clone(),
--- /dev/null
+++ b/crates/sidecar/src/peers/relay.rs
@@ -0,0 +1,42 @@
+//! The way of a reading through a zone.
+//!
+//! The machines of a zone stand in an order that is alike on all nodes. The first reads the
+//! source and tells its reading to some; each of them passes it on to some further ones: a
+//! tree over the order. So one reading reaches a zone of a thousand machines in four steps,
+//! and no node sends more than [`CHILDREN`] datagrams for it.
+
+use std::net::IpAddr;
+
+/// Machines that each machine passes a reading on to.
+pub const CHILDREN: usize = 8;
+
+/// Place of a machine in the order of its zone.
+fn order_key(machine: IpAddr) -> (u64, IpAddr) {
+    let bits = match machine {
+        IpAddr::V4(address) => u64::from(address.to_bits()),
+        IpAddr::V6(address) => address.to_bits() as u64,
+    };
+    (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29), machine)
+}
+
+/// The machines of a zone in their order, `own` among them.
+pub fn order_of(mut machines: Vec<IpAddr>, own: IpAddr) -> Vec<IpAddr> {
+    if !machines.contains(&own) {
+        machines.push(own);
+    }
+    machines.sort_by_key(|machine| order_key(*machine));
+    machines
+}
+
+/// Rank of `own` in its zone; 0 reads the source.
+pub fn rank_of(order: &[IpAddr], own: IpAddr) -> u32 {
+    let rank = order.iter().position(|machine| *machine == own).unwrap_or(order.len());
+    u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
+/// Those that the machine of this rank passes a reading on to.
+pub fn children(order: &[IpAddr], rank: u32) -> &[IpAddr] {
+    let first = (rank as usize).saturating_mul(CHILDREN).saturating_add(1).min(order.len());
+    let end = first.saturating_add(CHILDREN).min(order.len());
+    &order[first..end]
+}
--- a/crates/sidecar/tests/decisions/freshness.rs
+++ b/crates/sidecar/tests/decisions/freshness.rs
@@ -36,6 +36,27 @@
     assert!(freshness.should_read(1, at(9_000)));
 }
 
+#[rstest]
+fn a_node_that_starts_reads_once_and_then_waits_for_the_first() {
+    let mut freshness = Freshness::default();
+    assert!(freshness.should_read(3, at(0)));
+    freshness.on_read(at(10));
+    assert!(!freshness.should_read(3, at(500)));
+    assert!(freshness.should_read(3, at(1_500)), "nobody was heard");
+}
+
+#[rstest]
+fn a_reading_is_passed_on_once() {
+    let mut freshness = Freshness::default();
+    assert!(freshness.on_announced(Duration::ZERO, at(1_000)));
+    assert!(
+        !freshness.on_announced(Duration::from_millis(40), at(1_040)),
+        "the same reading, heard from another node"
+    );
+    assert!(freshness.on_announced(Duration::ZERO, at(1_250)));
+    assert_eq!(freshness.latest_age(at(1_300)), Some(Duration::from_millis(50)));
+}
+
 #[rstest]
 fn lower_ranks_take_over_first() {
     let mut first = Freshness::default();
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -5,5 +5,6 @@
 mod events;
 mod freshness;
 mod lineage;
+mod relay;
 mod routes;
 mod settings;
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -1,5 +1,7 @@
 //! Instances that answer oddly: no client gets another's answer, half of one, or a second run.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
@@ -106,10 +108,13 @@
         fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
         fleet.list(2, "books-1", "books");
         fleet.list(3, "books-2", "books");
-        let script = |seen: &Seen, before: usize| if before == 0 { vec![Action::Close] } else { plain(seen) };
-        // Whichever is asked first closes; the other one, asked first too, would close as well.
-        let first = TestInstance::start(fleet.instance_address(2), script).await;
-        let second = TestInstance::start(fleet.instance_address(3), |seen, _| plain(seen)).await;
+        // Whichever instance is asked first closes; all later requests are answered.
+        let closed = Rc::new(Cell::new(false));
+        let script = |closed: Rc<Cell<bool>>| {
+            move |seen: &Seen, _| if closed.replace(true) { plain(seen) } else { vec![Action::Close] }
+        };
+        let first = TestInstance::start(fleet.instance_address(2), script(closed.clone())).await;
+        let second = TestInstance::start(fleet.instance_address(3), script(closed)).await;
         for machine in [2, 3] {
             Fleet::ready(&fleet.start(machine, "books").await).await;
         }
