Settings are looked at every two seconds, as the file may change without a signal

Change: the node reads its settings again by itself; a file that can't be read is left alone, and told only after SIGHUP.

--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::MissedTickBehavior;
 
 use crate::error::SidecarError;
 use crate::settings::SidecarSettings;
@@ -19,6 +20,9 @@
 /// Interval of work that no event starts.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 
+/// Interval at which the settings are looked at without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Reads the settings again; the text says why they can't be used.
 pub type ReadSettings = Box<dyn Fn() -> Result<SidecarSettings, String>>;
 
@@ -65,11 +69,14 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(SidecarError::Runtime)?;
         let mut hang_up = signal(SignalKind::hangup()).map_err(SidecarError::Runtime)?;
         let node = start(self.settings, self.vocabulary, self.source).await?;
+        let mut look_again = tokio::time::interval(SETTINGS_INTERVAL);
+        look_again.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hang_up.recv() => reload(&node, &self.read_settings),
+                _ = hang_up.recv() => reload(&node, &self.read_settings, Told::BySignal),
+                _ = look_again.tick() => reload(&node, &self.read_settings, Told::ByNobody),
             }
         }
         log::info!("event=stop_begun in_flight={}", node.stop.in_flight());
@@ -140,26 +147,41 @@
     );
 }
 
+/// What made the node read its settings again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    /// The operator.
+    BySignal,
+    /// The node looked by itself: the file may change without a signal.
+    ByNobody,
+}
+
 /// Puts changed settings in force. Addresses that are bound already stay as they are.
-fn reload(node: &Node, read_settings: &ReadSettings) {
+fn reload(node: &Node, read_settings: &ReadSettings, told: Told) {
     match read_settings() {
         Ok(mut settings) => {
             let current = node.settings();
             if settings.listen != current.listen {
-                log::warn!("event=reload_partial reason=\"listen addresses change only with a restart\"");
+                if told == Told::BySignal {
+                    log::warn!("event=reload_partial reason=\"listen addresses change only with a restart\"");
+                }
                 settings.listen = current.listen;
             }
             let changed = settings != *current;
             node.replace_settings(settings);
-            log::info!("event=reloaded changed={changed}");
+            if changed || told == Told::BySignal {
+                log::info!("event=reloaded changed={changed}");
+            }
         }
-        Err(reason) => log::error!("event=reload_failed reason={reason:?}"),
+        Err(reason) if told == Told::BySignal => log::error!("event=reload_failed reason={reason:?}"),
+        // A file that is just being written is read again soon.
+        Err(reason) => log::debug!("event=reload_failed reason={reason:?}"),
     }
 }
 
 async fn housekeeping(node: Rc<Node>) {
     let mut interval = tokio::time::interval(HOUSEKEEPING);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         node.update_directory("expiry", |directory| directory.expire(clock::now()));
--- a/crates/sidecar/tests/path/configuration.rs
+++ b/crates/sidecar/tests/path/configuration.rs
@@ -82,6 +82,26 @@
     });
 }
 
+#[rstest]
+fn settings_that_change_hold_for_the_next_request() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        let instance = instance_on(&fleet, 1).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::ready(&node).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.ask(&get("/safe/", "a")).await;
+        let mut settings = node.settings().as_ref().clone();
+        settings.service = olivegate_types::ServiceName::new("desk");
+        node.replace_settings(settings);
+        client.ask(&get("/safe/", "b")).await;
+        let callers: Vec<String> = instance.seen.borrow().iter().map(|seen| seen.field("x-caller")).collect();
+        assert_eq!(callers, ["books", "desk"]);
+    });
+}
+
 #[rstest]
 fn a_draining_instance_gets_nothing_new() {
     run(async {
