--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -27,7 +27,7 @@
 /// Logs an answer that the node gives itself.
 pub fn log_own_answer(node: &Node, id: &[u8], outcome: &Outcome, own: OwnAnswer, elapsed: Duration) {
     let class = match own {
-        OwnAnswer::NotRun { .. } => LineClass::Refusal,
+        OwnAnswer::NotRun { .. } | OwnAnswer::Rejected { .. } => LineClass::Refusal,
         _ => LineClass::Failure,
     };
     if !node.may_log(class, id) {
