--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -20,39 +20,15 @@
 pub mod request;
 
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 
 use crate::state::Node;
 use crate::transport;
 
-/// Pause after a connection could not be accepted, for want of descriptors for example.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
-/// Says that a connection could not be accepted, and waits a little.
-pub async fn accept_failed(port: &str, error: &std::io::Error) {
-    log::warn!("event=accept_failed port={port} error={error}");
-    tokio::time::sleep(ACCEPT_PAUSE).await;
-}
-
 /// Takes connections of clients and of the instance until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    let room = Arc::new(Semaphore::new(node.settings().machine.most_connections()));
-    loop {
-        let Ok(place) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                transport::configure(&stream);
-                let serving = connection::serve(node.clone(), stream);
-                tokio::task::spawn_local(async move {
-                    serving.await;
-                    drop(place);
-                });
-            }
-            Err(error) => accept_failed("outbound", &error).await,
-        }
-    }
+    let most = node.settings().machine.most_connections();
+    let serve = |stream| connection::serve(node.clone(), stream);
+    transport::serve_connections("outbound", listener, most, serve).await;
 }
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -1,14 +1,12 @@
 //! Offers of other nodes: reads them, runs them, and says how it goes.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::{FutureExt, SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 
-use crate::edge::accept_failed;
 use crate::gate::confirmation::{GrantRelay, confirmation};
 use crate::gate::run_offer;
 use crate::hop::{self, EdgeMessage, GateMessage, HopStream, Offer, OfferedBody, PROGRESS_INTERVAL};
@@ -22,21 +20,9 @@
 
 /// Takes connections until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    let room = Arc::new(Semaphore::new(node.settings().machine.most_connections()));
-    loop {
-        let Ok(place) = room.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                transport::configure(&stream);
-                let serving = connection(node.clone(), stream);
-                tokio::task::spawn_local(async move {
-                    serving.await;
-                    drop(place);
-                });
-            }
-            Err(error) => accept_failed("inbound", &error).await,
-        }
-    }
+    let most = node.settings().machine.most_connections();
+    let serve = |stream| connection(node.clone(), stream);
+    transport::serve_connections("inbound", listener, most, serve).await;
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
--- a/crates/sidecar/src/status_port.rs
+++ b/crates/sidecar/src/status_port.rs
@@ -13,20 +13,18 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::state::Node;
+use crate::transport;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Connections of the platform and operators that are served at a time.
+const MOST_CONNECTIONS: usize = 32;
+
 /// Serves the port until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(node.clone(), stream));
-            }
-            Err(error) => crate::edge::accept_failed("readiness", &error).await,
-        }
-    }
+    let serve = |stream| connection(node.clone(), stream);
+    transport::serve_connections("status", listener, MOST_CONNECTIONS, serve).await;
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
--- a/crates/sidecar/src/transport.rs
+++ b/crates/sidecar/src/transport.rs
@@ -1,16 +1,22 @@
 //! TCP sockets as the node needs them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// A peer that acknowledges nothing for this long is given up.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
 
+/// Pause after a connection could not be accepted, for want of descriptors for example.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Listens on `address`.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -36,3 +42,33 @@
     configure(&stream);
     Ok(stream)
 }
+
+/// Serves each connection that `listener` accepts by a task of its own, at most `most` at a
+/// time, until the process ends. `port` names the listener in log lines.
+pub async fn serve_connections<Serving>(
+    port: &str,
+    listener: TcpListener,
+    most: usize,
+    serve: impl Fn(TcpStream) -> Serving,
+) where
+    Serving: Future<Output = ()> + 'static,
+{
+    let room = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                configure(&stream);
+                let serving = serve(stream);
+                spawn_local(async move {
+                    serving.await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed port={port} error={error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
