--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -12,7 +12,7 @@
 use crate::experiment::{ArmResult, Experiment};
 use crate::history::History;
 use crate::summary::Summary;
-use crate::{back_ends, forwarder, report, scale, scenario};
+use crate::{back_ends, forwarder, report, scale, scenario, soak};
 
 /// Text of `--help`.
 const HELP: &str = "\
@@ -29,15 +29,21 @@
   olivegate-bench scale [--sizes 100,300,1000] [--seed N] [--cuts-up-to N] --out DIR
       Run hollow nodes; writes scale.json and scale.svg, prints a table. Cuts are
       simulated up to the given size (1000); 'none': not healed within 60 s or not run.
+  olivegate-bench soak --deployment ramdin-freres|cuenca --seconds T --seed N --out DIR
+                       [--only N,N,..] [--planned] [--load F] [--examples DIR]
+      Run a sidecar process beside each emulated instance under random faults and judge
+      the promises. --only keeps these faults of the plan; --planned draws planned work
+      only. --load is the usual load over what the slots can serve (0.5). Writes plan.txt, violations.txt and the logs; exits 1 on a broken promise.
   olivegate-bench scenarios
       List the scenarios.
-  olivegate-bench node ...
-      As 'olivegate node ...'; used for the nodes of an experiment.
+  olivegate-bench node ... | sidecar ...
+      As 'olivegate node ...' and 'olivegate sidecar ...'; used for the nodes of an
+      experiment or a soak.
 ";
 
 /// Runs the command.
 pub fn run(arguments: Vec<OsString>) -> ExitCode {
-    if arguments.first().is_some_and(|first| first == "node") {
+    if arguments.first().is_some_and(|first| first == "node" || first == "sidecar") {
         return olivegate::run(arguments);
     }
     match execute(Arguments::from_vec(arguments)) {
@@ -67,6 +73,7 @@
         "run" => run_experiment(arguments),
         "check" => check(&arguments.free_from_str::<PathBuf>().map_err(usage)?),
         "scale" => scale::command(arguments),
+        "soak" => soak::command(arguments),
         "scenarios" => {
             scenario::NAMES.iter().for_each(|name| println!("{name}"));
             Ok(())
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `history`, `checker`: what was recorded, and whether a promise was broken.
 //! - `summary`, `report`: `summary.json`, the table and the picture.
 //! - `scale`: hollow nodes by the thousand.
+//! - `soak`: sidecar processes under random faults, and the promises judged.
 
 mod arms;
 mod back_ends;
@@ -26,6 +27,7 @@
 mod report;
 mod scale;
 mod scenario;
+pub mod soak;
 mod spec;
 mod summary;
 mod wall_clock;
--- /dev/null
+++ b/crates/bench/src/soak/exchange.rs
@@ -0,0 +1,138 @@
+//! Requests and answers of emulated senders, and what makes an answer whole and its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures::StreamExt;
+use olivegate_http1::{BodyLength, Fields, Frame, RequestHead, ResponseDecoder, ResponseHead};
+use olivegate_platform::VOCABULARY;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::FramedRead;
+
+use super::record::CallEnd;
+
+/// Longest head of an answer in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Time limit of a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes of a request's body.
+const REQUEST_BODY_BYTES: usize = 1_200;
+
+/// A request to be sent.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its id.
+    pub id: String,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub target: String,
+    /// Host.
+    pub host: String,
+    /// Time until its sender gives up.
+    pub time: Duration,
+}
+
+/// A sender's connection to a node.
+pub struct Connection {
+    answers: FramedRead<OwnedReadHalf, ResponseDecoder>,
+    requests: OwnedWriteHalf,
+}
+
+/// The body that belongs to a request.
+pub fn request_body(method: &str, id: &str) -> Bytes {
+    if method == "GET" { Bytes::new() } else { filled(id, REQUEST_BODY_BYTES) }
+}
+
+/// The body of an answer: the id over and over, so that each piece shows whose it is.
+pub fn answer_body(id: &str, bytes: usize) -> Bytes {
+    filled(id, bytes.max(id.len() + 1))
+}
+
+fn filled(id: &str, bytes: usize) -> Bytes {
+    let mut body = BytesMut::with_capacity(bytes + id.len());
+    while body.len() < bytes {
+        body.put_slice(id.as_bytes());
+        body.put_u8(b'/');
+    }
+    body.truncate(bytes);
+    body.freeze()
+}
+
+/// The signature that an instance puts on an answer.
+pub fn signature(id: &str, status: u16, bytes: usize) -> String {
+    format!("{id}.{status}.{bytes}")
+}
+
+impl Connection {
+    /// A new connection.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let (reading, requests) = stream.into_split();
+        Ok(Connection { answers: FramedRead::new(reading, ResponseDecoder::new(MAX_HEAD_BYTES)), requests })
+    }
+
+    /// Sends a request and reads its answer; also tells whether the connection may be used
+    /// again.
+    pub async fn ask(&mut self, request: &Request) -> (CallEnd, bool) {
+        if self.send(request).await.is_err() {
+            return (CallEnd::Cut, false);
+        }
+        self.answer(request).await
+    }
+
+    async fn send(&mut self, request: &Request) -> std::io::Result<()> {
+        let mut fields = Fields::default();
+        fields.add("Host", request.host.clone());
+        fields.add(VOCABULARY.request_id, request.id.clone());
+        fields.add(VOCABULARY.time_left_ms, request.time.as_millis().to_string());
+        let (method, target) = (Bytes::from(request.method.clone()), Bytes::from(request.target.clone()));
+        let head = RequestHead { method, target, minor_version: 1, fields };
+        let body = request_body(&request.method, &request.id);
+        let length = if body.is_empty() { BodyLength::None } else { BodyLength::Known(body.len() as u64) };
+        let mut buffer = BytesMut::new();
+        head.write(length, &mut buffer);
+        buffer.put_slice(&body);
+        self.requests.write_all(&buffer).await
+    }
+
+    async fn answer(&mut self, request: &Request) -> (CallEnd, bool) {
+        let mut head = None;
+        let mut body = BytesMut::new();
+        loop {
+            match self.answers.next().await {
+                Some(Ok(Frame::Head(read, _))) => head = Some(read),
+                Some(Ok(Frame::Data(data))) => body.put_slice(&data),
+                Some(Ok(Frame::End)) => break,
+                Some(Err(_)) | None => return (CallEnd::Cut, false),
+            }
+        }
+        let Some(head) = head else { return (CallEnd::Cut, false) };
+        let surplus = !self.answers.read_buffer().is_empty();
+        let end = if surplus { CallEnd::WrongAnswer } else { end_of(request, &head, &body) };
+        (end, head.keeps_connection() && !surplus)
+    }
+}
+
+/// What a whole answer is for its request.
+fn end_of(request: &Request, head: &ResponseHead, body: &[u8]) -> CallEnd {
+    let own_id = head.fields.text(VOCABULARY.request_id) == Some(request.id.as_str());
+    let signed = head.fields.text(VOCABULARY.signature);
+    let right_signature = signature(&request.id, head.status, body.len());
+    let is_success = (200..300).contains(&head.status);
+    match signed {
+        Some(signed) if !own_id || signed != right_signature => CallEnd::WrongAnswer,
+        Some(_) if is_success && *body == answer_body(&request.id, body.len())[..] => CallEnd::Answered,
+        Some(_) if is_success => CallEnd::WrongAnswer,
+        Some(_) => CallEnd::InstanceFailed(head.status),
+        None if is_success => CallEnd::WrongAnswer,
+        None => {
+            let names_return = head.fields.get(VOCABULARY.retry_after).is_some();
+            CallEnd::NodeFailed { status: head.status, names_return }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/instance.rs
@@ -0,0 +1,306 @@
+//! An emulated instance of a service: slots, a short queue, calls of its own, and the ways in
+//! which it may misbehave.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use futures::StreamExt;
+use olivegate_http1::{BodyLength, Fields, Frame, RequestDecoder, RequestHead, ResponseHead};
+use olivegate_platform::VOCABULARY;
+use rand::RngExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::Instant;
+use tokio_util::codec::FramedRead;
+
+use super::exchange::{answer_body, request_body, signature};
+use super::plan::InstanceFault;
+use super::record::{CallEnd, CallPurpose, Run};
+use super::senders::{Order, Senders};
+use super::world::World;
+use crate::spec::EndpointSpec;
+
+/// Longest head and body of a request in bytes.
+const MAX_REQUEST: (usize, u64) = (64 << 10, 1 << 20);
+/// Requests that wait in an instance, over its slots.
+const QUEUE_PER_SLOT: u32 = 1;
+/// Part of the exchanges that a fault spoils.
+const FAULTY_PART: f64 = 0.3;
+/// Work takes this many times as long in a slow instance.
+const SLOW_FACTOR: u32 = 6;
+/// An instance that forgets connections does so after this rest.
+const FORGETS_AFTER: Duration = Duration::from_millis(300);
+/// Part of its time that a run keeps for its answer.
+const ANSWER_RESERVE: Duration = Duration::from_millis(20);
+
+/// One life of an instance.
+pub struct Instance {
+    /// Its id.
+    pub name: String,
+    /// Its machine.
+    pub machine: usize,
+    /// Its service.
+    pub service: String,
+    slots: Semaphore,
+    queued: Cell<u32>,
+    most_queued: u32,
+    is_leaving: Cell<bool>,
+    ended: Notify,
+}
+
+impl Instance {
+    /// An instance with `slots` slots.
+    pub fn new(name: String, machine: usize, service: String, slots: u32) -> Self {
+        Instance {
+            name,
+            machine,
+            service,
+            slots: Semaphore::new(slots as usize),
+            queued: Cell::new(0),
+            most_queued: slots * QUEUE_PER_SLOT,
+            is_leaving: Cell::new(false),
+            ended: Notify::new(),
+        }
+    }
+
+    /// It says so in its answers from now on.
+    pub fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Ends it at once, with all its connections.
+    pub fn end(&self) {
+        self.ended.notify_one();
+    }
+
+    /// Serves `address` until it is ended.
+    pub async fn serve(self: Rc<Self>, world: Rc<World>, address: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        spawn_local(async move {
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    () = self.ended.notified() => return,
+                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                        connections.spawn_local(connection(self.clone(), world.clone(), stream));
+                    },
+                    Some(_) = connections.join_next() => {}
+                }
+            }
+        });
+        Ok(())
+    }
+
+    fn rejects(&self) -> bool {
+        self.slots.available_permits() == 0 && self.queued.get() >= self.most_queued
+    }
+
+    async fn slot(&self) -> Option<SemaphorePermit<'_>> {
+        self.queued.set(self.queued.get() + 1);
+        let permit = self.slots.acquire().await.ok();
+        self.queued.set(self.queued.get() - 1);
+        permit
+    }
+}
+
+type Requests = FramedRead<OwnedReadHalf, RequestDecoder>;
+
+async fn connection(instance: Rc<Instance>, world: Rc<World>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (reading, mut answers) = stream.into_split();
+    let mut requests = FramedRead::new(reading, RequestDecoder::new(MAX_REQUEST.0, MAX_REQUEST.1));
+    let mut rested_since = Instant::now();
+    while let Some((head, body)) = next_request(&mut requests).await {
+        let forgets = world.faults.of_instance(instance.machine) == Some(InstanceFault::ForgetsConnections);
+        if forgets && rested_since.elapsed() > FORGETS_AFTER {
+            return reset(requests, answers);
+        }
+        let keeps = tokio::select! {
+            keeps = serve(&instance, &world, &head, &body, &mut answers) => keeps,
+            // The caller left: the request is dropped.
+            _ = requests.next() => false,
+        };
+        if !keeps {
+            return;
+        }
+        rested_since = Instant::now();
+    }
+}
+
+fn reset(requests: Requests, answers: OwnedWriteHalf) {
+    if let Ok(stream) = requests.into_inner().reunite(answers) {
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+async fn next_request(requests: &mut Requests) -> Option<(RequestHead, Bytes)> {
+    let mut head = None;
+    let mut body = BytesMut::new();
+    loop {
+        match requests.next().await?.ok()? {
+            Frame::Head(read, _) => head = Some(read),
+            Frame::Data(data) => body.put_slice(&data),
+            Frame::End => return head.map(|head| (head, body.freeze())),
+        }
+    }
+}
+
+/// Serves one request; false when the connection is to be closed.
+async fn serve(
+    instance: &Rc<Instance>,
+    world: &Rc<World>,
+    head: &RequestHead,
+    body: &Bytes,
+    answers: &mut OwnedWriteHalf,
+) -> bool {
+    let id = head.fields.text(VOCABULARY.request_id).unwrap_or_default().to_string();
+    if head.fields.text(VOCABULARY.expected_instance).is_some_and(|expected| expected != instance.name) {
+        return write(answers, rejection(instance, 421, &id), Bytes::new()).await;
+    }
+    let fault = world.faults.of_instance(instance.machine);
+    if instance.rejects() || fault == Some(InstanceFault::Hanging) {
+        std::future::pending::<()>().await;
+    }
+    let millis: u64 =
+        head.fields.text(VOCABULARY.time_left_ms).and_then(|text| text.parse().ok()).unwrap_or(1_000);
+    let deadline = Instant::now() + Duration::from_millis(millis);
+    let Some(_slot) = instance.slot().await else { return false };
+    if Instant::now() >= deadline {
+        return write(answers, rejection(instance, 503, &id), Bytes::new()).await;
+    }
+    note_run(instance, world, head, body, &id);
+    let status = work(instance, world, head, deadline).await;
+    let is_hit = world.random(|random| random.random_bool(FAULTY_PART));
+    let fault = fault.filter(|_| is_hit);
+    if fault == Some(InstanceFault::AnswersLost) {
+        return false;
+    }
+    let status = if fault == Some(InstanceFault::Failing) { 500 } else { status };
+    if fault == Some(InstanceFault::SurplusAnswers) {
+        let (head, body) = answer(instance, world, head, "surplus", 200);
+        write(answers, head, body).await;
+    }
+    let (head, body) = answer(instance, world, head, &id, status);
+    if fault == Some(InstanceFault::BreaksOff) {
+        return break_off(answers, head, body).await;
+    }
+    write(answers, head, body).await && !instance.is_leaving.get()
+}
+
+fn note_run(instance: &Instance, world: &World, head: &RequestHead, body: &Bytes, id: &str) {
+    let method = String::from_utf8_lossy(&head.method).into_owned();
+    let run = Run {
+        id: id.to_string(),
+        machine: instance.machine,
+        instance: instance.name.clone(),
+        service: instance.service.clone(),
+        caller: head.fields.text(VOCABULARY.caller_service).unwrap_or_default().to_string(),
+        asked: format!("{method} {}", String::from_utf8_lossy(&head.target)),
+        body_is_whole: *body == request_body(&method, id),
+        at_s: world.now_s(),
+    };
+    world.record.borrow_mut().runs.push(run);
+}
+
+fn endpoint_of<'a>(world: &'a World, head: &RequestHead) -> Option<&'a EndpointSpec> {
+    let method = String::from_utf8_lossy(&head.method);
+    let matches =
+        |endpoint: &&EndpointSpec| endpoint.method() == method && head.path().starts_with(endpoint.path());
+    world.spec.endpoints.iter().find(matches)
+}
+
+/// Does the work and makes the calls; the status of the answer.
+async fn work(instance: &Instance, world: &Rc<World>, head: &RequestHead, deadline: Instant) -> u16 {
+    let Some(endpoint) = endpoint_of(world, head) else { return 200 };
+    let is_slow = world.faults.of_instance(instance.machine) == Some(InstanceFault::Slow);
+    let factor = if is_slow { SLOW_FACTOR } else { 1 };
+    let mean = Duration::from_millis(endpoint.service_ms) * factor;
+    let work = mean.mul_f64(world.random(|random| random.random_range(0.5..1.5)));
+    if tokio::time::timeout_at(deadline, tokio::time::sleep(work)).await.is_err() {
+        return 504;
+    }
+    for call in &endpoint.calls {
+        let time = deadline.saturating_duration_since(Instant::now()).saturating_sub(ANSWER_RESERVE);
+        if time.is_zero() {
+            return 504;
+        }
+        let order = Order::of_call(instance.machine, CallPurpose::OnBehalf, call, time);
+        if Senders::send(world, order).await != CallEnd::Answered {
+            return 500;
+        }
+    }
+    200
+}
+
+fn own_head(instance: &Instance, status: u16, id: &str) -> ResponseHead {
+    let mut fields = Fields::default();
+    fields.add(VOCABULARY.request_id, id.to_string());
+    fields.add(VOCABULARY.instance, instance.name.clone());
+    if instance.is_leaving.get() {
+        fields.add("Connection", "close");
+    }
+    ResponseHead { status, minor_version: 1, fields }
+}
+
+fn rejection(instance: &Instance, status: u16, id: &str) -> ResponseHead {
+    let mut head = own_head(instance, status, id);
+    head.fields.add(VOCABULARY.not_run, "1");
+    head
+}
+
+fn answer(
+    instance: &Instance,
+    world: &World,
+    asked: &RequestHead,
+    id: &str,
+    status: u16,
+) -> (ResponseHead, Bytes) {
+    let bytes = endpoint_of(world, asked).map_or(0, |endpoint| endpoint.body_bytes);
+    let body = if status == 200 { answer_body(id, bytes) } else { Bytes::from_static(b"failed") };
+    let mut head = own_head(instance, status, id);
+    head.fields.add(VOCABULARY.signature, signature(id, status, body.len()));
+    (head, body)
+}
+
+async fn write(answers: &mut OwnedWriteHalf, head: ResponseHead, body: Bytes) -> bool {
+    let mut buffer = BytesMut::new();
+    head.write(BodyLength::Known(body.len() as u64), true, &mut buffer);
+    buffer.put_slice(&body);
+    answers.write_all(&buffer).await.is_ok()
+}
+
+/// Writes half of an answer and closes.
+async fn break_off(answers: &mut OwnedWriteHalf, head: ResponseHead, body: Bytes) -> bool {
+    let mut buffer = BytesMut::new();
+    head.write(BodyLength::Known(body.len() as u64), true, &mut buffer);
+    buffer.put_slice(&body[..body.len() / 2]);
+    let _ = answers.write_all(&buffer).await;
+    false
+}
+
+/// Faults of instances that are in force, by machine.
+#[derive(Debug, Default)]
+pub struct InstanceFaults {
+    faults: RefCell<std::collections::HashMap<usize, InstanceFault>>,
+}
+
+impl InstanceFaults {
+    /// The fault of a machine's instance.
+    pub fn of_instance(&self, machine: usize) -> Option<InstanceFault> {
+        self.faults.borrow().get(&machine).copied()
+    }
+
+    /// Begins or ends a fault.
+    pub fn set(&self, machine: usize, fault: Option<InstanceFault>) {
+        match fault {
+            Some(fault) => self.faults.borrow_mut().insert(machine, fault),
+            None => self.faults.borrow_mut().remove(&machine),
+        };
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/plan.rs
@@ -0,0 +1,213 @@
+//! Which faults strike when: drawn from a seed, so that a soak can be played again.
+//!
+//! Drawing is pure. `only` keeps some faults of a plan by their numbers, which is how a plan
+//! that broke a promise is made smaller.
+
+use std::fmt;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+
+/// Time without faults at the beginning, in seconds.
+pub const CALM_START_S: f64 = 4.0;
+/// Time without faults at the end, in which everything has to recover, in seconds.
+pub const CALM_END_S: f64 = 15.0;
+/// Mean time between two faults, in seconds.
+const MEAN_GAP_S: f64 = 2.0;
+/// Shortest and longest fault, in seconds.
+const DURATION_S: std::ops::Range<f64> = 0.5..5.0;
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    Throttling,
+    /// It takes calls and never answers.
+    Silent,
+    /// It closes connections.
+    Resetting,
+    /// It forgets its history.
+    Compacted,
+    /// It is silent and entries of living instances run out.
+    Lapsed,
+}
+
+/// How the way to a machine misbehaves. Its own requests to others still pass; what comes to
+/// it, and all datagrams from and to it, are hit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Everything is held back, as lost segments would be.
+    Silent,
+    /// Only what the machine sends back is held back.
+    OneWay,
+    /// Everything is late by tens of milliseconds.
+    Slow,
+    /// Connections are reset, again and again.
+    Reset,
+}
+
+/// How instances misbehave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InstanceFault {
+    /// They run requests and lose answers.
+    AnswersLost,
+    /// They send a second, wrong answer before the right one.
+    SurplusAnswers,
+    /// They break off inside answers.
+    BreaksOff,
+    /// They fail requests while they look well.
+    Failing,
+    /// They work several times as long.
+    Slow,
+    /// They stop answering.
+    Hanging,
+    /// They forget connections that rested.
+    ForgetsConnections,
+}
+
+/// One kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKind {
+    /// The process is killed, and started again at the end.
+    Kill,
+    /// The process stands still.
+    Pause,
+    /// The process gets SIGTERM and is started again when it has ended.
+    Stop,
+    /// The process reads its settings again.
+    Reload,
+    /// All processes are killed at once.
+    KillAll,
+    /// The way to the machine misbehaves.
+    Link(LinkFault),
+    /// The store misbehaves, for all.
+    Store(StoreFault),
+    /// The store misbehaves for this machine only.
+    StoreOfMachine(StoreFault),
+    /// The machine's instance misbehaves.
+    Instance(InstanceFault),
+    /// The machine's instance crashes and another takes its place.
+    InstanceRestarts,
+    /// The machine's instance says that it drains, ends later, and another takes its place.
+    InstanceLeaves,
+    /// Several times as many requests come.
+    Burst,
+    /// The operator changes the configuration.
+    Configuration,
+    /// The operator changes the configuration in quick succession.
+    ConfigurationStorm,
+}
+
+/// Kinds with their weights.
+const KINDS: [(FaultKind, u32); 29] = [
+    (FaultKind::Kill, 4),
+    (FaultKind::Pause, 4),
+    (FaultKind::Stop, 5),
+    (FaultKind::Reload, 2),
+    (FaultKind::KillAll, 1),
+    (FaultKind::Link(LinkFault::Silent), 3),
+    (FaultKind::Link(LinkFault::OneWay), 3),
+    (FaultKind::Link(LinkFault::Slow), 2),
+    (FaultKind::Link(LinkFault::Reset), 3),
+    (FaultKind::Store(StoreFault::Busy), 1),
+    (FaultKind::Store(StoreFault::Silent), 1),
+    (FaultKind::Store(StoreFault::Resetting), 1),
+    (FaultKind::Store(StoreFault::Compacted), 2),
+    (FaultKind::Store(StoreFault::Lapsed), 1),
+    (FaultKind::StoreOfMachine(StoreFault::Busy), 1),
+    (FaultKind::StoreOfMachine(StoreFault::Throttling), 1),
+    (FaultKind::StoreOfMachine(StoreFault::Silent), 2),
+    (FaultKind::Instance(InstanceFault::AnswersLost), 3),
+    (FaultKind::Instance(InstanceFault::SurplusAnswers), 3),
+    (FaultKind::Instance(InstanceFault::BreaksOff), 2),
+    (FaultKind::Instance(InstanceFault::Failing), 2),
+    (FaultKind::Instance(InstanceFault::Slow), 2),
+    (FaultKind::Instance(InstanceFault::Hanging), 2),
+    (FaultKind::InstanceRestarts, 3),
+    (FaultKind::InstanceLeaves, 4),
+    (FaultKind::Burst, 2),
+    (FaultKind::Instance(InstanceFault::ForgetsConnections), 2),
+    (FaultKind::Configuration, 4),
+    (FaultKind::ConfigurationStorm, 1),
+];
+
+/// A fault at its time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fault {
+    /// Number within the plan.
+    pub number: usize,
+    /// Begin, in seconds from the start of traffic.
+    pub at_s: f64,
+    /// Length in seconds.
+    pub for_s: f64,
+    /// What happens.
+    pub kind: FaultKind,
+    /// Machine that is hit, where it hits one.
+    pub machine: usize,
+}
+
+/// The faults of a soak in order of time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Faults.
+    pub faults: Vec<Fault>,
+    /// Length of the soak in seconds.
+    pub length_s: f64,
+}
+
+impl FaultKind {
+    /// True for what an operator plans: it must cut off nothing.
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            FaultKind::Stop
+                | FaultKind::Reload
+                | FaultKind::InstanceLeaves
+                | FaultKind::Configuration
+                | FaultKind::ConfigurationStorm
+        )
+    }
+
+    /// True when the whole deployment is hit and not one machine.
+    pub fn is_for_all(self) -> bool {
+        matches!(self, FaultKind::KillAll | FaultKind::Store(_) | FaultKind::Burst)
+    }
+}
+
+impl Plan {
+    /// Draws the faults of a soak of `length_s` seconds over `machines` machines; where only
+    /// planned work is wanted, no other.
+    pub fn draw(seed: u64, length_s: f64, machines: usize, is_planned_only: bool) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let is_wanted = |(kind, _): &(FaultKind, u32)| kind.is_planned() || !is_planned_only;
+        let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(is_wanted).collect();
+        let mut faults = Vec::new();
+        let mut at_s = CALM_START_S;
+        while at_s < length_s - CALM_END_S {
+            let drawn = kinds.choose_weighted(&mut random, |(_, weight)| *weight);
+            let Ok((kind, _)) = drawn.copied() else { break };
+            let for_s = random.random_range(DURATION_S).min(length_s - CALM_END_S - at_s).max(0.1);
+            let machine = random.random_range(0..machines.max(1));
+            faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
+            at_s += random.random_range(0.0..2.0 * MEAN_GAP_S);
+        }
+        Plan { faults, length_s }
+    }
+
+    /// The plan with these faults only.
+    pub fn only(mut self, numbers: &[usize]) -> Self {
+        self.faults.retain(|fault| numbers.contains(&fault.number));
+        self
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault { number, at_s, for_s, kind, machine } = self;
+        write!(formatter, "fault={number} at_s={at_s:.2} for_s={for_s:.2} kind={kind:?}")?;
+        if kind.is_for_all() { Ok(()) } else { write!(formatter, " machine={machine}") }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/strike.rs
@@ -0,0 +1,198 @@
+//! Carries out the faults of a plan, each from its begin to its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_platform_stand_in::Mood;
+use olivegate_sidecar::model::InstanceState;
+use rustix::process::Signal;
+
+use super::plan::{Fault, FaultKind, StoreFault};
+use super::record::{Disturbance, Stop};
+use super::world::World;
+
+/// Time that an entry outlives an instance that said nothing.
+const ENTRY_OUTLIVES: Duration = Duration::from_millis(1_500);
+/// A leaving instance serves on for this long after the store has taken its word.
+const SERVES_ON: Duration = Duration::from_millis(2_500);
+/// Time after which an address has a new instance.
+const ADDRESS_RESTS: Duration = Duration::from_millis(300);
+/// A process is started again after this time.
+const STARTS_AGAIN: Duration = Duration::from_millis(200);
+/// Load of a burst, over the usual one.
+const BURST: f64 = 2.5;
+/// Pause between the configurations of a storm.
+const STORM_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time that a planned stop may take.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// Interval at which a stopping process is looked at.
+const STOP_POLL: Duration = Duration::from_millis(10);
+
+/// Waits for a fault's time and carries it out.
+pub async fn strike(world: Rc<World>, fault: Fault, begin_s: f64) {
+    let wait_s = begin_s + fault.at_s - world.now_s();
+    tokio::time::sleep(Duration::from_secs_f64(wait_s.max(0.0))).await;
+    log::info!("event=fault_begins {fault}");
+    let from_s = world.now_s();
+    carry_out(&world, fault).await;
+    log::info!("event=fault_ends fault={}", fault.number);
+    if !fault.kind.is_planned() {
+        let machine = (!fault.kind.is_for_all()).then_some(fault.machine);
+        let until_s = world.now_s();
+        world.record.borrow_mut().disturbances.push(Disturbance { machine, from_s, until_s });
+    }
+}
+
+async fn carry_out(world: &Rc<World>, fault: Fault) {
+    let length = Duration::from_secs_f64(fault.for_s);
+    let machine = fault.machine;
+    match fault.kind {
+        FaultKind::Kill => {
+            world.processes.kill(machine);
+            world.senders.forget(machine);
+            tokio::time::sleep(length).await;
+            start(world, machine);
+        }
+        FaultKind::Pause => {
+            world.processes.signal(machine, Signal::STOP);
+            tokio::time::sleep(length).await;
+            world.processes.signal(machine, Signal::CONT);
+        }
+        FaultKind::Stop => stop(world, machine).await,
+        FaultKind::Reload => world.processes.signal(machine, Signal::HUP),
+        FaultKind::KillAll => {
+            (0..world.machines.len()).for_each(|machine| world.processes.kill(machine));
+            tokio::time::sleep(length.min(Duration::from_secs(2))).await;
+            (0..world.machines.len()).for_each(|machine| start(world, machine));
+        }
+        FaultKind::Link(link) => {
+            world.machines[machine].way.set(Some(link));
+            tokio::time::sleep(length).await;
+            world.machines[machine].way.set(None);
+        }
+        FaultKind::Store(kind) => store_fault(world, kind, length).await,
+        FaultKind::StoreOfMachine(kind) => {
+            world.machines[machine].store.set_mood(mood_of(kind));
+            tokio::time::sleep(length).await;
+            world.machines[machine].store.set_mood(Mood::Well);
+        }
+        FaultKind::Instance(kind) => {
+            world.faults.set(machine, Some(kind));
+            tokio::time::sleep(length).await;
+            world.faults.set(machine, None);
+        }
+        FaultKind::InstanceRestarts => instance_restarts(world, machine).await,
+        FaultKind::InstanceLeaves => instance_leaves(world, machine).await,
+        FaultKind::Burst => {
+            world.load.set(BURST);
+            tokio::time::sleep(length).await;
+            world.load.set(1.0);
+        }
+        FaultKind::Configuration => world.configure(),
+        FaultKind::ConfigurationStorm => {
+            let end_s = world.now_s() + fault.for_s.min(2.0);
+            while world.now_s() < end_s {
+                world.configure();
+                tokio::time::sleep(STORM_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn start(world: &World, machine: usize) {
+    if !world.processes.is_running(machine)
+        && let Err(error) = world.start_process(machine)
+    {
+        log::error!("event=process_not_started machine={machine} error={error}");
+    }
+}
+
+/// A planned stop, and a new start when the process has ended.
+async fn stop(world: &Rc<World>, machine: usize) {
+    if !world.processes.is_running(machine) {
+        return;
+    }
+    let at_s = world.now_s();
+    let life = world.life(machine);
+    world.processes.signal(machine, Signal::TERM);
+    let limit_s = at_s + STOP_LIMIT.as_secs_f64();
+    let status = loop {
+        tokio::time::sleep(STOP_POLL).await;
+        if world.life(machine) != life {
+            // It was killed and started again meanwhile.
+            return;
+        }
+        if let Some(status) = world.processes.ended(machine) {
+            break Some(status);
+        }
+        if world.now_s() > limit_s {
+            world.processes.kill(machine);
+            break None;
+        }
+    };
+    let clean = status.is_some_and(|status| status.success());
+    let ended_s = world.now_s();
+    world.record.borrow_mut().stops.push(Stop { machine, at_s, ended_s, clean });
+    world.senders.forget(machine);
+    tokio::time::sleep(STARTS_AGAIN).await;
+    start(world, machine);
+}
+
+fn mood_of(kind: StoreFault) -> Mood {
+    match kind {
+        StoreFault::Busy => Mood::Refusing(503),
+        StoreFault::Throttling => Mood::Refusing(429),
+        StoreFault::Silent | StoreFault::Lapsed => Mood::Silent,
+        StoreFault::Resetting => Mood::Resetting,
+        StoreFault::Compacted => Mood::Well,
+    }
+}
+
+async fn store_fault(world: &Rc<World>, kind: StoreFault, length: Duration) {
+    if kind == StoreFault::Compacted {
+        world.store.compact();
+        return;
+    }
+    world.store.set_mood(mood_of(kind));
+    if kind == StoreFault::Lapsed {
+        tokio::time::sleep(length / 2).await;
+        let names: Vec<String> =
+            world.instances.borrow().iter().flatten().map(|instance| instance.name.clone()).collect();
+        names.iter().for_each(|name| world.remove_entry(name));
+        tokio::time::sleep(length / 2).await;
+        world.store.set_mood(Mood::Well);
+        (0..world.machines.len()).for_each(|machine| world.write_entry(machine, InstanceState::Ready));
+        return;
+    }
+    tokio::time::sleep(length).await;
+    world.store.set_mood(Mood::Well);
+}
+
+/// An instance crashes; its entry goes later, and another instance takes its address.
+async fn instance_restarts(world: &Rc<World>, machine: usize) {
+    let Some(instance) = world.take_instance(machine) else { return };
+    instance.end();
+    tokio::time::sleep(ADDRESS_RESTS).await;
+    start_instance(world, machine).await;
+    tokio::time::sleep(ENTRY_OUTLIVES).await;
+    world.remove_entry(&instance.name);
+}
+
+/// An instance says that it leaves, serves on, and ends; another takes its address.
+async fn instance_leaves(world: &Rc<World>, machine: usize) {
+    world.write_entry(machine, InstanceState::Draining);
+    let Some(instance) = world.take_instance(machine) else { return };
+    world.note_leaving(&instance.name);
+    instance.leave();
+    tokio::time::sleep(SERVES_ON).await;
+    instance.end();
+    world.remove_entry(&instance.name);
+    tokio::time::sleep(ADDRESS_RESTS).await;
+    start_instance(world, machine).await;
+}
+
+async fn start_instance(world: &Rc<World>, machine: usize) {
+    if let Err(error) = world.start_instance(machine).await {
+        log::error!("event=instance_not_started machine={machine} error={error}");
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/world.rs
@@ -0,0 +1,324 @@
+//! What all parts of a soak share: machines, store, record, random numbers. One thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+
+use olivegate_platform_stand_in::{Door, StandIn, records};
+use olivegate_sidecar::model::{
+    ClientLimits, Configuration, ConfigurationVersion, Instance as Entry, InstanceState, Millis, RepeatSafety,
+    Route, WeightedPart,
+};
+use olivegate_types::{InstanceName, ServiceName, ZoneName};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::Instant;
+
+use super::instance::{Instance, InstanceFaults};
+use super::processes::Processes;
+use super::proxy::Way;
+use super::record::{Leaving, Record};
+use super::senders::Senders;
+use crate::error::BenchError;
+use crate::spec::DeploymentSpec;
+
+/// Most instances that may get one request.
+pub const ATTEMPTS: u32 = 2;
+/// Ports, alike on all machines.
+const INBOUND_PORT: u16 = 18_300;
+const INSTANCE_PORT: u16 = 18_301;
+const READINESS_PORT: u16 = 18_302;
+const OUTBOUND_PORT: u16 = 18_304;
+const PEERS_PORT: u16 = 18_320;
+/// Second numbers of the loopback addresses: what others know, and what nodes listen on.
+const PUBLIC_NET: u8 = 78;
+const OWN_NET: u8 = 79;
+/// Items on a page of the store.
+const PAGE: usize = 5;
+
+/// A machine.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// Its number.
+    pub index: usize,
+    /// Its zone.
+    pub zone: String,
+    /// Service of its instance.
+    pub service: String,
+    /// Slots of its instance.
+    pub slots: u32,
+    /// Requests of its clients and its instance.
+    pub outbound: SocketAddr,
+    /// Offers of other nodes, as they know the address.
+    pub inbound: SocketAddr,
+    /// Offers of other nodes, where the node listens.
+    pub inbound_own: SocketAddr,
+    /// Announcements, as other nodes know the address.
+    pub peers: SocketAddr,
+    /// Announcements, where the node listens.
+    pub peers_own: SocketAddr,
+    /// Its instance.
+    pub instance: SocketAddr,
+    /// Readiness.
+    pub readiness: SocketAddr,
+    /// Its way to the store.
+    pub store: Door,
+    /// The way to it.
+    pub way: Rc<Way>,
+}
+
+impl Machine {
+    /// Its name.
+    pub fn name(&self) -> String {
+        format!("machine-{}", self.index)
+    }
+}
+
+/// What all parts share.
+pub struct World {
+    /// The deployment.
+    pub spec: DeploymentSpec,
+    /// Host of all requests.
+    pub host: String,
+    /// Machines.
+    pub machines: Vec<Machine>,
+    /// The store.
+    pub store: StandIn,
+    /// Processes.
+    pub processes: Processes,
+    /// What was seen.
+    pub record: RefCell<Record>,
+    /// Faults of instances.
+    pub faults: InstanceFaults,
+    /// Connections of senders.
+    pub senders: Senders,
+    /// Load over its usual one.
+    pub load: Cell<f64>,
+    /// Newest version of the configuration.
+    pub version: Cell<u64>,
+    /// Present instances, by machine.
+    pub instances: RefCell<Vec<Option<Rc<Instance>>>>,
+    ready: RefCell<Vec<bool>>,
+    lives: RefCell<Vec<u32>>,
+    ran: RefCell<(usize, HashSet<String>)>,
+    started: Instant,
+    is_over: Cell<bool>,
+    numbers: Cell<u64>,
+    sequence: Cell<u64>,
+    random: RefCell<StdRng>,
+    salt: u64,
+}
+
+impl World {
+    /// Machines for all instances of a deployment; nothing runs yet.
+    pub async fn new(spec: DeploymentSpec, seed: u64, directory: &Path) -> Result<Rc<Self>, BenchError> {
+        let store = StandIn::new(PAGE);
+        let net = (std::process::id() % 250) as u8 + 1;
+        let mut machines = Vec::new();
+        for service in &spec.services {
+            for number in 0..service.instances {
+                let index = machines.len();
+                let public = IpAddr::V4(Ipv4Addr::new(127, PUBLIC_NET, net, index as u8 + 1));
+                let own = IpAddr::V4(Ipv4Addr::new(127, OWN_NET, net, index as u8 + 1));
+                machines.push(Machine {
+                    index,
+                    zone: spec.zones[number % spec.zones.len()].clone(),
+                    service: service.name.clone(),
+                    slots: service.slots,
+                    outbound: SocketAddr::new(public, OUTBOUND_PORT),
+                    inbound: SocketAddr::new(public, INBOUND_PORT),
+                    inbound_own: SocketAddr::new(own, INBOUND_PORT),
+                    peers: SocketAddr::new(public, PEERS_PORT),
+                    peers_own: SocketAddr::new(own, PEERS_PORT),
+                    instance: SocketAddr::new(public, INSTANCE_PORT),
+                    readiness: SocketAddr::new(public, READINESS_PORT),
+                    store: store.open().await.map_err(|error| BenchError::Process(error.to_string()))?,
+                    way: Rc::default(),
+                });
+            }
+        }
+        let record = Record {
+            services: machines.iter().map(|machine| machine.service.clone()).collect(),
+            ..Record::default()
+        };
+        let count = machines.len();
+        Ok(Rc::new(World {
+            host: format!("{}.example", spec.deployment),
+            processes: Processes::new(directory, &machines)?,
+            spec,
+            machines,
+            store,
+            record: RefCell::new(record),
+            faults: InstanceFaults::default(),
+            senders: Senders::default(),
+            load: Cell::new(1.0),
+            version: Cell::new(0),
+            instances: RefCell::new(vec![None; count]),
+            ready: RefCell::new(vec![false; count]),
+            lives: RefCell::new(vec![0; count]),
+            ran: RefCell::default(),
+            started: Instant::now(),
+            is_over: Cell::new(false),
+            numbers: Cell::new(0),
+            sequence: Cell::new(0),
+            random: RefCell::new(StdRng::seed_from_u64(seed)),
+            salt: seed ^ u64::from(std::process::id()),
+        }))
+    }
+
+    /// Seconds since the start.
+    pub fn now_s(&self) -> f64 {
+        self.started.elapsed().as_secs_f64()
+    }
+
+    /// True once traffic has to end.
+    pub fn is_over(&self) -> bool {
+        self.is_over.get()
+    }
+
+    /// Ends the traffic.
+    pub fn end_traffic(&self) {
+        self.is_over.set(true);
+    }
+
+    /// Calls `with` with the soak's random numbers.
+    pub fn random<T>(&self, with: impl FnOnce(&mut StdRng) -> T) -> T {
+        with(&mut self.random.borrow_mut())
+    }
+
+    /// A new id of a request; none begins with another one.
+    pub fn next_id(&self) -> String {
+        self.numbers.set(self.numbers.get() + 1);
+        format!("{:08x}-{:08x}", self.salt as u32, self.numbers.get())
+    }
+
+    /// Life of a machine's process.
+    pub fn life(&self, machine: usize) -> u32 {
+        self.lives.borrow()[machine]
+    }
+
+    /// True while a machine's clients send requests.
+    pub fn is_ready(&self, machine: usize) -> bool {
+        self.ready.borrow()[machine]
+    }
+
+    /// Notes what a machine says of its readiness.
+    pub fn set_ready(&self, machine: usize, ready: bool) {
+        self.ready.borrow_mut()[machine] = ready;
+    }
+
+    /// True when every machine is ready.
+    pub fn all_ready(&self) -> bool {
+        self.ready.borrow().iter().all(|ready| *ready)
+    }
+
+    /// True when an instance has run the request.
+    pub fn has_run(&self, id: &str) -> bool {
+        let record = self.record.borrow();
+        let mut ran = self.ran.borrow_mut();
+        let known = ran.0;
+        ran.1.extend(record.runs[known..].iter().map(|run| run.id.clone()));
+        ran.0 = record.runs.len();
+        ran.1.contains(id)
+    }
+
+    /// Starts the process of a machine.
+    pub fn start_process(&self, machine: usize) -> Result<(), BenchError> {
+        self.lives.borrow_mut()[machine] += 1;
+        self.processes.start(&self.machines[machine])
+    }
+
+    /// Path of the route that only this version has.
+    pub fn version_path(version: u64) -> String {
+        format!("/version/{version}/")
+    }
+
+    /// Service to which requests of `target` go.
+    pub fn service_of(&self, target: &str) -> String {
+        let endpoint = self.spec.endpoints.iter().find(|endpoint| target == format!("{}/", endpoint.path()));
+        let service = endpoint.map(|endpoint| endpoint.service.clone());
+        service.unwrap_or_else(|| self.spec.services[0].name.clone())
+    }
+
+    /// The operator writes the next version: the routes of the deployment and one of its own.
+    pub fn configure(&self) {
+        let version = self.version.get() + 1;
+        let mut routes: Vec<Route> = self
+            .spec
+            .endpoints
+            .iter()
+            .map(|endpoint| {
+                let is_repeatable = endpoint.method() == "GET";
+                route(&self.host, &format!("{}/", endpoint.path()), &endpoint.service, is_repeatable)
+            })
+            .collect();
+        routes.push(route(&self.host, &Self::version_path(version), &self.spec.services[0].name, true));
+        let configuration =
+            Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default() };
+        records::put_configuration(&self.store, &configuration);
+        self.version.set(version);
+        let now_s = self.now_s();
+        self.record.borrow_mut().versions.insert(version, now_s);
+    }
+
+    /// Writes the entry of a machine's present instance.
+    pub fn write_entry(&self, machine: usize, state: InstanceState) {
+        let instances = self.instances.borrow();
+        let Some(instance) = &instances[machine] else { return };
+        let place = &self.machines[machine];
+        let entry = Entry {
+            name: InstanceName::new(&instance.name),
+            service: ServiceName::new(&place.service),
+            address: place.instance,
+            zone: ZoneName::new(&place.zone),
+            slots: place.slots,
+            state,
+        };
+        self.sequence.set(self.sequence.get() + 1);
+        records::put_instance(&self.store, &entry, self.sequence.get());
+    }
+
+    /// Removes an instance's entry.
+    pub fn remove_entry(&self, name: &str) {
+        self.store.remove(&records::instance_key(name));
+    }
+
+    /// Notes that the store has taken that an instance leaves.
+    pub fn note_leaving(&self, name: &str) {
+        let leaving = Leaving { instance: name.to_string(), acknowledged_s: self.now_s() };
+        self.record.borrow_mut().leaving.push(leaving);
+    }
+
+    /// Puts a new instance beside a machine's node.
+    pub async fn start_instance(self: &Rc<Self>, machine: usize) -> Result<(), BenchError> {
+        let place = &self.machines[machine];
+        let name = format!("i-{machine}-{}", self.next_id());
+        let instance = Rc::new(Instance::new(name, machine, place.service.clone(), place.slots));
+        let serving = instance.clone().serve(self.clone(), place.instance).await;
+        serving.map_err(|error| BenchError::Process(format!("instance of {}: {error}", place.name())))?;
+        self.instances.borrow_mut()[machine] = Some(instance);
+        self.write_entry(machine, InstanceState::Ready);
+        Ok(())
+    }
+
+    /// Takes the present instance of a machine away.
+    pub fn take_instance(&self, machine: usize) -> Option<Rc<Instance>> {
+        self.instances.borrow_mut()[machine].take()
+    }
+}
+
+fn route(host: &str, path_prefix: &str, service: &str, is_repeatable: bool) -> Route {
+    Route {
+        name: format!("to-{service}{path_prefix}"),
+        host: host.to_string(),
+        path_prefix: path_prefix.to_string(),
+        parts: vec![WeightedPart { service: ServiceName::new(service), weight: 1 }],
+        safety: if is_repeatable { RepeatSafety::Safe } else { RepeatSafety::Unsafe },
+        timeout: Some(Millis(1_500)),
+        target_latency: Millis(800),
+        priority: if is_repeatable { 2 } else { 0 },
+        attempts: ATTEMPTS,
+    }
+}
--- a/crates/checked/src/lib.rs
+++ b/crates/checked/src/lib.rs
@@ -191,6 +191,11 @@
         parsed
     }
 
+    /// Optional value parsed from text.
+    pub fn opt_parsed<T: std::str::FromStr>(&mut self, field: &str, what: &str) -> Option<T> {
+        if self.has(field) { self.parsed(field, what) } else { None }
+    }
+
     /// Optional list of texts.
     pub fn texts(&mut self, field: &str) -> Vec<String> {
         let values = match self.take(field) {
--- a/crates/overload/src/limit/mod.rs
+++ b/crates/overload/src/limit/mod.rs
@@ -10,6 +10,8 @@
 
 use olivegate_types::Moment;
 
+use crate::pressure::Pace;
+
 /// Factor on a refusal by the instance.
 const REFUSAL_FACTOR: f64 = 0.85;
 /// Factor on a time-out or a broken connection.
@@ -20,6 +22,10 @@
 const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the slots given to a cold instance.
 const COLD_FRACTION: f64 = 0.25;
+/// Factor on the calls in flight while the gate's process is late.
+const LATE_FACTOR: f64 = 0.85;
+/// Factor on the bound of the gate's process, each time it keeps up.
+const IN_TIME_FACTOR: f64 = 1.06;
 /// Part of the limit that must be in use for a success to raise it.
 const IN_USE_FRACTION: f64 = 0.7;
 
@@ -28,6 +34,8 @@
 pub struct AdaptiveLimit {
     slots: f64,
     current: f64,
+    /// What the gate's own process can carry.
+    process_bound: f64,
     last_decrease: Option<Moment>,
     failures_in_a_row: u32,
 }
@@ -37,12 +45,25 @@
     pub fn new(slots: u32, cold: bool) -> Self {
         let slots = f64::from(slots.max(1));
         let current = if cold { (slots * COLD_FRACTION).max(1.0) } else { slots };
-        AdaptiveLimit { slots, current, last_decrease: None, failures_in_a_row: 0 }
+        AdaptiveLimit { slots, current, process_bound: f64::INFINITY, last_decrease: None, failures_in_a_row: 0 }
     }
 
     /// Calls that may be in flight now.
     pub fn current(&self) -> u32 {
-        self.current as u32
+        self.current.min(self.process_bound).max(1.0) as u32
+    }
+
+    /// Follows the pace of the gate's process, with `in_flight` calls in flight: an instance may
+    /// have more slots than the process beside it can feed.
+    pub fn follow_pace(&mut self, pace: Pace, in_flight: u32) {
+        match pace {
+            Pace::Late => self.process_bound = self.process_bound.min(f64::from(in_flight)) * LATE_FACTOR,
+            Pace::InTime => self.process_bound *= IN_TIME_FACTOR,
+        }
+        self.process_bound = self.process_bound.max(1.0);
+        if self.process_bound > self.slots {
+            self.process_bound = f64::INFINITY;
+        }
     }
 
     /// Follows a change of the bundle's slots.
--- a/crates/overload/src/queue/mod.rs
+++ b/crates/overload/src/queue/mod.rs
@@ -16,6 +16,7 @@
 use olivegate_types::{GroupName, Importance, Moment, Refusal, RefusalReason, SheddingRank};
 
 use crate::limit::AdaptiveLimit;
+use crate::pressure::Pace;
 use crate::retry_after::retry_after;
 use load::{Class, ClassLoad};
 use share::Shares;
@@ -152,6 +153,12 @@
         &mut self.limit
     }
 
+    /// Follows the pace of the process that holds this queue.
+    pub fn follow_pace(&mut self, pace: Pace) {
+        let in_flight = self.in_flight();
+        self.limit.follow_pace(pace, in_flight);
+    }
+
     /// Calls that hold a slot.
     pub fn in_flight(&self) -> u32 {
         self.running.len() as u32
--- /dev/null
+++ b/crates/overload/tests/pressure.rs
@@ -0,0 +1,69 @@
+//! A process that falls behind its own work begins less of it.
+
+use std::time::Duration;
+
+use olivegate_overload::pressure::{Pace, ProcessPressure};
+use olivegate_overload::{AdaptiveLimit, Admission, Demand, InstanceQueue, Settings};
+use olivegate_types::{GroupName, Importance, Moment, SheddingRank};
+use rstest::rstest;
+
+const LATE: Duration = Duration::from_millis(80);
+const IN_TIME: Duration = Duration::from_millis(3);
+
+fn at(millis: u64) -> Moment {
+    Moment::after_start(Duration::from_millis(millis))
+}
+
+/// Samples every 20 ms from `from` to `to`.
+fn sample(pressure: &mut ProcessPressure, lateness: Duration, from: u64, to: u64) -> Vec<Pace> {
+    (from..to).step_by(20).filter_map(|millis| pressure.on_lateness(lateness, at(millis))).collect()
+}
+
+#[rstest]
+fn a_process_that_stays_late_begins_less_and_then_all_again() {
+    let mut pressure = ProcessPressure::default();
+    let paces = sample(&mut pressure, LATE, 1_000, 3_000);
+    assert!(paces.iter().all(|pace| *pace == Pace::Late), "{paces:?}");
+    assert!(pressure.part() < 0.2, "{}", pressure.part());
+    sample(&mut pressure, IN_TIME, 3_000, 8_000);
+    assert!((pressure.part() - 1.0).abs() < 1e-9, "{}", pressure.part());
+}
+
+#[rstest]
+fn single_pauses_are_no_sign() {
+    let mut pressure = ProcessPressure::default();
+    for second in 1..20 {
+        pressure.on_lateness(Duration::from_millis(900), at(second * 1_000 + 5));
+        sample(&mut pressure, IN_TIME, second * 1_000 + 20, second * 1_000 + 900);
+    }
+    assert!(pressure.part() > 0.99, "{}", pressure.part());
+}
+
+fn demand() -> Demand {
+    Demand {
+        importance: Importance(1),
+        group: GroupName::new("all"),
+        weight: 1,
+        hop: 0,
+        rank: SheddingRank(0),
+        deadline: at(60_000),
+        expected: Duration::from_millis(100),
+        longest_wait: Some(Duration::ZERO),
+    }
+}
+
+#[rstest]
+fn the_gate_lets_in_no_more_than_the_process_can_carry() {
+    let settings = Settings { max_wait: Duration::from_millis(100), waiting_per_slot: 4 };
+    let mut queue = InstanceQueue::new(settings, AdaptiveLimit::new(400, false));
+    for _ in 0..100 {
+        assert!(matches!(queue.arrive(demand(), at(1_000)), Admission::Dispatch(_)));
+    }
+    queue.follow_pace(Pace::Late);
+    assert_eq!(queue.current_limit(), 85);
+    assert!(matches!(queue.arrive(demand(), at(1_000)), Admission::Refuse(_)));
+    for _ in 0..40 {
+        queue.follow_pace(Pace::InTime);
+    }
+    assert_eq!(queue.current_limit(), 400);
+}
--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -61,7 +61,9 @@
     pub fn run(self) -> Result<Ended, SidecarError> {
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(SidecarError::Runtime)?;
-        LocalSet::new().block_on(&runtime, self.serve())
+        // The outer future is polled whenever any local task is; it must be cheap.
+        let serving = async { spawn_local(self.serve()).await.unwrap_or(Ok(Ended::CutOff)) };
+        LocalSet::new().block_on(&runtime, serving)
     }
 
     async fn serve(self) -> Result<Ended, SidecarError> {
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -9,6 +9,10 @@
 use crate::model::RepeatSafety;
 use crate::reply::Failure;
 
+/// Instances without room that a request is offered to at most. They are drawn among many and
+/// the least busy is taken, so further ones are full too, and offers cost the nodes work.
+const MOST_FULL: u32 = 4;
+
 /// What the client is told when no instance gave an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
@@ -34,6 +38,7 @@
     most_arrivals: u32,
     arrivals: u32,
     may_have_run: bool,
+    full: u32,
     tried: Vec<InstanceName>,
     /// The refusal that the client is told: want of capacity before anything else.
     refusal: Option<Refusal>,
@@ -48,6 +53,7 @@
             most_arrivals: most_arrivals.max(1),
             arrivals: 0,
             may_have_run: false,
+            full: 0,
             tried: Vec::new(),
             refusal: None,
             trail: String::new(),
@@ -96,7 +102,8 @@
         if tells_more || refusal.reason.is_for_want_of_capacity() {
             self.refusal = Some(refusal);
         }
-        Next::TryAnother
+        self.full += u32::from(refusal.reason.is_for_want_of_capacity());
+        if self.full < MOST_FULL { Next::TryAnother } else { self.give_up() }
     }
 
     /// The exchange gave no answer. `take_repeat` takes a repeat from the budget and is
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::gate::confirmation::Confirmation;
 use crate::gate::{self, importance_of_priority};
 use crate::hop::{Offer, OfferedBody};
+use crate::lateness;
 use crate::model::{Instance, RepeatSafety, Route};
 use crate::reply::{Answer, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
@@ -57,6 +58,7 @@
 /// Answers a request.
 pub async fn answer(node: &Rc<Node>, taken: TakenRequest) -> Answer {
     let arrived = clock::now();
+    lateness::sample(node, arrived);
     let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
     let shown_id = id.clone().unwrap_or_default();
     let mut outcome = Outcome { route: None, trail: String::new() };
@@ -111,6 +113,14 @@
     if node.stop.in_flight() > node.settings().machine.most_requests() {
         return Err(OwnAnswer::NotRun { reason: RefusalReason::PredictedWait, retry_after: FULL_RETRY_AFTER });
     }
+    let part = node.pressure.borrow().part();
+    if part < 1.0 && node.random(|random| random.random::<f64>()) >= part {
+        let jitter = node.random(|random| random.random::<f64>());
+        return Err(OwnAnswer::NotRun {
+            reason: RefusalReason::NodeOverloaded,
+            retry_after: retry_after(part, jitter),
+        });
+    }
     let level = node.levels.borrow().level(&route.name, now);
     if level >= 1.0 || node.random(|random| random.random::<f64>()) < level {
         return Ok(());
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -20,13 +20,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_overload::Demand;
+use olivegate_overload::{Demand, Pace};
 use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason, SheddingRank};
 use rand::RngExt;
 
 use crate::directory::Standing;
 use crate::event::{LineClass, shown};
 use crate::hop::Offer;
+use crate::lateness;
 use crate::lineage::RunningKey;
 use crate::model::{Instance, InstanceState};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
@@ -74,6 +75,11 @@
         });
     }
 
+    /// Follows the pace of this process, which has to feed the instances.
+    pub fn follow_pace(&self, pace: Pace) {
+        self.instances.borrow().values().for_each(|slots| slots.follow_pace(pace));
+    }
+
     /// Queue and limit of one instance, for log lines.
     pub fn status(&self, name: &InstanceName) -> String {
         self.instances.borrow().get(name).map(|slots| slots.status()).unwrap_or_default()
@@ -93,7 +99,9 @@
 /// Runs an offer: waits for a slot, then has the instance run it. Dropping the future
 /// cancels the request, wherever it is.
 pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body, confirmation: Confirmation) -> GateReply {
-    let deadline = clock::now() + Duration::from_millis(u64::from(offer.time_left_ms));
+    let arrived = clock::now();
+    lateness::sample(node, arrived);
+    let deadline = arrived + Duration::from_millis(u64::from(offer.time_left_ms));
     if let Some(reason) = obstacle(node, &offer.instance) {
         let refusal = Refusal::new(reason, SHORT_RETRY_AFTER);
         let successor = successor_of(node, &offer.instance);
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_overload::{AdaptiveLimit, Admission, Demand, InstanceQueue, OutcomeLevels, Settings, TicketId};
+use olivegate_overload::{
+    AdaptiveLimit, Admission, Demand, InstanceQueue, OutcomeLevels, Pace, Settings, TicketId,
+};
 use olivegate_types::{Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
@@ -78,6 +80,11 @@
         self.queue.borrow_mut().configure(QUEUE, used_slots(slots));
     }
 
+    /// Follows the pace of this process.
+    pub fn follow_pace(&self, pace: Pace) {
+        self.queue.borrow_mut().follow_pace(pace);
+    }
+
     /// Connections to the instance.
     pub fn connections(&self) -> &Rc<InstanceConnections> {
         &self.connections
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`edge`]: connections of callers and the attempts of their requests.
 //! - [`gate`]: the queue in front of the instance and the exchanges with it.
 //! - [`hop`]: messages between edge and gate.
+//! - [`lateness`]: measures whether this process keeps up.
 //! - [`peers`]: what nodes tell each other.
 //! - [`status_port`]: readiness and metrics.
 //! - [`app`]: puts all this together; start, reload and stop.
@@ -30,6 +31,7 @@
 pub mod follow;
 pub mod gate;
 pub mod hop;
+pub mod lateness;
 pub mod lineage;
 pub mod metrics;
 pub mod model;
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -13,6 +13,9 @@
     pub outbound: SocketAddr,
     /// Offers of other nodes.
     pub inbound: SocketAddr,
+    /// Address by which other machines know this one; another than that of `inbound` where
+    /// something in between translates it.
+    pub advertised: IpAddr,
     /// Readiness.
     pub readiness: SocketAddr,
     /// Announcements of other nodes, by UDP.
@@ -106,7 +109,7 @@
 
     /// Own address, by which other nodes and the instance know this machine.
     pub fn ip(&self) -> IpAddr {
-        self.listen.inbound.ip()
+        self.listen.advertised
     }
 
     /// Address at which the node on `machine` takes offers: ports are alike on all machines.
@@ -153,9 +156,10 @@
     let peers_port = reader.integer("peers_port", 1..=65_535) as u16;
     let metrics_port = reader.integer_or("metrics_port", 0, 0..=65_535) as u16;
     let inbound = inbound?;
+    let advertised = reader.opt_parsed("advertised_ip", "an address such as 127.0.0.1").unwrap_or(inbound.ip());
     let metrics = (metrics_port > 0).then(|| SocketAddr::new(inbound.ip(), metrics_port));
     let peers = SocketAddr::new(inbound.ip(), peers_port);
-    Some(ListenAddresses { outbound: outbound?, inbound, readiness: readiness?, peers, metrics })
+    Some(ListenAddresses { outbound: outbound?, inbound, advertised, readiness: readiness?, peers, metrics })
 }
 
 fn read_source(reader: &mut Reader) -> Option<(SocketAddr, Duration)> {
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use olivegate_overload::ReportedLevels;
+use olivegate_overload::{ProcessPressure, ReportedLevels};
 use olivegate_retry::{RepeatBudget, RepeatPolicy};
 use olivegate_routing::balance::Balancer;
 use olivegate_types::{Moment, ServiceName};
@@ -67,6 +67,10 @@
     budgets: RefCell<HashMap<(ServiceName, bool), RepeatBudget>>,
     /// How much of each route is let through, as gates report.
     pub levels: RefCell<ReportedLevels>,
+    /// Whether this process keeps up with its work.
+    pub pressure: RefCell<ProcessPressure>,
+    /// When that was last sampled.
+    pub lateness_sampled: Cell<Moment>,
     /// Which requests are calls of the instance.
     pub lineage: RefCell<Lineage>,
     /// Connections to gates.
@@ -103,6 +107,8 @@
             dealer: RefCell::default(),
             budgets: RefCell::default(),
             levels: RefCell::default(),
+            pressure: RefCell::default(),
+            lateness_sampled: Cell::new(Moment::START),
             lineage: RefCell::default(),
             hops: HopPool::default(),
             gate: Gate::default(),
--- a/crates/sidecar/tests/decisions/attempts.rs
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -51,6 +51,14 @@
     assert_eq!(attempts.trail(), "none:node-not-ready,none:predicted-wait,none:node-not-ready");
 }
 
+#[rstest]
+fn a_request_is_not_offered_to_many_full_instances() {
+    let mut attempts = Attempts::new(Safe, 2);
+    let nexts: Vec<Next> = (0..4).map(|_| attempts.on_refused(refusal())).collect();
+    assert_eq!(nexts[..3], [Next::TryAnother; 3]);
+    assert_eq!(nexts[3], Next::GiveUp(Verdict::NotRun(refusal())));
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Refused,
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -107,6 +107,7 @@
             listen: ListenAddresses {
                 outbound: self.outbound(machine),
                 inbound: SocketAddr::new(ip, INBOUND_PORT),
+                advertised: ip,
                 readiness: self.readiness(machine),
                 peers: SocketAddr::new(ip, PEERS_PORT),
                 metrics: None,
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -76,11 +76,13 @@
     TooManyHops,
     /// The node has no bundle in force, is stopping, or its view is stale.
     NodeNotReady,
+    /// The node's process does not keep up with its work.
+    NodeOverloaded,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 13] = [
+    pub const ALL: [RefusalReason; 14] = [
         RefusalReason::AdmissionLevel,
         RefusalReason::PredictedWait,
         RefusalReason::QueueTimeout,
@@ -94,6 +96,7 @@
         RefusalReason::DeadlineExceeded,
         RefusalReason::TooManyHops,
         RefusalReason::NodeNotReady,
+        RefusalReason::NodeOverloaded,
     ];
 
     /// Text of the reason header and of log lines.
@@ -112,6 +115,7 @@
             RefusalReason::DeadlineExceeded => "deadline-exceeded",
             RefusalReason::TooManyHops => "too-many-hops",
             RefusalReason::NodeNotReady => "node-not-ready",
+            RefusalReason::NodeOverloaded => "node-overloaded",
         }
     }
 
@@ -128,6 +132,7 @@
                 | RefusalReason::QueueTimeout
                 | RefusalReason::Displaced
                 | RefusalReason::DeadlineExceeded
+                | RefusalReason::NodeOverloaded
         )
     }
 
