Connections that an instance forgets teach how long others may rest

Cause: instances may forget connections that rest and reset what comes next (idle_race); a request that may run once then ends in 502, a safe one costs a repeat. Change: a kept connection that breaks on its first use bounds the rest of the others for 10 s to 0.6 of its own; what may run once goes only on connections that rested 100 ms at most. Tests seen failing first: tests/path/resting.rs (502, 3 requests on forgotten connections); pure part in decisions/rest_trust.rs.

--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -341,6 +341,7 @@
             target_latency_ms: route.target_latency.0,
             importance: importance_of_priority(route.priority),
             hop: u8::from(self.is_call),
+            safety: route.safety,
             needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
     }
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -38,12 +38,20 @@
     body: Body,
     time_left: Duration,
 ) -> Result<Answer, Failure> {
-    let mut connection = match connections.take() {
+    let mut connection = match connections.take(offer.safety) {
         Some(connection) => connection,
         None => connect(node, connections).await?,
     };
     let head = request_head(node, offer, time_left);
-    let matched = exchange_heads(node, &mut connection, &head, offer, body).await?;
+    let matched = match exchange_heads(node, &mut connection, &head, offer, body).await {
+        Ok(matched) => matched,
+        Err(failure) => {
+            if failure.reason == FailureReason::Broken {
+                connections.on_broken(&connection);
+            }
+            return Err(failure);
+        }
+    };
     let reusable = matched.request_sent && matched.head.keeps_connection();
     let rest = named_rest(&matched.head);
     let whole_length = match matched.length {
--- a/crates/sidecar/src/gate/instance_connection.rs
+++ b/crates/sidecar/src/gate/instance_connection.rs
@@ -3,7 +3,7 @@
 //! A connection carries one exchange at a time. It is kept only when the exchange went
 //! through to its end and nothing else has arrived since.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,7 +13,10 @@
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
+use crate::gate::rest_trust::RestTrust;
+use crate::model::RepeatSafety;
 use crate::transport;
+use olivegate_clock as clock;
 
 /// Longest head of an answer in bytes.
 const MAX_ANSWER_HEAD: usize = 64 * 1024;
@@ -30,10 +33,13 @@
     pub answers: FramedRead<OwnedReadHalf, ResponseDecoder>,
     /// Requests.
     pub requests: OwnedWriteHalf,
+    /// How long it rested before this exchange; none when it is new.
+    rested: Option<Duration>,
 }
 
 struct Resting {
     connection: InstanceConnection,
+    since: Instant,
     until: Instant,
 }
 
@@ -41,12 +47,14 @@
 #[derive(Default)]
 pub struct InstanceConnections {
     resting: RefCell<Vec<Resting>>,
+    trust: Cell<RestTrust>,
 }
 
 impl InstanceConnection {
     fn new(stream: TcpStream) -> Self {
         let (reading, requests) = stream.into_split();
-        InstanceConnection { answers: FramedRead::new(reading, ResponseDecoder::new(MAX_ANSWER_HEAD)), requests }
+        let answers = FramedRead::new(reading, ResponseDecoder::new(MAX_ANSWER_HEAD));
+        InstanceConnection { answers, requests, rested: None }
     }
 
     /// True when the connection is open and nothing has arrived on it.
@@ -59,14 +67,33 @@
 }
 
 impl InstanceConnections {
-    /// A connection that rests, the last used first; `None` when there is none to use.
-    pub fn take(&self) -> Option<InstanceConnection> {
+    /// A connection that rests and may carry such a request, the last used first; `None` when
+    /// there is none to use.
+    pub fn take(&self, safety: RepeatSafety) -> Option<InstanceConnection> {
         let now = Instant::now();
+        let longest = self.trust.get().longest(safety, clock::now());
         loop {
             let resting = self.resting.borrow_mut().pop()?;
-            if now < resting.until && resting.connection.is_clean() {
-                return Some(resting.connection);
+            let rested = now - resting.since;
+            if rested > longest {
+                // Those below have rested longer; they may still do for other requests.
+                self.resting.borrow_mut().push(resting);
+                return None;
             }
+            let mut connection = resting.connection;
+            if now < resting.until && connection.is_clean() {
+                connection.rested = Some(rested);
+                return Some(connection);
+            }
+        }
+    }
+
+    /// An exchange on a connection that had rested broke before its answer began.
+    pub fn on_broken(&self, connection: &InstanceConnection) {
+        if let Some(rested) = connection.rested {
+            let mut trust = self.trust.get();
+            trust.on_broken(rested, clock::now());
+            self.trust.set(trust);
         }
     }
 
@@ -80,11 +107,12 @@
     /// keeps it, where it named one.
     pub fn keep(&self, connection: InstanceConnection, rest: Option<Duration>) {
         let rest = rest.map_or(DEFAULT_REST, |rest| rest.saturating_sub(REST_RESERVE));
-        let until = Instant::now() + rest;
+        let since = Instant::now();
+        let until = since + rest;
         let mut resting = self.resting.borrow_mut();
-        resting.push(Resting { connection, until });
+        resting.push(Resting { connection, since, until });
         // Those at the bottom rest longest; one look a time keeps the list short.
-        if resting.first().is_some_and(|oldest| oldest.until < Instant::now()) {
+        if resting.first().is_some_and(|oldest| oldest.until < since) {
             resting.remove(0);
         }
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -6,12 +6,14 @@
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`exchange`]: one request and its answer on such a connection.
+//! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
 
 pub mod confirmation;
 pub mod exchange;
 pub mod instance_connection;
+pub mod rest_trust;
 pub mod serve;
 pub mod slots;
 
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -17,7 +17,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::directory::DirectoryCopy;
-use crate::model::{Configuration, ConfigurationVersion, Instance, Revision};
+use crate::model::{Configuration, ConfigurationVersion, Instance, RepeatSafety, Revision};
 use crate::reply::{AnswerFault, Failure, Load};
 
 /// Interval of the gate's signs of life.
@@ -63,6 +63,8 @@
     pub importance: Importance,
     /// 0 for a client's request, 1 for a call on behalf of one.
     pub hop: u8,
+    /// Whether it may run more than once.
+    pub safety: RepeatSafety,
     /// True when it may run only once the edge has confirmed it.
     pub needs_confirmation: bool,
 }
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -6,5 +6,6 @@
 mod freshness;
 mod lineage;
 mod relay;
+mod rest_trust;
 mod routes;
 mod settings;
--- /dev/null
+++ b/crates/sidecar/tests/decisions/rest_trust.rs
@@ -0,0 +1,39 @@
+//! How long a connection may have rested.
+
+use std::time::Duration;
+
+use olivegate_sidecar::gate::rest_trust::RestTrust;
+use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use olivegate_types::Moment;
+use rstest::rstest;
+
+const REST: Duration = Duration::from_millis(400);
+
+#[rstest]
+fn a_lesson_bounds_the_rest_and_is_forgotten() {
+    let mut trust = RestTrust::default();
+    assert_eq!(trust.longest(Safe, Moment::from_millis(0)), Duration::MAX);
+    trust.on_broken(REST, Moment::from_millis(1_000));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(2_000)), Duration::from_millis(240));
+    trust.on_broken(Duration::from_millis(200), Moment::from_millis(2_000));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(11_000)), Duration::from_millis(120));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(13_000)), Duration::MAX);
+}
+
+#[rstest]
+fn a_longer_rest_teaches_nothing_that_a_shorter_one_did_not() {
+    let mut trust = RestTrust::default();
+    trust.on_broken(REST, Moment::from_millis(1_000));
+    trust.on_broken(REST * 5, Moment::from_millis(1_500));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(2_000)), Duration::from_millis(240));
+}
+
+#[rstest]
+fn what_may_run_once_gets_connections_that_hardly_rested() {
+    let mut trust = RestTrust::default();
+    assert_eq!(trust.longest(Unsafe, Moment::from_millis(0)), Duration::from_millis(100));
+    trust.on_broken(Duration::from_millis(100), Moment::from_millis(0));
+    assert_eq!(trust.longest(Unsafe, Moment::from_millis(0)), Duration::from_millis(60));
+    trust.on_broken(Duration::from_millis(5), Moment::from_millis(0));
+    assert_eq!(trust.longest(Unsafe, Moment::from_millis(0)), Duration::from_millis(60), "too short to tell");
+}
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -145,6 +145,7 @@
         target_latency_ms: 1_000,
         importance: olivegate_types::Importance::PROTECTED,
         hop: 0,
+        safety: Unsafe,
         needs_confirmation: true,
     }
 }
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -6,5 +6,6 @@
 mod failing;
 mod gates;
 mod requests;
+mod resting;
 mod stopping;
 mod support;
--- /dev/null
+++ b/crates/sidecar/tests/path/resting.rs
@@ -0,0 +1,57 @@
+//! Instances that forget connections which rest: what comes next on them is reset.
+
+use std::time::Duration;
+
+use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use rstest::rstest;
+
+use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+
+/// Rest after which the instance has forgotten a connection.
+const FORGETS_AFTER: Duration = Duration::from_millis(150);
+
+fn forgetful(seen: &Seen, _before: usize) -> Vec<Action> {
+    if seen.rested.is_some_and(|rested| rested > FORGETS_AFTER) {
+        return vec![Action::Reset];
+    }
+    vec![Action::Send(answer(200, &seen.id(), "body"))]
+}
+
+async fn forgetful_instance() -> (Fleet, TestInstance) {
+    let fleet = Fleet::new();
+    let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
+    fleet.source.configure(configuration(1, routes));
+    fleet.list(2, "books-1", "books");
+    let instance = TestInstance::start(fleet.instance_address(2), forgetful).await;
+    for (machine, service) in [(2, "books"), (1, "desk")] {
+        Fleet::ready(&fleet.start(machine, service).await).await;
+    }
+    (fleet, instance)
+}
+
+#[rstest]
+fn what_may_run_once_is_not_sent_on_a_connection_that_rested_long() {
+    run(async {
+        let (fleet, _instance) = forgetful_instance().await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..3 {
+            let answer = client.ask(&post("/once/", &format!("r{number}"), "x")).await;
+            assert_eq!(answer.head.status, 200, "request {number}");
+            tokio::time::sleep(FORGETS_AFTER * 2).await;
+        }
+    });
+}
+
+#[rstest]
+fn a_connection_that_was_forgotten_teaches_how_long_others_may_rest() {
+    run(async {
+        let (fleet, instance) = forgetful_instance().await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..6 {
+            client.ask(&get("/safe/", &format!("r{number}"))).await;
+            tokio::time::sleep(FORGETS_AFTER * 2).await;
+        }
+        let forgotten = instance.seen.borrow().iter().filter(|seen| seen.rested > Some(FORGETS_AFTER)).count();
+        assert!(forgotten <= 1, "{forgotten} requests went to a forgotten connection");
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -235,6 +235,8 @@
 pub struct Seen {
     pub head: RequestHead,
     pub body: Bytes,
+    /// How long its connection had rested; none for the first request of a connection.
+    pub rested: Option<Duration>,
 }
 
 impl Seen {
@@ -275,6 +277,7 @@
         let (reading, mut writing) = stream.into_split();
         let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
         let mut current: Option<(RequestHead, BytesMut)> = None;
+        let mut rests_since: Option<tokio::time::Instant> = None;
         while let Some(Ok(frame)) = requests.next().await {
             match (frame, current.take()) {
                 (Frame::Head(head, _), _) => current = Some((head, BytesMut::new())),
@@ -283,7 +286,8 @@
                     current = Some((head, body));
                 }
                 (Frame::End, Some((head, body))) => {
-                    let seen = Seen { head, body: body.freeze() };
+                    let rested = rests_since.map(|since| since.elapsed());
+                    let seen = Seen { head, body: body.freeze(), rested };
                     let before = self.seen.borrow().len();
                     self.seen.borrow_mut().push(seen.clone());
                     for action in script(&seen, before) {
@@ -308,6 +312,7 @@
                             }
                         }
                     }
+                    rests_since = Some(tokio::time::Instant::now());
                 }
                 _ => return,
             }
