Soak: processes that end by themselves are recorded; tests of plan and judge with planted faults

Tests: every promise of the judge is seen broken by a planted fault (17 cases), plans repeat from their seed and can be made smaller.

--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -188,11 +188,12 @@
     Ok(())
 }
 
-/// Follows a machine's readiness, and starts its process again when it ends by itself.
+/// Follows a machine's readiness, and looks after its process.
 async fn watch(world: Rc<World>, machine: usize) {
     let mut misses = 0;
     loop {
         let is_ready = tokio::time::timeout(READINESS_LIMIT, asks_ready(&world, machine)).await.unwrap_or(false);
+        world.look_after_process(machine);
         misses = if is_ready { 0 } else { misses + 1 };
         world.set_ready(machine, misses < 2);
         tokio::time::sleep(READINESS_INTERVAL).await;
--- a/crates/bench/src/soak/strike.rs
+++ b/crates/bench/src/soak/strike.rs
@@ -1,5 +1,6 @@
 //! Carries out the faults of a plan, each from its begin to its end.
 
+use std::process::ExitStatus;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -114,28 +115,41 @@
     }
     let at_s = world.now_s();
     let life = world.life(machine);
+    world.set_stopping(machine, true);
     world.processes.signal(machine, Signal::TERM);
-    let limit_s = at_s + STOP_LIMIT.as_secs_f64();
-    let status = loop {
+    let ended = end_of(world, machine, life, at_s + STOP_LIMIT.as_secs_f64()).await;
+    world.set_stopping(machine, false);
+    let StopEnd::Ended(status) = ended else { return };
+    let clean = status.is_some_and(|status| status.success());
+    let ended_s = world.now_s();
+    world.record.borrow_mut().stops.push(Stop { machine, at_s, ended_s, clean });
+    world.senders.forget(machine);
+    tokio::time::sleep(STARTS_AGAIN).await;
+    start(world, machine);
+}
+
+/// How a planned stop ended.
+enum StopEnd {
+    /// The process ended, or had to be killed.
+    Ended(Option<ExitStatus>),
+    /// It was killed and started again meanwhile.
+    Overtaken,
+}
+
+async fn end_of(world: &World, machine: usize, life: u32, limit_s: f64) -> StopEnd {
+    loop {
         tokio::time::sleep(STOP_POLL).await;
-        if world.life(machine) != life {
-            // It was killed and started again meanwhile.
-            return;
+        if world.life(machine) != life || !world.processes.is_running(machine) {
+            return StopEnd::Overtaken;
         }
         if let Some(status) = world.processes.ended(machine) {
-            break Some(status);
+            return StopEnd::Ended(Some(status));
         }
         if world.now_s() > limit_s {
             world.processes.kill(machine);
-            break None;
+            return StopEnd::Ended(None);
         }
-    };
-    let clean = status.is_some_and(|status| status.success());
-    let ended_s = world.now_s();
-    world.record.borrow_mut().stops.push(Stop { machine, at_s, ended_s, clean });
-    world.senders.forget(machine);
-    tokio::time::sleep(STARTS_AGAIN).await;
-    start(world, machine);
+    }
 }
 
 fn mood_of(kind: StoreFault) -> Mood {
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -102,6 +102,8 @@
     pub instances: RefCell<Vec<Option<Rc<Instance>>>>,
     ready: RefCell<Vec<bool>>,
     lives: RefCell<Vec<u32>>,
+    /// Machines whose process was told to stop.
+    stopping: RefCell<HashSet<usize>>,
     ran: RefCell<(usize, HashSet<String>)>,
     started: Instant,
     is_over: Cell<bool>,
@@ -158,6 +160,7 @@
             instances: RefCell::new(vec![None; count]),
             ready: RefCell::new(vec![false; count]),
             lives: RefCell::new(vec![0; count]),
+            stopping: RefCell::default(),
             ran: RefCell::default(),
             started: Instant::now(),
             is_over: Cell::new(false),
@@ -230,6 +233,29 @@
         self.processes.start(&self.machines[machine])
     }
 
+    /// Notes that a machine's process was told to stop, or has ended after that.
+    pub fn set_stopping(&self, machine: usize, stopping: bool) {
+        let mut all = self.stopping.borrow_mut();
+        if stopping {
+            all.insert(machine);
+        } else {
+            all.remove(&machine);
+        }
+    }
+
+    /// Starts a process again that has ended though nobody told it to; this is recorded.
+    pub fn look_after_process(&self, machine: usize) {
+        if self.stopping.borrow().contains(&machine) {
+            return;
+        }
+        let Some(status) = self.processes.ended(machine) else { return };
+        log::error!("event=process_ended_by_itself machine={machine} status={status}");
+        self.record.borrow_mut().ended_by_themselves.push(machine);
+        if let Err(error) = self.start_process(machine) {
+            log::error!("event=process_not_started machine={machine} error={error}");
+        }
+    }
+
     /// Path of the route that only this version has.
     pub fn version_path(version: u64) -> String {
         format!("/version/{version}/")
--- /dev/null
+++ b/crates/bench/tests/soak.rs
@@ -0,0 +1,155 @@
+//! The soak's plan and judge: plans repeat from their seed, and every promise can be seen broken.
+
+use olivegate_bench::soak::PROMISED;
+use olivegate_bench::soak::judge::{Promise, judge};
+use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Plan};
+use olivegate_bench::soak::record::{Call, CallEnd, CallPurpose, Disturbance, Leaving, Record, Run, Stop};
+use rstest::rstest;
+
+const LENGTH_S: f64 = 60.0;
+
+#[rstest]
+fn a_plan_repeats_from_its_seed() {
+    let plan = Plan::draw(7, LENGTH_S, 12, false);
+    assert_eq!(plan, Plan::draw(7, LENGTH_S, 12, false));
+    assert_ne!(plan, Plan::draw(8, LENGTH_S, 12, false));
+    assert!(plan.faults.len() > 5, "{plan:?}");
+    assert!(plan.faults.iter().all(|fault| fault.machine < 12 && fault.at_s >= CALM_START_S));
+    assert!(plan.faults.iter().all(|fault| fault.at_s + fault.for_s <= LENGTH_S - CALM_END_S + 0.2));
+}
+
+#[rstest]
+fn planned_work_can_be_drawn_alone() {
+    let plan = Plan::draw(7, 300.0, 12, true);
+    assert!(plan.faults.iter().all(|fault| fault.kind.is_planned()) && plan.faults.len() > 20);
+}
+
+#[rstest]
+fn a_plan_can_be_made_smaller() {
+    let plan = Plan::draw(7, LENGTH_S, 12, false);
+    let smaller = plan.clone().only(&[1, 3]);
+    assert_eq!(smaller.faults, [plan.faults[1], plan.faults[3]]);
+}
+
+fn call(id: &str, sent_s: f64, end: CallEnd) -> Call {
+    Call {
+        id: id.into(),
+        purpose: CallPurpose::Client,
+        machine: 0,
+        life: 1,
+        asked: "POST /books/".into(),
+        service: "books".into(),
+        repeatable: false,
+        attempts: 2,
+        sent_s,
+        ended_s: sent_s + 0.1,
+        end,
+    }
+}
+
+fn run_of(id: &str, at_s: f64) -> Run {
+    Run {
+        id: id.into(),
+        machine: 1,
+        instance: "i-1".into(),
+        service: "books".into(),
+        caller: "desk".into(),
+        asked: "POST /books/".into(),
+        body_is_whole: true,
+        at_s,
+    }
+}
+
+fn probe(version: u64, sent_s: f64, end: CallEnd) -> Call {
+    let purpose = CallPurpose::Probe { version };
+    let id = format!("probe-{version}-{sent_s}");
+    Call { purpose, repeatable: true, ..call(&id, sent_s, end) }
+}
+
+/// Two machines, a request answered at 10 s and another in the last seconds.
+fn sound() -> Record {
+    let mut record =
+        Record { services: vec!["desk".into(), "books".into()], length_s: LENGTH_S, ..Record::default() };
+    for (id, at_s) in [("r1", 10.0), ("last", LENGTH_S - 1.0)] {
+        record.calls.push(call(id, at_s, CallEnd::Answered));
+        record.runs.push(run_of(id, at_s + 0.01));
+    }
+    record.runs[1].instance = "i-2".into();
+    record.versions.extend([(1, 1.0), (2, 20.0)]);
+    record
+}
+
+const NOT_FOUND: CallEnd = CallEnd::NodeFailed { status: 404, names_return: false };
+const REFUSED: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true };
+
+fn broken(change: impl FnOnce(&mut Record)) -> Vec<Promise> {
+    let mut record = sound();
+    change(&mut record);
+    judge(&record, &PROMISED).into_iter().map(|violation| violation.promise).collect()
+}
+
+#[rstest]
+fn a_sound_record_breaks_nothing() {
+    assert_eq!(broken(|_| {}), []);
+}
+
+#[rstest]
+#[case::wrong_answer(Promise::OwnWholeAnswer, |record: &mut Record| record.calls[0].end = CallEnd::WrongAnswer)]
+#[case::ran_twice(Promise::AtMostOnce, |record: &mut Record| record.runs.push(run_of("r1", 10.2)))]
+#[case::refused_and_ran(Promise::NotRunDidNotRun, |record: &mut Record| record.calls[0].end = REFUSED)]
+#[case::too_many(Promise::AttemptsBounded, |record: &mut Record| {
+    record.calls[0].repeatable = true;
+    record.runs.extend([run_of("r1", 10.1), run_of("r1", 10.2)]);
+})]
+#[case::unasked(Promise::OnlyWhatWasAsked, |record: &mut Record| record.runs.push(run_of("unknown", 11.0)))]
+#[case::changed(Promise::OnlyWhatWasAsked, |record: &mut Record| record.runs[0].body_is_whole = false)]
+#[case::other_caller(Promise::OnlyWhatWasAsked, |record: &mut Record| record.runs[0].caller = "books".into())]
+#[case::left(Promise::LeavingGetsNothing, |record: &mut Record| {
+    record.leaving.push(Leaving { instance: "i-1".into(), acknowledged_s: 7.0 });
+})]
+#[case::stop_says_cut(Promise::StopCutsNothing, |record: &mut Record| {
+    record.stops.push(Stop { machine: 1, at_s: 9.0, ended_s: 12.0, clean: false });
+})]
+#[case::stop_cut(Promise::StopCutsNothing, |record: &mut Record| {
+    record.stops.push(Stop { machine: 0, at_s: 10.05, ended_s: 12.0, clean: true });
+    record.calls[0].end = CallEnd::Cut;
+})]
+#[case::version_late(Promise::VersionInForce, |record: &mut Record| record.calls.push(probe(2, 24.0, NOT_FOUND)))]
+#[case::version_stays(Promise::VersionInForce, |record: &mut Record| record.calls.push(probe(1, 24.0, CallEnd::Answered)))]
+#[case::version_back(Promise::VersionNeverBack, |record: &mut Record| {
+    record.calls.extend([probe(2, 20.5, CallEnd::Answered), probe(1, 21.6, CallEnd::Answered)]);
+})]
+#[case::no_return(Promise::RefusalSaysWhen, |record: &mut Record| {
+    record.runs.remove(0);
+    record.calls[0].end = CallEnd::NodeFailed { status: 503, names_return: false };
+})]
+#[case::denied(Promise::NotDenied, |record: &mut Record| record.calls[0].end = NOT_FOUND)]
+#[case::not_recovered(Promise::Recovers, |record: &mut Record| record.calls[1].end = CallEnd::TimedOut)]
+#[case::ended(Promise::ProcessLives, |record: &mut Record| record.ended_by_themselves.push(1))]
+fn a_broken_promise_is_seen(#[case] promise: Promise, #[case] change: impl FnOnce(&mut Record)) {
+    let runs_of_probes = |record: &mut Record| {
+        let probes: Vec<Run> = record
+            .calls
+            .iter()
+            .filter(|call| call.id.starts_with("probe"))
+            .map(|call| Run { asked: call.asked.clone(), ..run_of(&call.id, call.sent_s) })
+            .collect();
+        record.runs.extend(probes);
+    };
+    let broken = broken(|record| {
+        change(record);
+        runs_of_probes(record);
+    });
+    assert_eq!(broken, [promise]);
+}
+
+#[rstest]
+#[case::of_the_machine(Some(1))]
+#[case::of_all(None)]
+fn a_disturbed_machine_is_not_bound_by_times(#[case] machine: Option<usize>) {
+    let broken = broken(|record| {
+        record.leaving.push(Leaving { instance: "i-1".into(), acknowledged_s: 7.0 });
+        record.disturbances.push(Disturbance { machine, from_s: 8.0, until_s: 8.5 });
+    });
+    assert_eq!(broken, []);
+}
