No more connections rest than requests may run; a line for each cancelled request

Change: at most as many rest as requests may be in the instance; those distrusted for all are closed. event=cancelled tells of clients that left (no test of that line yet). Test seen failing without the bound: no_more_connections_rest_than_requests_may_run.

--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::edge::attempts::{Attempts, Next};
 use crate::edge::intake::TakenRequest;
-use crate::edge::outcome::{Outcome, log_answer, log_own_answer};
+use crate::edge::outcome::{CancelLog, Outcome, log_answer, log_own_answer};
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
@@ -64,7 +64,9 @@
     let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
     let shown_id = id.clone().unwrap_or_default();
     let mut outcome = Outcome { route: None, trail: String::new() };
+    let cancelling = CancelLog::begin(node, &shown_id, arrived);
     let result = run(node, taken, arrived, &mut outcome).await;
+    cancelling.answered();
     let elapsed = clock::now().since(arrived);
     let answer = match result {
         Ok(answer) => {
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -3,11 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_types::Moment;
+
 use crate::edge::own_answer::OwnAnswer;
 use crate::event::{LineClass, shown};
 use crate::model::Route;
 use crate::reply::Answer;
 use crate::state::Node;
+use olivegate_clock as clock;
 
 /// How a request fared before its answer was made.
 pub struct Outcome {
@@ -45,6 +48,35 @@
     );
 }
 
+/// Tells of a request whose client left before its answer: dropped with the request.
+pub struct CancelLog<'a> {
+    node: &'a Node,
+    id: &'a [u8],
+    arrived: Moment,
+    is_answered: bool,
+}
+
+impl<'a> CancelLog<'a> {
+    /// A request that arrived at `arrived`.
+    pub fn begin(node: &'a Node, id: &'a [u8], arrived: Moment) -> Self {
+        CancelLog { node, id, arrived, is_answered: false }
+    }
+
+    /// It has an answer.
+    pub fn answered(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for CancelLog<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered && self.node.may_log(LineClass::Routine, self.id) {
+            let elapsed = clock::now().since(self.arrived);
+            log::info!("event=cancelled request={} after_ms={}", shown(self.id), elapsed.as_millis());
+        }
+    }
+}
+
 /// Logs an instance's answer: failures always, others for sampled requests.
 pub fn log_answer(node: &Node, id: &[u8], outcome: &Outcome, answer: &Answer, elapsed: Duration) {
     let class = if answer.head.status < 500 { LineClass::Routine } else { LineClass::Failure };
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -16,6 +16,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 
 use crate::gate::instance_connection::{InstanceConnection, InstanceConnections};
+use crate::gate::slots::InstanceSlots;
 use crate::hop::Offer;
 use crate::reply::{Answer, AnswerFault, Body, BodyBroken, Failure, FailureReason};
 use crate::state::Node;
@@ -33,11 +34,12 @@
 /// Runs a request on a connection to the instance.
 pub async fn run(
     node: &Rc<Node>,
-    connections: &Rc<InstanceConnections>,
+    slots: &InstanceSlots,
     offer: &Offer,
     body: Body,
     time_left: Duration,
 ) -> Result<Answer, Failure> {
+    let connections = slots.connections();
     let mut connection = match connections.take(offer.safety) {
         Some(connection) => connection,
         None => connect(node, connections).await?,
@@ -65,7 +67,7 @@
     let body = match first {
         FirstPart::Whole(bytes) => {
             if reusable && matched.length != BodyLength::UntilClose {
-                connections.keep(connection, rest);
+                connections.keep(connection, rest, slots.limit());
             }
             Body::Whole(bytes)
         }
--- a/crates/sidecar/src/gate/instance_connection.rs
+++ b/crates/sidecar/src/gate/instance_connection.rs
@@ -76,8 +76,7 @@
             let resting = self.resting.borrow_mut().pop()?;
             let rested = now - resting.since;
             if rested > longest {
-                // Those below have rested longer; they may still do for other requests.
-                self.resting.borrow_mut().push(resting);
+                self.leave(resting, safety);
                 return None;
             }
             let mut connection = resting.connection;
@@ -88,6 +87,16 @@
         }
     }
 
+    /// Leaves a connection that rested too long, and those below, which rested longer, for
+    /// requests that may run again; closes them when they don't do for those either.
+    fn leave(&self, connection: Resting, safety: RepeatSafety) {
+        let mut resting = self.resting.borrow_mut();
+        match safety {
+            RepeatSafety::Unsafe => resting.push(connection),
+            RepeatSafety::Safe => resting.clear(),
+        }
+    }
+
     /// An exchange on a connection that had rested broke before its answer began.
     pub fn on_broken(&self, connection: &InstanceConnection) {
         if let Some(rested) = connection.rested {
@@ -104,15 +113,16 @@
     }
 
     /// Keeps a connection whose exchange is whole. `rest` is the time that the instance
-    /// keeps it, where it named one.
-    pub fn keep(&self, connection: InstanceConnection, rest: Option<Duration>) {
+    /// keeps it, where it named one. At most `most` rest at a time.
+    pub fn keep(&self, connection: InstanceConnection, rest: Option<Duration>, most: u32) {
         let rest = rest.map_or(DEFAULT_REST, |rest| rest.saturating_sub(REST_RESERVE));
         let since = Instant::now();
         let until = since + rest;
         let mut resting = self.resting.borrow_mut();
         resting.push(Resting { connection, since, until });
         // Those at the bottom rest longest; one look a time keeps the list short.
-        if resting.first().is_some_and(|oldest| oldest.until < since) {
+        let is_over = resting.first().is_some_and(|oldest| oldest.until < since);
+        if is_over || resting.len() > most as usize {
             resting.remove(0);
         }
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -139,9 +139,9 @@
         return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
     }
     log_start(node, &offer, time_left);
-    let connections = slot.slots().connections().clone();
+    let slots = slot.slots().clone();
     let _running = Running::begin(node, started + time_left);
-    let running = exchange::run(node, &connections, &offer, body, time_left);
+    let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
         Ok(result) => result,
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -38,7 +38,7 @@
     slowness: RefCell<f64>,
     failing: Cell<f64>,
     levels: RefCell<OutcomeLevels>,
-    connections: Rc<InstanceConnections>,
+    connections: InstanceConnections,
 }
 
 /// A slot in use; dropped when the exchange has ended, whichever way.
@@ -71,7 +71,7 @@
             slowness: RefCell::new(0.0),
             failing: Cell::new(0.0),
             levels: RefCell::default(),
-            connections: Rc::default(),
+            connections: InstanceConnections::default(),
         }
     }
 
@@ -85,8 +85,13 @@
         self.queue.borrow_mut().follow_pace(pace);
     }
 
+    /// Requests that may be in the instance at a time.
+    pub fn limit(&self) -> u32 {
+        self.queue.borrow().current_limit()
+    }
+
     /// Connections to the instance.
-    pub fn connections(&self) -> &Rc<InstanceConnections> {
+    pub fn connections(&self) -> &InstanceConnections {
         &self.connections
     }
 
@@ -196,7 +201,7 @@
 
 impl Slot {
     /// The slots that this one belongs to.
-    pub fn slots(&self) -> &InstanceSlots {
+    pub fn slots(&self) -> &Rc<InstanceSlots> {
         &self.slots
     }
 
--- a/crates/sidecar/tests/path/resting.rs
+++ b/crates/sidecar/tests/path/resting.rs
@@ -55,3 +55,27 @@
         assert!(forgotten <= 1, "{forgotten} requests went to a forgotten connection");
     });
 }
+
+#[rstest]
+fn no_more_connections_rest_than_requests_may_run() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/once/", "books", Unsafe)]));
+        fleet.list(2, "books-1", "books");
+        // Each request comes after a rest that is too long for what may run once.
+        let instance = TestInstance::start(fleet.instance_address(2), |seen, _| {
+            vec![Action::Send(answer(200, &seen.id(), "body"))]
+        })
+        .await;
+        for (machine, service) in [(2, "books"), (1, "desk")] {
+            Fleet::ready(&fleet.start(machine, service).await).await;
+        }
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..9 {
+            client.ask(&post("/once/", &format!("r{number}"), "x")).await;
+            tokio::time::sleep(Duration::from_millis(120)).await;
+        }
+        // Four slots, of which three are used.
+        assert!(instance.open.get() <= 4, "{} connections are open", instance.open.get());
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -255,6 +255,24 @@
     pub seen: Rc<RefCell<Vec<Seen>>>,
     /// Connections that ended while a request was being worked on.
     pub abandoned: Rc<Cell<u32>>,
+    /// Connections that are open.
+    pub open: Rc<Cell<u32>>,
+}
+
+/// Counts a connection as long as it is open.
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn begin(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Open(open.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl TestInstance {
@@ -274,6 +292,7 @@
     }
 
     async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
+        let _open = Open::begin(&self.open);
         let (reading, mut writing) = stream.into_split();
         let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
         let mut current: Option<(RequestHead, BytesMut)> = None;
