--- /dev/null
+++ b/crates/sidecar/src/edge/admission.rs
@@ -0,0 +1,43 @@
+//! Which requests may begin at this node.
+
+use std::time::Duration;
+
+use olivegate_overload::retry_after::retry_after;
+use olivegate_types::{Moment, RefusalReason};
+use rand::RngExt;
+
+use crate::edge::own_answer::OwnAnswer;
+use crate::model::Route;
+use crate::state::Node;
+
+/// When to come back to a node that holds as many requests as its memory allows.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// When to come back to a node that is about to end.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Lets a request begin, or refuses it because requests like it fail further down. Calls
+/// are never held back: work has been done for them.
+pub fn admit(node: &Node, route: &Route, now: Moment) -> Result<(), OwnAnswer> {
+    if node.lineage.borrow().is_call_route(&route.name) {
+        return Ok(());
+    }
+    if node.stop.is_closing() {
+        return Err(OwnAnswer::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER });
+    }
+    if node.is_full() {
+        return Err(OwnAnswer::NotRun { reason: RefusalReason::PredictedWait, retry_after: FULL_RETRY_AFTER });
+    }
+    let part = node.pressure.borrow().part();
+    draw(node, part, RefusalReason::NodeOverloaded)?;
+    let level = node.levels.borrow().level(&route.name, now);
+    draw(node, level, RefusalReason::AdmissionLevel)
+}
+
+/// Lets `part` of the requests begin, drawn at random, and refuses the others for `reason`.
+fn draw(node: &Node, part: f64, reason: RefusalReason) -> Result<(), OwnAnswer> {
+    if part >= 1.0 || node.random(|random| random.random::<f64>()) < part {
+        return Ok(());
+    }
+    let jitter = node.random(|random| random.random::<f64>());
+    Err(OwnAnswer::NotRun { reason, retry_after: retry_after(part, jitter) })
+}
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -5,34 +5,27 @@
 
 use bytes::Bytes;
 use olivegate_http1::RequestHead;
-use olivegate_overload::retry_after::retry_after;
 use olivegate_routing::balance::{Candidate, Health, Observation};
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
-use rand::RngExt;
-
+use crate::edge::admission;
 use crate::edge::attempts::{Attempts, Next};
 use crate::edge::intake::TakenRequest;
-use crate::edge::outcome::{CancelLog, Outcome, log_answer, log_own_answer};
+use crate::edge::outcome::{CancelLog, Outcome, log_answer, log_failed_attempt, log_offer, log_own_answer};
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
-use crate::event::{LineClass, shown};
 use crate::gate::confirmation::Confirmation;
 use crate::gate::{self, importance_of_priority};
 use crate::hop::{Offer, OfferedBody};
 use crate::lateness;
-use crate::model::{Instance, RepeatSafety, Route};
+use crate::model::{Instance, RepeatSafety};
 use crate::reply::{Answer, AnswerFault, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
 use olivegate_clock as clock;
 
 /// When to come back to a node that knows no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// When to come back to a node that holds as many requests as its memory allows.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// When to come back to a node that is about to end.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Part of the target latency that a request may wait for a slot: a refusal after that comes
 /// too late for a second try.
 const WAIT_PART: u32 = 4;
@@ -110,38 +103,10 @@
     let route = request.route.clone();
     outcome.route = Some(route.clone());
     node.lineage.borrow_mut().observe(&route.name, arrived + request.sender_time);
-    admit(node, &route, arrived)?;
+    admission::admit(node, &route, arrived)?;
     dispatch(node, taken, request, arrived, &mut outcome.trail).await
 }
 
-/// Lets a request begin, or refuses it because requests like it fail further down. Calls
-/// are never held back: work has been done for them.
-fn admit(node: &Node, route: &Route, now: Moment) -> Result<(), OwnAnswer> {
-    if node.lineage.borrow().is_call_route(&route.name) {
-        return Ok(());
-    }
-    if node.stop.is_closing() {
-        return Err(OwnAnswer::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER });
-    }
-    if node.is_full() {
-        return Err(OwnAnswer::NotRun { reason: RefusalReason::PredictedWait, retry_after: FULL_RETRY_AFTER });
-    }
-    let part = node.pressure.borrow().part();
-    if part < 1.0 && node.random(|random| random.random::<f64>()) >= part {
-        let jitter = node.random(|random| random.random::<f64>());
-        return Err(OwnAnswer::NotRun {
-            reason: RefusalReason::NodeOverloaded,
-            retry_after: retry_after(part, jitter),
-        });
-    }
-    let level = node.levels.borrow().level(&route.name, now);
-    if level >= 1.0 || node.random(|random| random.random::<f64>()) < level {
-        return Ok(());
-    }
-    let jitter = node.random(|random| random.random::<f64>());
-    Err(OwnAnswer::NotRun { reason: RefusalReason::AdmissionLevel, retry_after: retry_after(level, jitter) })
-}
-
 async fn dispatch(
     node: &Rc<Node>,
     taken: TakenRequest,
@@ -277,7 +242,7 @@
         let name = instance.name.clone();
         let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
         self.node.balancer.borrow_mut().on_send(&name);
-        self.log_offer(instance);
+        log_offer(self.node, &self.request, instance, self.deadline);
         let (reply, load) = if !is_remote {
             let body = self.take_body();
             let reply = gate::run_offer(self.node, offer, body, Confirmation::NotNeeded).await;
@@ -295,22 +260,6 @@
         reply
     }
 
-    fn log_offer(&self, instance: &Instance) {
-        if self.node.may_log(LineClass::Routine, &self.request.id) {
-            let occupancy = self.node.balancer.borrow().reported(&instance.name, clock::now());
-            log::info!(
-                "event=offered request={} route={} instance={} zone={} occupancy={:.2} report_age_ms={} left_ms={}",
-                shown(&self.request.id),
-                self.request.route.name,
-                instance.name,
-                instance.zone,
-                occupancy.occupancy,
-                occupancy.age.as_millis(),
-                self.deadline.since(clock::now()).as_millis(),
-            );
-        }
-    }
-
     fn take_body(&mut self) -> Body {
         match self.take_stream() {
             Some((pieces, length)) => Body::Stream(pieces, length),
@@ -376,16 +325,7 @@
 
     fn note_failure(&self, instance: &Instance, failure: Failure) {
         self.node.metrics.failed_attempts.with_label_values(&[failure.reason.as_str()]).inc();
-        if self.node.may_log(LineClass::Failure, &self.request.id) {
-            log::info!(
-                "event=attempt_failed request={} route={} instance={} reason={} may_have_run={}",
-                shown(&self.request.id),
-                self.request.route.name,
-                instance.name,
-                failure.reason.as_str(),
-                failure.may_have_run,
-            );
-        }
+        log_failed_attempt(self.node, &self.request, instance, failure);
     }
 }
 
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -3,12 +3,14 @@
 //! - [`connection`]: one connection of a client or of the instance.
 //! - [`intake`]: a request from the pieces of its message.
 //! - [`request`]: what the headers of a request say.
+//! - [`admission`]: which requests may begin.
 //! - [`dispatch`]: route, instance, attempts, answer.
 //! - [`attempts`]: what follows an attempt without an answer.
 //! - [`remote`] and [`hop_pool`]: offers to gates on other machines.
 //! - [`outcome`]: how a request fared, and the log lines that tell it.
 //! - [`own_answer`]: answers that the node gives itself.
 
+pub mod admission;
 pub mod attempts;
 pub mod connection;
 pub mod dispatch;
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -6,9 +6,10 @@
 use olivegate_types::Moment;
 
 use crate::edge::own_answer::OwnAnswer;
+use crate::edge::request::CheckedRequest;
 use crate::event::{LineClass, shown};
-use crate::model::Route;
-use crate::reply::Answer;
+use crate::model::{Instance, Route};
+use crate::reply::{Answer, Failure};
 use crate::state::Node;
 use olivegate_clock as clock;
 
@@ -48,6 +49,40 @@
     );
 }
 
+/// Logs to which instance a request is offered, and what decided it.
+pub fn log_offer(node: &Node, request: &CheckedRequest, instance: &Instance, deadline: Moment) {
+    if !node.may_log(LineClass::Routine, &request.id) {
+        return;
+    }
+    let now = clock::now();
+    let occupancy = node.balancer.borrow().reported(&instance.name, now);
+    log::info!(
+        "event=offered request={} route={} instance={} zone={} occupancy={:.2} report_age_ms={} left_ms={}",
+        shown(&request.id),
+        request.route.name,
+        instance.name,
+        instance.zone,
+        occupancy.occupancy,
+        occupancy.age.as_millis(),
+        deadline.since(now).as_millis(),
+    );
+}
+
+/// Logs an attempt that gave no answer.
+pub fn log_failed_attempt(node: &Node, request: &CheckedRequest, instance: &Instance, failure: Failure) {
+    if !node.may_log(LineClass::Failure, &request.id) {
+        return;
+    }
+    log::info!(
+        "event=attempt_failed request={} route={} instance={} reason={} may_have_run={}",
+        shown(&request.id),
+        request.route.name,
+        instance.name,
+        failure.reason.as_str(),
+        failure.may_have_run,
+    );
+}
+
 /// Tells of a request whose client left before its answer: dropped with the request.
 pub struct CancelLog<'a> {
     node: &'a Node,
