--- a/crates/olivegate/tests/sidecar.rs
+++ b/crates/olivegate/tests/sidecar.rs
@@ -1,24 +1,68 @@
 //! A sidecar as a process of its own: start, reload by signal and without, planned stop.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
+use olivegate_platform_stand_in::{StandIn, records};
+use olivegate_sidecar::model::{
+    ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Route,
+    WeightedPart,
+};
+use olivegate_types::{InstanceName, ServiceName, ZoneName};
 use rstest::rstest;
+use tokio::task::LocalSet;
 
 const IP: &str = "127.78.1.1";
+/// Another machine, whose instance takes requests and never answers.
+const SILENT_IP: &str = "127.78.1.2";
+/// Requests whose clients leave: log lines are written for one in 32.
+const LEAVING_CLIENTS: usize = 400;
 
 fn settings(service: &str) -> String {
+    settings_of(IP, service, &format!("{IP}:18409"))
+}
+
+fn settings_of(ip: &str, service: &str, source: &str) -> String {
     format!(
-        "node = \"sidecar-1\"\nzone = \"north\"\nservice = \"{service}\"\ninstance = \"{IP}:18401\"\n\
-         [listen]\noutbound = \"{IP}:18404\"\ninbound = \"{IP}:18400\"\nreadiness = \"{IP}:18402\"\n\
-         peers_port = 18420\n[source]\naddress = \"{IP}:18409\"\n[bounds]\ngrace_period_s = 6\n"
+        "node = \"sidecar-1\"\nzone = \"north\"\nservice = \"{service}\"\ninstance = \"{ip}:18401\"\n\
+         [listen]\noutbound = \"{ip}:18404\"\ninbound = \"{ip}:18400\"\nreadiness = \"{ip}:18402\"\n\
+         peers_port = 18420\n[source]\naddress = \"{source}\"\n[bounds]\ngrace_period_s = 6\n"
     )
 }
 
+/// A store on a thread of its own that lists one instance and routes everything to it.
+fn store_with(instance: Instance) -> SocketAddr {
+    let (sender, address) = channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async move {
+            let store = StandIn::new(10);
+            let route = Route {
+                name: "all".into(),
+                host: "shop".into(),
+                path_prefix: "/".into(),
+                parts: vec![WeightedPart { service: instance.service.clone(), weight: 1 }],
+                safety: RepeatSafety::Safe,
+                timeout: None,
+                target_latency: Millis(1_000),
+                priority: 0,
+                attempts: 1,
+            };
+            let limits = ClientLimits::default();
+            let version = ConfigurationVersion(1);
+            records::put_configuration(&store, &Configuration { version, routes: vec![route], limits });
+            records::put_instance(&store, &instance, 1);
+            sender.send(store.open().await.unwrap().address).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    address.recv().unwrap()
+}
+
 struct Sidecar {
     process: Child,
     lines: Receiver<String>,
@@ -62,8 +106,8 @@
     }
 }
 
-fn readiness() -> String {
-    let mut stream = TcpStream::connect(format!("{IP}:18402")).unwrap();
+fn readiness(ip: &str) -> String {
+    let mut stream = TcpStream::connect(format!("{ip}:18402")).unwrap();
     let path = olivegate_platform::VOCABULARY.readiness_path;
     write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
     let mut answer = String::new();
@@ -78,7 +122,7 @@
     let mut sidecar = Sidecar::start(&file);
     sidecar.wait_for("event=started");
     sidecar.wait_for("event=source_lost");
-    assert!(readiness().starts_with("HTTP/1.1 503"), "without configuration it is not ready");
+    assert!(readiness(IP).starts_with("HTTP/1.1 503"), "without configuration it is not ready");
     sidecar.signal("-HUP");
     sidecar.wait_for("event=reloaded changed=false");
     std::fs::write(&file, settings("desk")).unwrap();
@@ -91,3 +135,33 @@
     sidecar.wait_for("event=stopped drained=true");
     assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
 }
+
+#[rstest]
+fn clients_that_leave_are_told_in_the_log() {
+    let address: SocketAddr = format!("{SILENT_IP}:18401").parse().unwrap();
+    let _silent = TcpListener::bind(address).unwrap();
+    let store = store_with(Instance {
+        name: InstanceName::new("i-1"),
+        service: ServiceName::new("books"),
+        address,
+        zone: ZoneName::new("north"),
+        slots: 1_000,
+        state: InstanceState::Ready,
+    });
+    let file: PathBuf = Path::new(env!("CARGO_TARGET_TMPDIR")).join("sidecar-silent.toml");
+    std::fs::write(&file, settings_of(SILENT_IP, "books", &store.to_string())).unwrap();
+    let sidecar = Sidecar::start(&file);
+    sidecar.wait_for("event=directory_changed");
+    while !readiness(SILENT_IP).starts_with("HTTP/1.1 200") {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let vocabulary = olivegate_platform::VOCABULARY;
+    let (id, time) = (vocabulary.request_id, vocabulary.time_left_ms);
+    for number in 0..LEAVING_CLIENTS {
+        let mut client = TcpStream::connect(format!("{SILENT_IP}:18404")).unwrap();
+        write!(client, "GET / HTTP/1.1\r\nHost: shop\r\n{id}: r{number}\r\n{time}: 9000\r\n\r\n").unwrap();
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let line = sidecar.wait_for("event=cancelled");
+    assert!(line.contains("request=r") && line.contains("after_ms="), "{line}");
+}
