--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -12,7 +12,7 @@
 use crate::experiment::{ArmResult, Experiment};
 use crate::history::History;
 use crate::summary::Summary;
-use crate::{back_ends, forwarder, report, scale, scenario, soak};
+use crate::{back_ends, forwarder, report, scenario, soak};
 
 /// Text of `--help`.
 const HELP: &str = "\
@@ -26,9 +26,6 @@
       prints a table, exits 1 when a promise was broken.
   olivegate-bench check DIR
       Judge the histories in DIR again.
-  olivegate-bench scale [--sizes 100,300,1000] [--seed N] [--cuts-up-to N] --out DIR
-      Run hollow nodes; writes scale.json and scale.svg, prints a table. Cuts are
-      simulated up to the given size (1000); 'none': not healed within 60 s or not run.
   olivegate-bench soak --deployment ramdin-freres|cuenca --seconds T --seed N --out DIR
                        [--only N,N,..] [--planned] [--load F] [--examples DIR]
       Run a sidecar process beside each emulated instance under random faults and judge
@@ -72,7 +69,6 @@
     match command.as_str() {
         "run" => run_experiment(arguments),
         "check" => check(&arguments.free_from_str::<PathBuf>().map_err(usage)?),
-        "scale" => scale::command(arguments),
         "soak" => soak::command(arguments),
         "scenarios" => {
             scenario::NAMES.iter().for_each(|name| println!("{name}"));
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,7 +8,6 @@
 //! - `load`: clients. `scenario`: what happens when. `arms`: what is compared.
 //! - `history`, `checker`: what was recorded, and whether a promise was broken.
 //! - `summary`, `report`: `summary.json`, the table and the picture.
-//! - `scale`: hollow nodes by the thousand.
 //! - `soak`: sidecar processes under random faults, and the promises judged.
 
 mod arms;
@@ -25,7 +24,6 @@
 mod load;
 mod platform;
 mod report;
-mod scale;
 mod scenario;
 pub mod soak;
 mod spec;
