A gate that fell silent counts against a request's attempts

Machine 5 was paused from 49.4 s to 52.8 s, the request was offered to it at 52.0, given up as gate-silent at 52.6; a silent gate counted as no arrival at all, so two more followed. Ruled out: that a woken gate runs what its edge has left (a_gate_does_not_run_what_an_edge_has_left passes); which of the three runs was the paused machine's was not recorded. Change: what nobody can rule out counts against the route's attempts; it still needs no repeat. Test seen failing first: a_gate_that_fell_silent_may_still_pass_the_request_on.

--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -6,7 +6,7 @@
 //! - [`world`]: machines, store and what all parts share; [`processes`]: the programs.
 //! - [`proxy`]: the ways between machines. [`instance`]: emulated instances.
 //! - [`senders`], [`exchange`]: clients, calls and probes.
-//! - [`record`], [`judge`]: what was seen, and which promise was broken; pure.
+//! - [`record`], [`mod@judge`]: what was seen, and which promise was broken; pure.
 
 pub mod exchange;
 pub mod instance;
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -37,6 +37,9 @@
     safety: RepeatSafety,
     most_arrivals: u32,
     arrivals: u32,
+    /// Those, and the ones that nobody can rule out: a gate that fell silent may still pass the
+    /// request on. They count against the route's attempts, but need no repeat.
+    possible_arrivals: u32,
     may_have_run: bool,
     full: u32,
     tried: Vec<InstanceName>,
@@ -52,6 +55,7 @@
             safety,
             most_arrivals: most_arrivals.max(1),
             arrivals: 0,
+            possible_arrivals: 0,
             may_have_run: false,
             full: 0,
             tried: Vec::new(),
@@ -111,22 +115,24 @@
     pub fn on_failed(&mut self, failure: Failure, take_repeat: impl FnOnce() -> bool) -> Next {
         self.note(failure.reason.as_str());
         self.arrivals += u32::from(failure.arrived);
+        self.possible_arrivals += u32::from(failure.arrived || failure.may_have_run);
         self.may_have_run |= failure.may_have_run;
         if self.may_have_run && self.safety == RepeatSafety::Unsafe {
             return Next::GiveUp(Verdict::Unknown);
         }
-        if self.arrivals == 0 {
-            return Next::TryAnother;
+        if self.possible_arrivals >= self.most_arrivals {
+            return self.give_up();
         }
-        if self.arrivals < self.most_arrivals && take_repeat() { Next::TryAnother } else { self.give_up() }
+        if self.arrivals == 0 || take_repeat() { Next::TryAnother } else { self.give_up() }
     }
 
     /// The instance ran the request and failed it by itself.
     pub fn on_instance_failed(&mut self, take_repeat: impl FnOnce() -> bool) -> Next {
         self.note("instance-failed");
         self.arrivals += 1;
+        self.possible_arrivals += 1;
         self.may_have_run = true;
-        let may_repeat = self.safety == RepeatSafety::Safe && self.arrivals < self.most_arrivals;
+        let may_repeat = self.safety == RepeatSafety::Safe && self.possible_arrivals < self.most_arrivals;
         if may_repeat && take_repeat() { Next::TryAnother } else { self.give_up() }
     }
 
--- a/crates/sidecar/tests/decisions/attempts.rs
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -108,3 +108,14 @@
         prop_assert_eq!(matches!(verdict, Verdict::Unknown), may_have_run);
     }
 }
+
+#[rstest]
+fn a_gate_that_fell_silent_may_still_pass_the_request_on() {
+    let silent = Failure { reason: FailureReason::GateSilent, may_have_run: true, arrived: false };
+    let mut attempts = Attempts::new(Safe, 2);
+    assert_eq!(attempts.on_failed(silent, || panic!("no repeat is needed")), Next::TryAnother);
+    assert_eq!(attempts.on_failed(silent, || true), Next::GiveUp(Verdict::Unknown));
+    let mut attempts = Attempts::new(Safe, 2);
+    assert_eq!(attempts.on_instance_failed(|| true), Next::TryAnother);
+    assert_eq!(attempts.on_failed(silent, || true), Next::GiveUp(Verdict::Unknown));
+}
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -128,6 +128,29 @@
     });
 }
 
+#[rstest]
+fn a_gate_does_not_run_what_an_edge_has_left_already() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/once/", "books", Unsafe)]));
+        fleet.list(2, "books-2", "books");
+        let instance = TestInstance::start(fleet.instance_address(2), |seen, _| {
+            vec![Action::Send(answer(200, &seen.id(), "body"))]
+        })
+        .await;
+        Fleet::ready(&fleet.start(2, "books").await).await;
+        let offer = hop::Offer { safety: Safe, needs_confirmation: false, ..offer() };
+        let message = hop::encode(&EdgeMessage::Offer(Box::new(offer)));
+        // All on one thread: the gate reads nothing before the edge has closed.
+        let mut edge = std::net::TcpStream::connect(fleet.inbound(2)).unwrap();
+        std::io::Write::write_all(&mut edge, &u32::try_from(message.len()).unwrap().to_be_bytes()).unwrap();
+        std::io::Write::write_all(&mut edge, &message).unwrap();
+        drop(edge);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(instance.runs(), 0);
+    });
+}
+
 fn offer() -> hop::Offer {
     hop::Offer {
         instance: olivegate_types::InstanceName::new("books-2"),
