--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -102,6 +102,15 @@
     Violation { promise, subject: run.id.clone(), at_s: run.at_s, detail }
 }
 
+/// Where and when a request ran.
+fn places_of(runs: &[&Run]) -> String {
+    let places: Vec<String> = runs
+        .iter()
+        .map(|run| format!("{} at {:.3} s on machine {}", run.instance, run.at_s, run.machine))
+        .collect();
+    format!("ran as {}", places.join(", "))
+}
+
 impl Case<'_> {
     fn runs_of(&self, call: &Call) -> &[&Run] {
         self.runs.get(call.id.as_str()).map_or(&[], Vec::as_slice)
@@ -131,11 +140,10 @@
         for call in &self.record.calls {
             let runs = self.runs_of(call);
             if runs.len() > 1 && !call.repeatable {
-                let machines: Vec<usize> = runs.iter().map(|run| run.machine).collect();
-                violations.push(of_call(Promise::AtMostOnce, call, format!("ran at machines {machines:?}")));
+                violations.push(of_call(Promise::AtMostOnce, call, places_of(runs)));
             }
             if runs.len() > call.attempts as usize {
-                let detail = format!("{} runs, {} allowed", runs.len(), call.attempts);
+                let detail = format!("{}, {} allowed", places_of(runs), call.attempts);
                 violations.push(of_call(Promise::AttemptsBounded, call, detail));
             }
             let is_told_not_run =
