--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory.rs
@@ -1,9 +1,11 @@
 //! The instances that are known, and when one is no longer believed.
 //!
 //! The source's word binds: an instance that is draining or gone gets no new requests.
-//! But a source that was disturbed may have lost entries of instances that live. An entry
-//! that goes missing while the source was disturbed is *held*: it stays in use until it
-//! comes back, says that it drains, or the source has been calm for a while.
+//! But a source that was away may have lost entries of instances that live; these write
+//! theirs again soon after its return. An entry that is found missing on that return is
+//! *held*: it stays in use until it comes back, says that it drains, or its time to be
+//! written again is over. Copies carry what is left of that time, so that all nodes end a
+//! hold together.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -13,19 +15,32 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 
-use crate::model::{Instance, InstanceState, Revision};
+use crate::model::{Instance, InstanceState, Millis, Revision};
 use crate::source::{Change, ListedInstance};
 
 /// How long machines are remembered after their last entry.
 const MACHINE_MEMORY: Duration = Duration::from_secs(60);
 
-/// When an entry that went missing is no longer believed.
+/// How long an entry that the source does not list is believed.
 #[derive(Debug, Clone, Copy)]
 pub struct HoldPolicy {
-    /// The source counts as disturbed for this long after its last failure.
-    pub disturbed_for: Duration,
-    /// Time that a live instance needs to write its entry again.
-    pub rewrite_within: Duration,
+    /// Time after the source's return within which a live instance has written a lost entry
+    /// again.
+    pub rewritten_within: Duration,
+    /// Time that an instance which was met on its own machine takes to be listed.
+    pub listed_within: Duration,
+}
+
+/// How the source fared when this node last read it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum SourceHealth {
+    /// It answers.
+    #[default]
+    Calm,
+    /// It does not answer this node.
+    Away,
+    /// It was away and has answered again since then.
+    Returned(Moment),
 }
 
 /// An entry as nodes pass it on.
@@ -35,8 +50,8 @@
     pub instance: Instance,
     /// Its last change.
     pub revision: Revision,
-    /// True when its entry went missing while the source was disturbed.
-    pub held: bool,
+    /// How long it is still believed, when the source does not list it.
+    pub held_for: Option<Millis>,
 }
 
 /// An instance whose entry went away.
@@ -92,7 +107,8 @@
 struct Entry {
     instance: Rc<Instance>,
     revision: Revision,
-    held_since: Option<Moment>,
+    /// The source does not list it; it is believed until then.
+    held_until: Option<Moment>,
 }
 
 /// The instances that are known.
@@ -105,7 +121,7 @@
     /// Removals after this one are all in `gone`.
     gone_since: Revision,
     machines: HashMap<IpAddr, Machine>,
-    disturbed_at: Option<Moment>,
+    source: SourceHealth,
     ready: HashMap<ServiceName, Rc<Vec<Rc<Instance>>>>,
 }
 
@@ -119,7 +135,7 @@
             gone: HashMap::new(),
             gone_since: Revision::default(),
             machines: HashMap::new(),
-            disturbed_at: None,
+            source: SourceHealth::default(),
             ready: HashMap::new(),
         }
     }
@@ -176,13 +192,30 @@
         self.machines.insert(instance.address.ip(), machine);
     }
 
-    /// Notes that the source failed or refused: what goes missing may live.
-    pub fn note_disturbance(&mut self, now: Moment) {
-        self.disturbed_at = Some(now);
+    /// Notes that the source does not answer this node: what goes missing may live.
+    pub fn note_source_away(&mut self) {
+        self.source = SourceHealth::Away;
+    }
+
+    /// Notes that the source has answered; to be told before what it said is taken over.
+    pub fn note_source_answered(&mut self, now: Moment) {
+        if self.source != SourceHealth::Away {
+            return;
+        }
+        self.source = SourceHealth::Returned(now);
+        let until = now + self.policy.rewritten_within;
+        let held = self.entries.values_mut().filter_map(|entry| entry.held_until.as_mut());
+        held.for_each(|held_until| *held_until = until.max(*held_until));
     }
 
-    fn is_disturbed(&self, now: Moment) -> bool {
-        self.disturbed_at.is_some_and(|at| now.since(at) < self.policy.disturbed_for)
+    /// Until when an entry that goes missing now is believed; `None` when it is gone.
+    fn hold_of_missing(&self, now: Moment) -> Option<Moment> {
+        let until = match self.source {
+            SourceHealth::Calm => return None,
+            SourceHealth::Away => now + self.policy.rewritten_within,
+            SourceHealth::Returned(at) => at + self.policy.rewritten_within,
+        };
+        (now < until).then_some(until)
     }
 
     /// Takes over everything that the source holds. True when anything changed.
@@ -242,8 +275,9 @@
         for entry in &copy.entries {
             let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
             changed |= self.insert(&listed, now);
-            if entry.held {
-                self.hold(&entry.instance.name, now);
+            let is_same = self.entries.get(&entry.instance.name).is_some_and(|own| own.revision == entry.revision);
+            if let Some(left) = entry.held_for.filter(|_| is_same) {
+                self.hold(&entry.instance.name, now + left.duration());
             }
         }
         self.finish(copy.revision, changed)
@@ -251,33 +285,33 @@
 
     /// What a node that knows the state `known` lacks: the changes since, or everything when
     /// removals since then are no longer remembered.
-    pub fn copy_since(&self, known: Revision) -> DirectoryCopy {
+    pub fn copy_since(&self, known: Revision, now: Moment) -> DirectoryCopy {
         let is_whole = known < self.gone_since || known == Revision::default();
         let base = if is_whole { None } else { Some(known) };
-        let is_news = |entry: &&Entry| is_whole || entry.revision > known || entry.held_since.is_some();
+        let is_news = |entry: &&Entry| is_whole || entry.revision > known || entry.held_until.is_some();
         let entries = self.entries.values().filter(is_news).map(|entry| DirectoryEntry {
             instance: Instance::clone(&entry.instance),
             revision: entry.revision,
-            held: entry.held_since.is_some(),
+            held_for: entry.held_until.map(|until| Millis::of(until.since(now))),
         });
         let removed = self.gone.iter().filter(|(_, tombstone)| !is_whole && tombstone.revision > known);
         let gone = removed.map(|(name, tombstone)| GoneEntry { name: name.clone(), revision: tombstone.revision });
         DirectoryCopy { base, entries: entries.collect(), gone: gone.collect(), revision: self.revision }
     }
 
-    /// Ends holds that have lasted long enough; call every second or so. True when
-    /// anything changed.
+    /// Ends holds whose time is over; call every second or so. An instance that was met on
+    /// its own machine can't be listed while the source is away. True when anything changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         self.forget_old_removals(now);
         let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
-        if self.is_disturbed(now) {
-            return false;
-        }
-        let rewrite_within = self.policy.rewrite_within;
-        let over = |entry: &Entry| entry.held_since.is_some_and(|since| now.since(since) >= rewrite_within);
+        let is_away = self.source == SourceHealth::Away;
+        let is_over = |entry: &Entry| {
+            let was_listed = entry.revision != Revision::default();
+            entry.held_until.is_some_and(|until| now >= until) && (was_listed || !is_away)
+        };
         let ended: Vec<InstanceName> =
-            self.entries.iter().filter(|(_, entry)| over(entry)).map(|(name, _)| name.clone()).collect();
+            self.entries.iter().filter(|(_, entry)| is_over(entry)).map(|(name, _)| name.clone()).collect();
         let mut changed = false;
         for name in ended {
             changed |= self.forget(&name, Revision::default(), now);
@@ -303,15 +337,16 @@
         self.finish(self.revision, changed)
     }
 
-    /// An instance was met on its own machine before the source lists it. It is believed as
-    /// long as one that went missing.
+    /// An instance was met on its own machine before the source lists it. It is believed for
+    /// as long as that may take.
     pub fn observe(&mut self, instance: Instance, now: Moment) -> bool {
         if self.standing(&instance.name) != Standing::Unknown {
             return false;
         }
         self.note_machine(&instance, now);
         let name = instance.name.clone();
-        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), held_since: Some(now) };
+        let held_until = Some(now + self.policy.listed_within);
+        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), held_until };
         self.entries.insert(name, entry);
         self.finish(self.revision, true)
     }
@@ -325,7 +360,7 @@
     /// Entries that are not in `names`; those that are held end with their hold.
     fn missing_from(&self, names: &HashSet<&InstanceName>) -> Vec<InstanceName> {
         let missing =
-            self.entries.iter().filter(|(name, entry)| !names.contains(name) && entry.held_since.is_none());
+            self.entries.iter().filter(|(name, entry)| !names.contains(name) && entry.held_until.is_none());
         missing.map(|(name, _)| name.clone()).collect()
     }
 
@@ -333,29 +368,31 @@
         let name = &listed.instance.name;
         self.note_machine(&listed.instance, now);
         let known = self.entries.get(name);
-        let is_news = known.is_none_or(|entry| entry.revision < listed.revision || entry.held_since.is_some());
+        let is_news = known.is_none_or(|entry| entry.revision < listed.revision || entry.held_until.is_some());
         if !is_news || known.is_some_and(|entry| entry.revision > listed.revision) {
             return false;
         }
         let changed = known.is_none_or(|entry| *entry.instance != listed.instance);
         let instance = Rc::new(listed.instance.clone());
         self.gone.remove(name);
-        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, held_since: None });
+        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, held_until: None });
         changed
     }
 
-    /// An entry went missing: held when the source was disturbed, else gone.
+    /// An entry went missing: held when the source was away, else gone.
     fn remove(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
-        if self.is_disturbed(now) && self.standing(name) == Standing::Ready {
-            self.hold(name, now);
-            return false;
+        match self.hold_of_missing(now) {
+            Some(until) if self.standing(name) == Standing::Ready => {
+                self.hold(name, until);
+                false
+            }
+            _ => self.forget(name, revision, now),
         }
-        self.forget(name, revision, now)
     }
 
-    fn hold(&mut self, name: &InstanceName, now: Moment) {
+    fn hold(&mut self, name: &InstanceName, until: Moment) {
         if let Some(entry) = self.entries.get_mut(name) {
-            entry.held_since.get_or_insert(now);
+            entry.held_until = entry.held_until.max(Some(until));
         }
     }
 
--- /dev/null
+++ b/crates/sidecar/src/follow/mod.rs
@@ -0,0 +1,178 @@
+//! Reads the source: first knowledge at the start, then changes as they come.
+//!
+//! Every call of a source costs, and most nodes need none: they learn from peers. A node
+//! that has just started reads once, as cheaply as the source allows ([`start`]). Of those
+//! that run, the readers of each zone wait for changes ([`watch`]).
+//!
+//! One failed call says nothing: a waiting call may be cut at any time. Two in a row, or
+//! one without an answer, mean that the source is away.
+
+mod start;
+mod watch;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::model::Revision;
+use crate::source::{Change, Changes, Recency, Snapshot, Source, SourceError};
+use crate::state::Node;
+use olivegate_clock as clock;
+
+/// Time limit of a call, beyond the wait for changes.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+/// First pause after a failed call; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Interval at which a node that does not read looks whether it should.
+const IDLE_POLL: Duration = Duration::from_millis(100);
+/// Pause after changes, so that those that come together are read by one call.
+const GATHER: Duration = Duration::from_millis(120);
+/// Failures in a row that show that the source is away.
+const FAILURES_TO_BE_AWAY: u32 = 2;
+
+/// Follows the source until the process ends.
+pub async fn follow<S: Source>(node: Rc<Node>, source: S) {
+    start::learn(&node, &source).await;
+    let mut failures = 0;
+    loop {
+        let reads = becomes_reader(&node).await;
+        node.freshness.borrow_mut().set_reader(reads);
+        if !reads {
+            tokio::time::sleep(IDLE_POLL).await;
+            continue;
+        }
+        match read(&node, &source, failures > 0).await {
+            Ok(()) => failures = 0,
+            Err(error) => {
+                failures += 1;
+                note_failure(&node, &error, failures);
+                tokio::time::sleep(pause(&node, failures)).await;
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+fn should_read(node: &Node) -> bool {
+    let rank = crate::peers::own_reader_rank(node);
+    node.freshness.borrow().should_read(rank, clock::now())
+}
+
+/// True when this node goes on reading or begins to. Before it begins it asks peers: they may
+/// know of a reader that it does not hear.
+async fn becomes_reader(node: &Node) -> bool {
+    if !should_read(node) || node.freshness.borrow().is_reader() {
+        return should_read(node);
+    }
+    start::ask_peers(node).await;
+    should_read(node)
+}
+
+/// Reads what has changed since what this node knows; everything when that is not to be had.
+/// After a failure the cheapest call finds out whether the source answers again.
+async fn read<S: Source>(node: &Node, source: &S, has_failed: bool) -> Result<(), SourceError> {
+    if has_failed {
+        source.probe(CALL_LIMIT).await?;
+        count(node, "probed");
+    }
+    let known = node.known_state().directory;
+    if known == Revision::default() {
+        return read_everything(node, source).await;
+    }
+    match watch::changes(node, source, known).await {
+        Ok(Some(changes)) => {
+            let is_busy = !changes.changes.is_empty();
+            take_changes(node, changes);
+            if is_busy {
+                tokio::time::sleep(GATHER).await;
+            }
+            Ok(())
+        }
+        Ok(None) => Ok(()),
+        Err(SourceError::HistoryGone) => {
+            log::info!("event=source_history_gone");
+            count(node, "history-gone");
+            read_everything(node, source).await
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+    let snapshot = source.snapshot(Recency::Latest, CALL_LIMIT).await?;
+    note_answered(node);
+    take_snapshot(node, snapshot);
+    note_reading(node);
+    Ok(())
+}
+
+/// Takes over a snapshot; an own state that is newer stays.
+fn take_snapshot(node: &Node, snapshot: Snapshot) {
+    let revision = snapshot.revision;
+    if let Some(configuration) = snapshot.configuration {
+        node.accept_configuration(configuration, "source");
+    }
+    let now = clock::now();
+    node.update_directory("source", |directory| directory.apply_snapshot(&snapshot.instances, revision, now));
+}
+
+/// Takes over changes. Those that a peer has told of meanwhile are passed over.
+fn take_changes(node: &Node, changes: Changes) {
+    let now = clock::now();
+    let revision = changes.revision;
+    node.update_directory("source", |directory| {
+        let known = directory.revision();
+        let mut changed = false;
+        for change in changes.changes.iter().filter(|change| change.revision().is_none_or(|news| news > known)) {
+            changed |= directory.apply_change(change, now);
+        }
+        directory.advance(revision);
+        changed
+    });
+    for change in changes.changes {
+        if let Change::Configuration(configuration) = change {
+            node.accept_configuration(configuration, "source");
+        }
+    }
+    note_reading(node);
+}
+
+fn count(node: &Node, result: &str) {
+    node.metrics.source_calls.with_label_values(&[result]).inc();
+}
+
+/// The source has answered; to be noted before what it said is taken over.
+fn note_answered(node: &Node) {
+    count(node, "ok");
+    node.knowledge.borrow_mut().directory.note_source_answered(clock::now());
+    if node.source_failing.replace(false) {
+        log::info!("event=source_regained");
+    }
+}
+
+/// What this node knows is as recent as the source.
+fn note_reading(node: &Node) {
+    node.freshness.borrow_mut().on_read(clock::now());
+    node.note_caught_up();
+}
+
+fn note_failure(node: &Node, error: &SourceError, failures: u32) {
+    count(node, "failed");
+    let silent = matches!(error, SourceError::TimedOut);
+    if silent || failures >= FAILURES_TO_BE_AWAY {
+        node.knowledge.borrow_mut().directory.note_source_away();
+        if !node.source_failing.replace(true) {
+            log::warn!("event=source_lost error={:?}", error.to_string());
+        }
+    }
+}
+
+/// Exponential pause with jitter.
+fn pause(node: &Node, failures: u32) -> Duration {
+    let doubled = FIRST_PAUSE * 2_u32.pow(failures.min(8) - 1);
+    let jitter = node.random(|random| random.random_range(0.5..1.5));
+    doubled.min(LONGEST_PAUSE).mul_f64(jitter)
+}
--- /dev/null
+++ b/crates/sidecar/src/follow/watch.rs
@@ -0,0 +1,69 @@
+//! Waiting for changes, as one of the readers.
+//!
+//! One call waits long, since each costs. Whether the source still answers meanwhile is asked
+//! by probes, which cost least: a source that went silent is noticed as fast as by short
+//! waits.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use super::{CALL_LIMIT, FAILURES_TO_BE_AWAY, count, note_answered, note_reading, should_read};
+use crate::model::Revision;
+use crate::source::{Changes, Source, SourceError};
+use crate::state::Node;
+
+/// Longest wait for changes in one call.
+const CHANGES_WAIT: Duration = Duration::from_secs(10);
+/// Interval of probes while a call waits.
+const PROBE_INTERVAL: Duration = Duration::from_millis(450);
+
+/// Why waiting ended before there were changes.
+enum Ended {
+    /// Another node reads.
+    NotNeeded,
+    /// The source does not answer.
+    Away(SourceError),
+}
+
+/// Changes after `known`, as soon as there are some; `None` when other nodes read for this one.
+pub async fn changes<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Option<Changes>, SourceError> {
+    let waiting = source.changes(known, CHANGES_WAIT, CALL_LIMIT);
+    tokio::select! {
+        biased;
+        changes = waiting => {
+            let changes = changes?;
+            note_answered(node);
+            Ok(Some(changes))
+        }
+        Err(ended) = probe_regularly(node, source) => match ended {
+            Ended::NotNeeded => Ok(None),
+            Ended::Away(error) => Err(error),
+        },
+    }
+}
+
+/// Notes a reading with each probe that is answered: a change before it would have ended the
+/// wait.
+async fn probe_regularly<S: Source>(node: &Node, source: &S) -> Result<Infallible, Ended> {
+    let mut failures = 0;
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        if !should_read(node) {
+            return Err(Ended::NotNeeded);
+        }
+        match source.probe(CALL_LIMIT).await {
+            Ok(()) => {
+                failures = 0;
+                count(node, "probed");
+                note_reading(node);
+            }
+            Err(error) => {
+                failures += 1;
+                if failures >= FAILURES_TO_BE_AWAY || matches!(error, SourceError::TimedOut) {
+                    return Err(Ended::Away(error));
+                }
+                count(node, "failed");
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -18,6 +18,7 @@
 
 use crate::directory::DirectoryCopy;
 use crate::model::{Configuration, ConfigurationVersion, Instance, RepeatSafety, Revision};
+use crate::peers::AnnouncedReading;
 use crate::reply::{AnswerFault, Failure, Load};
 
 /// Interval of the gate's signs of life.
@@ -143,6 +144,10 @@
         configuration: Option<Configuration>,
         /// A newer directory.
         directory: Option<DirectoryCopy>,
+        /// True when the other node has caught up with the fleet itself.
+        is_caught_up: bool,
+        /// The latest reading of the source that it knows of.
+        reading: Option<AnnouncedReading>,
     },
 }
 
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -32,6 +32,11 @@
 pub struct Millis(pub u32);
 
 impl Millis {
+    /// The whole milliseconds of a span; the largest number when there are more.
+    pub fn of(span: Duration) -> Self {
+        Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX))
+    }
+
     /// The span.
     pub fn duration(self) -> Duration {
         Duration::from_millis(u64::from(self.0))
--- a/crates/sidecar/src/peers/freshness.rs
+++ b/crates/sidecar/src/peers/freshness.rs
@@ -1,13 +1,18 @@
 //! How recent a node's knowledge is, and who reads the source.
 //!
-//! The machines of a zone are ranked by hash, alike on all nodes. The first reads the
-//! source and tells the others how recent its reading is. A node that hears of no recent
-//! reading reads itself, those of lower ranks a little earlier than the others.
+//! The machines of a zone are ranked by hash, alike on all nodes. One of them reads the source
+//! and tells the others how recent its reading is; while they hear of recent readings they
+//! don't read. When the readings end, those of lower ranks take over a little earlier than the
+//! others. A reader goes on until it hears of one that ranks before it. What a node of another
+//! zone knows from a recent reading is as good; but each zone has a reader of its own.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use olivegate_types::Moment;
 
+use super::relay::ranks_before;
+
 /// A reading older than this makes the next rank read.
 const STALE_AFTER: Duration = Duration::from_millis(1_150);
 /// Further time that each rank waits.
@@ -16,54 +21,80 @@
 const STEPPED_RANKS: u32 = 4;
 /// A reading that is later by this much is news.
 const PASSED_ON_AFTER: Duration = Duration::from_millis(150);
-/// A node that took over goes on reading for this long.
-const KEEP_READING: Duration = Duration::from_secs(4);
 
-/// How recent the knowledge of this node is.
-#[derive(Debug, Default)]
+/// A reading of the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// The machine that read.
+    pub reader: IpAddr,
+    /// When.
+    pub at: Moment,
+}
+
+/// How recent the knowledge of one node is.
+#[derive(Debug)]
 pub struct Freshness {
-    read_by_others: Option<Moment>,
-    read_here: Option<Moment>,
-    reading_until: Option<Moment>,
+    own: IpAddr,
+    latest: Option<Reading>,
+    /// Latest reading of a machine that ranks before this one.
+    read_before_own_rank: Option<Moment>,
+    is_reader: bool,
 }
 
 impl Freshness {
+    /// The node on `own`, which knows of no reading yet.
+    pub fn new(own: IpAddr) -> Self {
+        Freshness { own, latest: None, read_before_own_rank: None, is_reader: false }
+    }
+
     /// Notes that this node read the source.
     pub fn on_read(&mut self, now: Moment) {
-        self.read_here = Some(now);
+        self.latest = Some(Reading { reader: self.own, at: now });
     }
 
-    /// Notes that a node of this zone told of a reading made `age` ago. True when it is news
-    /// that is to be passed on.
-    pub fn on_announced(&mut self, age: Duration, now: Moment) -> bool {
-        let read = now.saturating_sub(age);
-        let is_news = self.read_by_others.is_none_or(|known| read.since(known) >= PASSED_ON_AFTER);
-        self.read_by_others = self.read_by_others.max(Some(read));
+    /// Notes that a node told of a reading of this zone. True when it is news that is to be
+    /// passed on.
+    pub fn on_announced(&mut self, reading: Reading) -> bool {
+        if ranks_before(reading.reader, self.own) {
+            self.read_before_own_rank = self.read_before_own_rank.max(Some(reading.at));
+        }
+        let is_later = self.latest.is_none_or(|known| reading.at > known.at);
+        let is_news = self.latest.is_none_or(|known| reading.at.since(known.at) >= PASSED_ON_AFTER);
+        if is_later {
+            self.latest = Some(reading);
+        }
         is_news
     }
 
-    /// Age of the latest reading that this node knows of, its own or another's.
-    pub fn latest_age(&self, now: Moment) -> Option<Duration> {
-        self.read_here.max(self.read_by_others).map(|read| now.since(read))
+    /// Notes a reading of another zone, whose news this node has.
+    pub fn on_read_elsewhere(&mut self, reading: Reading) {
+        if self.latest.is_none_or(|known| reading.at > known.at) {
+            self.latest = Some(reading);
+        }
+    }
+
+    /// The latest reading that this node knows of, its own or another's.
+    pub fn latest(&self) -> Option<Reading> {
+        self.latest
     }
 
-    /// Age of this node's own last reading.
-    pub fn own_age(&self, now: Moment) -> Option<Duration> {
-        self.read_here.map(|read| now.since(read))
+    /// True while this node reads for its zone.
+    pub fn is_reader(&self) -> bool {
+        self.is_reader
     }
 
-    /// True when a node of this rank, 0 being the first, is to read now. A node that has just
-    /// started reads once and then waits to hear from the first; one that takes over from a
-    /// reader goes on for a while.
-    pub fn should_read(&mut self, rank: u32, now: Moment) -> bool {
-        if rank == 0 || self.reading_until.is_some_and(|until| now < until) {
-            return true;
+    /// True when a node of this rank, 0 being the first, is to read now.
+    pub fn should_read(&self, rank: u32, now: Moment) -> bool {
+        let is_over = |at: Option<Moment>, patience| at.is_none_or(|at| now.since(at) > patience);
+        if self.is_reader {
+            return is_over(self.read_before_own_rank, STALE_AFTER);
         }
         let patience = STALE_AFTER + RANK_STEP * rank.min(STEPPED_RANKS);
-        let is_stale = self.latest_age(now).is_none_or(|age| age > patience);
-        if is_stale && self.read_by_others.is_some() {
-            self.reading_until = Some(now + KEEP_READING);
-        }
-        is_stale
+        is_over(self.latest.map(|reading| reading.at), patience)
+    }
+
+    /// This node reads from now on, or no longer.
+    pub fn set_reader(&mut self, is_reader: bool) {
+        self.is_reader = is_reader;
     }
 }
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -21,7 +21,9 @@
 use tokio::net::UdpSocket;
 
 use crate::hop::{self, EdgeMessage, GateMessage, KnownState};
+use crate::model::Millis;
 use crate::state::Node;
+use freshness::Reading;
 use olivegate_clock as clock;
 
 /// Interval of a reader's announcements.
@@ -34,8 +36,6 @@
 const FETCHES: usize = 2;
 /// Time limit of a fetch.
 const FETCH_LIMIT: Duration = Duration::from_millis(600);
-/// A node whose last reading is younger announces itself as a reader.
-const READS_LATELY: Duration = Duration::from_secs(10);
 /// Largest announcement in bytes.
 const MAX_DATAGRAM: usize = 512;
 
@@ -46,9 +46,28 @@
     pub known: KnownState,
     /// Its zone.
     pub zone: ZoneName,
-    /// Age of the latest reading of the source that it knows of, in milliseconds; `None` when
-    /// it knows of none.
-    pub reading_age_ms: Option<u32>,
+    /// The latest reading of the source that it knows of.
+    pub reading: Option<AnnouncedReading>,
+}
+
+/// A reading of the source, as nodes tell of it: their clocks differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct AnnouncedReading {
+    /// The machine that read.
+    pub reader: IpAddr,
+    /// How long ago.
+    pub age: Millis,
+}
+
+impl AnnouncedReading {
+    fn to_reading(self) -> Reading {
+        Reading { reader: self.reader, at: clock::now().saturating_sub(self.age.duration()) }
+    }
+}
+
+fn latest_reading(node: &Node) -> Option<AnnouncedReading> {
+    let latest = node.freshness.borrow().latest()?;
+    Some(AnnouncedReading { reader: latest.reader, age: Millis::of(clock::now().since(latest.at)) })
 }
 
 /// Rank of this node among the machines of its zone; alike on all nodes that know the same
@@ -88,14 +107,22 @@
     }
 }
 
-/// Notes a reading of this zone; true when it is to be passed on.
+/// True when `told` is more than this node knows.
+fn is_news(node: &Node, told: KnownState) -> bool {
+    let known = node.known_state();
+    told.configuration > known.configuration || told.directory > known.directory
+}
+
+/// Notes a reading; true when it is one of this zone that is to be passed on.
 fn on_reading(node: &Node, announcement: &Announcement) -> bool {
-    let Some(age) = announcement.reading_age_ms else { return false };
-    if announcement.zone != node.settings().zone {
-        return false;
+    let Some(reading) = announcement.reading.map(AnnouncedReading::to_reading) else { return false };
+    if announcement.zone == node.settings().zone {
+        return node.freshness.borrow_mut().on_announced(reading);
     }
-    let age = Duration::from_millis(u64::from(age));
-    node.freshness.borrow_mut().on_announced(age, clock::now())
+    if !is_news(node, announcement.known) {
+        node.freshness.borrow_mut().on_read_elsewhere(reading);
+    }
+    false
 }
 
 fn on_announcement(
@@ -104,9 +131,7 @@
     announcement: &Announcement,
     sender: SocketAddr,
 ) {
-    let known = node.known_state();
-    let news = announcement.known;
-    let is_behind = news.configuration > known.configuration || news.directory > known.directory;
+    let is_behind = is_news(node, announcement.known);
     let has_room = fetching.borrow().len() < FETCHES;
     if !is_behind || !has_room || !fetching.borrow_mut().insert(sender.ip()) {
         return;
@@ -114,21 +139,26 @@
     let (node, fetching) = (node.clone(), fetching.clone());
     tokio::task::spawn_local(async move {
         let peer = sender.ip();
-        let fetched = tokio::time::timeout(FETCH_LIMIT, fetch(&node, peer)).await;
+        let fetched = fetch(&node, peer).await;
         fetching.borrow_mut().remove(&peer);
-        if !matches!(fetched, Ok(Ok(()))) {
-            log::debug!("event=fetch_failed peer={peer}");
+        if let Err(error) = fetched {
+            log::debug!("event=fetch_failed peer={peer} error={error}");
         }
     });
 }
 
 /// Fetches from `peer` what this node lacks.
-async fn fetch(node: &Node, peer: IpAddr) -> std::io::Result<()> {
+pub async fn fetch(node: &Node, peer: IpAddr) -> std::io::Result<()> {
+    let fetched = tokio::time::timeout(FETCH_LIMIT, fetch_from(node, peer)).await;
+    fetched.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+}
+
+async fn fetch_from(node: &Node, peer: IpAddr) -> std::io::Result<()> {
     let address = node.settings().inbound_of(peer);
     let mut stream = node.hops.connection(address).await?;
     stream.send(hop::encode(&EdgeMessage::Fetch(node.known_state()))).await?;
     let frame = stream.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-    let GateMessage::Knowledge { configuration, directory } = hop::decode(&frame)? else {
+    let GateMessage::Knowledge { configuration, directory, is_caught_up, reading } = hop::decode(&frame)? else {
         return Err(std::io::ErrorKind::InvalidData.into());
     };
     node.hops.keep(address, stream);
@@ -140,6 +170,12 @@
         let now = clock::now();
         node.update_directory(&from, |known| known.apply_copy(&copy, now));
     }
+    if is_caught_up {
+        node.note_caught_up();
+    }
+    if let Some(reading) = reading {
+        node.freshness.borrow_mut().on_read_elsewhere(reading.to_reading());
+    }
     Ok(())
 }
 
@@ -148,8 +184,13 @@
     let knowledge = node.knowledge.borrow();
     let newer = knowledge.configuration.as_ref().filter(|own| own.version > other.configuration);
     let is_behind = knowledge.directory.revision() > other.directory;
-    let directory = is_behind.then(|| knowledge.directory.copy_since(other.directory));
-    GateMessage::Knowledge { configuration: newer.map(|own| own.as_ref().clone()), directory }
+    let directory = is_behind.then(|| knowledge.directory.copy_since(other.directory, clock::now()));
+    GateMessage::Knowledge {
+        configuration: newer.map(|own| own.as_ref().clone()),
+        directory,
+        is_caught_up: node.is_caught_up(),
+        reading: latest_reading(node),
+    }
 }
 
 async fn announce_changes(node: Rc<Node>, socket: Rc<UdpSocket>) {
@@ -163,18 +204,12 @@
 async fn announce_readings(node: Rc<Node>, socket: Rc<UdpSocket>) {
     loop {
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
-        if reads_source(&node) {
+        if node.freshness.borrow().is_reader() {
             announce(&node, &socket, Audience::ChildrenAndFew).await;
         }
     }
 }
 
-/// True when this node has read the source lately.
-fn reads_source(node: &Node) -> bool {
-    let age = node.freshness.borrow().own_age(clock::now());
-    age.is_some_and(|age| age < READS_LATELY)
-}
-
 /// Who an announcement goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Audience {
@@ -189,8 +224,8 @@
     let order = zone_order(node);
     let mut chosen: HashSet<IpAddr> =
         relay::children(&order, relay::rank_of(&order, own)).iter().copied().collect();
-    if reads_source(node) {
-        // Also when it took over from the first.
+    if node.freshness.borrow().is_reader() {
+        // Also when it is not the first.
         chosen.extend(relay::children(&order, 0));
         chosen.extend(order.first());
     }
@@ -204,12 +239,8 @@
 
 async fn announce(node: &Node, socket: &UdpSocket, to: Audience) {
     let settings = node.settings();
-    let age = node.freshness.borrow().latest_age(clock::now());
-    let announcement = Announcement {
-        known: node.known_state(),
-        zone: settings.zone.clone(),
-        reading_age_ms: age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
-    };
+    let announcement =
+        Announcement { known: node.known_state(), zone: settings.zone.clone(), reading: latest_reading(node) };
     let datagram = hop::encode(&announcement);
     for machine in audience(node, to) {
         // A datagram that can't be sent is lost like any other; the next one follows.
--- a/crates/sidecar/src/peers/relay.rs
+++ b/crates/sidecar/src/peers/relay.rs
@@ -1,7 +1,7 @@
 //! The way of a reading through a zone.
 //!
-//! The machines of a zone stand in an order that is alike on all nodes. The first reads the
-//! source and tells its reading to some; each of them passes it on to some further ones: a
+//! The machines of a zone stand in an order that is alike on all nodes. The first tells a
+//! reading of the source, mostly its own, to some; each of them passes it on to some further ones: a
 //! tree over the order. So one reading reaches a zone of a thousand machines in four steps,
 //! and no node sends more than [`CHILDREN`] datagrams for it.
 
@@ -19,6 +19,11 @@
     (bits.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29), machine)
 }
 
+/// True when `left` stands before `right` in the order of a zone.
+pub fn ranks_before(left: IpAddr, right: IpAddr) -> bool {
+    order_key(left) < order_key(right)
+}
+
 /// The machines of a zone in their order, `own` among them.
 pub fn order_of(mut machines: Vec<IpAddr>, own: IpAddr) -> Vec<IpAddr> {
     if !machines.contains(&own) {
@@ -28,7 +33,7 @@
     machines
 }
 
-/// Rank of `own` in its zone; 0 reads the source.
+/// Rank of `own` in its zone, 0 being the first.
 pub fn rank_of(order: &[IpAddr], own: IpAddr) -> u32 {
     let rank = order.iter().position(|machine| *machine == own).unwrap_or(order.len());
     u32::try_from(rank).unwrap_or(u32::MAX)
--- a/crates/sidecar/src/source.rs
+++ b/crates/sidecar/src/source.rs
@@ -29,6 +29,15 @@
     pub revision: Revision,
 }
 
+/// How recent a snapshot has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recency {
+    /// It shows all changes that the source had acknowledged before it was asked.
+    Latest,
+    /// It may be some seconds old, and costs least.
+    MaybeOld,
+}
+
 /// One change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -45,6 +54,17 @@
     },
 }
 
+impl Change {
+    /// Its place in the history, where it concerns an instance.
+    pub fn revision(&self) -> Option<Revision> {
+        match self {
+            Change::Configuration(_) => None,
+            Change::Instance(listed) => Some(listed.revision),
+            Change::InstanceGone { revision, .. } => Some(*revision),
+        }
+    }
+}
+
 /// Changes in their order.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Changes {
@@ -86,7 +106,7 @@
 /// A source of configuration and instances.
 pub trait Source {
     /// Reads everything. `limit` bounds the time of each call.
-    fn snapshot(&self, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
+    fn snapshot(&self, recency: Recency, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
 
     /// Waits up to `wait` for changes after `revision`; none when there were none.
     /// `limit` bounds the time of the call beyond `wait`.
@@ -96,4 +116,7 @@
         wait: Duration,
         limit: Duration,
     ) -> impl Future<Output = Result<Changes, SourceError>>;
+
+    /// Finds out by the cheapest call whether the source answers within `limit`.
+    fn probe(&self, limit: Duration) -> impl Future<Output = Result<(), SourceError>>;
 }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use olivegate_overload::{ProcessPressure, ReportedLevels};
 use olivegate_retry::{RepeatBudget, RepeatPolicy};
@@ -27,8 +28,11 @@
 use crate::vocabulary::Vocabulary;
 use olivegate_clock as clock;
 
-/// Heartbeats within which a live instance writes a lost entry again.
-const REWRITE_HEARTBEATS: u32 = 2;
+/// Time after the source's return within which live instances have written lost entries again:
+/// two seconds, and some for the reading.
+const REWRITTEN_WITHIN: Duration = Duration::from_millis(2_300);
+/// Heartbeats within which an instance that has just started is listed.
+const LISTED_HEARTBEATS: u32 = 2;
 /// Part of the repeat ratio that clients' requests may use. What is repeated makes its calls
 /// again, so each level of a call graph adds to the repeats of the levels below it; clients
 /// come back by themselves anyway.
@@ -84,6 +88,8 @@
     pub gate: Gate,
     /// How recent the knowledge is, and who reads the source.
     pub freshness: RefCell<Freshness>,
+    /// What this node knows was once as recent as what the source or another node told.
+    caught_up: Cell<bool>,
     /// True while the source can't be read from here.
     pub source_failing: Cell<bool>,
     /// Bytes that a request and its answer hold on average; as much as they may at first.
@@ -101,10 +107,11 @@
     /// A node that knows nothing yet.
     pub fn new(settings: SidecarSettings, vocabulary: Vocabulary) -> Self {
         let hold = HoldPolicy {
-            disturbed_for: settings.bounds.contact,
-            rewrite_within: settings.heartbeat * REWRITE_HEARTBEATS,
+            rewritten_within: REWRITTEN_WITHIN,
+            listed_within: settings.heartbeat * LISTED_HEARTBEATS,
         };
         let knowledge = Knowledge { configuration: None, routes: None, directory: Directory::new(hold) };
+        let freshness = Freshness::new(settings.ip());
         Node {
             settings: RefCell::new(Rc::new(settings)),
             vocabulary,
@@ -119,7 +126,8 @@
             lineage: RefCell::default(),
             hops: HopPool::default(),
             gate: Gate::default(),
-            freshness: RefCell::default(),
+            freshness: RefCell::new(freshness),
+            caught_up: Cell::new(false),
             source_failing: Cell::new(false),
             request_bytes: Cell::new(LARGEST_PIECES as f64),
             stop: Rc::default(),
@@ -139,9 +147,9 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// The routes in force; `None` before the first configuration.
+    /// The routes in force; `None` before the first configuration that is not an old one.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
-        self.knowledge.borrow().routes.clone()
+        self.knowledge.borrow().routes.clone().filter(|_| self.is_caught_up())
     }
 
     /// Version of the configuration and state of the directory.
@@ -195,10 +203,24 @@
         self.knowledge_changed.notify_waiters();
     }
 
+    /// Notes that nothing newer is known elsewhere.
+    pub fn note_caught_up(&self) {
+        self.caught_up.set(true);
+    }
+
+    /// True once the node has known all that the fleet knew; before, it may know an old
+    /// configuration.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up.get()
+    }
+
     /// True when the node can serve: it knows routes and instances and does not stop.
     pub fn is_ready(&self) -> bool {
         let knowledge = self.knowledge.borrow();
-        knowledge.routes.is_some() && knowledge.directory.ready_count() > 0 && !self.stop.is_stopping()
+        self.is_caught_up()
+            && knowledge.routes.is_some()
+            && knowledge.directory.ready_count() > 0
+            && !self.stop.is_stopping()
     }
 
     fn repeat_policy(&self, is_call: bool) -> RepeatPolicy {
