Gates cut off from the store attest that their instances live

Change: an entry that goes in calm is believed for 0.9 s, until its gate has spoken. Offers that find a held instance leaving or lost end the hold there.

Found on the way: a hold that ended was passed on without the change that removed the entry, so a node that fetched later kept the entry for good (latent before). `holds_end_alike_on_nodes_that_fetch_at_any_moments` failed first.

--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -18,7 +18,7 @@
 use olivegate_clock as clock;
 
 /// Interval of work that no event starts.
-const HOUSEKEEPING: Duration = Duration::from_millis(500);
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
 
 /// Interval at which the settings are looked at without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -98,7 +98,9 @@
     log_start(&settings);
     let node = Rc::new(Node::new(settings, vocabulary));
     listeners.serve(&node);
-    spawn_local(follow::follow(node.clone(), source));
+    let source = Rc::new(source);
+    spawn_local(follow::follow(node.clone(), source.clone()));
+    spawn_local(peers::attestation::attest_own(node.clone(), source));
     spawn_local(housekeeping(node.clone()));
     Ok(node)
 }
--- a/crates/sidecar/src/directory.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -6,76 +6,33 @@
 //! *held*: it stays in use until it comes back, says that it drains, or its time to be
 //! written again is over. Copies carry what is left of that time, so that all nodes end a
 //! hold together.
+//!
+//! An entry also goes when its machine alone is cut off from the source. The gate there can
+//! tell, and attests that its instance lives. So an entry that goes in calm is held, too, for
+//! the moment that its gate needs to say so or to refuse.
+//!
+//! - [`hold`]: how long an instance that is not listed is believed.
+//! - [`copy`]: what nodes pass on.
+
+pub mod copy;
+pub mod hold;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use borsh::{BorshDeserialize, BorshSerialize};
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 
-use crate::model::{Instance, InstanceState, Millis, Revision};
+use crate::model::{Instance, InstanceState, Revision};
 use crate::source::{Change, ListedInstance};
+use hold::{Hold, HoldPolicy, HoldReason, SourceHealth};
 
+/// An attestation that lasts longer by this much is news.
+const NEWS_OF_HOLD: Duration = Duration::from_secs(1);
 /// How long machines are remembered after their last entry.
 const MACHINE_MEMORY: Duration = Duration::from_secs(60);
 
-/// How long an entry that the source does not list is believed.
-#[derive(Debug, Clone, Copy)]
-pub struct HoldPolicy {
-    /// Time after the source's return within which a live instance has written a lost entry
-    /// again.
-    pub rewritten_within: Duration,
-    /// Time that an instance which was met on its own machine takes to be listed.
-    pub listed_within: Duration,
-}
-
-/// How the source fared when this node last read it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-enum SourceHealth {
-    /// It answers.
-    #[default]
-    Calm,
-    /// It does not answer this node.
-    Away,
-    /// It was away and has answered again since then.
-    Returned(Moment),
-}
-
-/// An entry as nodes pass it on.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct DirectoryEntry {
-    /// The instance.
-    pub instance: Instance,
-    /// Its last change.
-    pub revision: Revision,
-    /// How long it is still believed, when the source does not list it.
-    pub held_for: Option<Millis>,
-}
-
-/// An instance whose entry went away.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct GoneEntry {
-    /// The instance.
-    pub name: InstanceName,
-    /// The change that removed it.
-    pub revision: Revision,
-}
-
-/// What a node passes on to one that knows less.
-#[derive(Debug, Clone, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
-pub struct DirectoryCopy {
-    /// The state that it adds to; `None` when it is all there is.
-    pub base: Option<Revision>,
-    /// Entries that are newer than the base, and all that are held.
-    pub entries: Vec<DirectoryEntry>,
-    /// Entries that went away since the base.
-    pub gone: Vec<GoneEntry>,
-    /// State of the source after it.
-    pub revision: Revision,
-}
-
 /// What the directory says about one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -90,9 +47,14 @@
 }
 
 /// Remembers that an entry went away.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Tombstone {
+    /// As it was listed last.
+    instance: Rc<Instance>,
+    /// The change that removed it; the default when only this node saw that it is gone.
     revision: Revision,
+    /// It was seen, on its machine or on the way there, that it is gone.
+    is_seen: bool,
     since: Moment,
 }
 
@@ -107,8 +69,8 @@
 struct Entry {
     instance: Rc<Instance>,
     revision: Revision,
-    /// The source does not list it; it is believed until then.
-    held_until: Option<Moment>,
+    /// The source does not list it, but it is believed for now.
+    hold: Option<Hold>,
 }
 
 /// The instances that are known.
@@ -204,18 +166,8 @@
         }
         self.source = SourceHealth::Returned(now);
         let until = now + self.policy.rewritten_within;
-        let held = self.entries.values_mut().filter_map(|entry| entry.held_until.as_mut());
-        held.for_each(|held_until| *held_until = until.max(*held_until));
-    }
-
-    /// Until when an entry that goes missing now is believed; `None` when it is gone.
-    fn hold_of_missing(&self, now: Moment) -> Option<Moment> {
-        let until = match self.source {
-            SourceHealth::Calm => return None,
-            SourceHealth::Away => now + self.policy.rewritten_within,
-            SourceHealth::Returned(at) => at + self.policy.rewritten_within,
-        };
-        (now < until).then_some(until)
+        let holds = self.entries.values_mut().filter_map(|entry| entry.hold.as_mut());
+        holds.for_each(|hold| hold.until = hold.until.max(until));
     }
 
     /// Takes over everything that the source holds. True when anything changed.
@@ -242,8 +194,8 @@
         let changed = match change {
             Change::Instance(listed) => self.insert(listed, now),
             Change::InstanceGone { name, revision } => {
-                let newer = self.entries.get(name).is_none_or(|entry| entry.revision < *revision);
-                newer && self.remove(name, *revision, now)
+                let is_newer = self.entries.get(name).is_none_or(|entry| entry.revision < *revision);
+                is_newer && !self.is_attested(name) && self.remove(name, *revision, now)
             }
             Change::Configuration(_) => false,
         };
@@ -255,66 +207,18 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Takes over what another node knows, when that is newer. True when anything changed.
-    pub fn apply_copy(&mut self, copy: &DirectoryCopy, now: Moment) -> bool {
-        if copy.revision <= self.revision || copy.base.is_some_and(|base| base > self.revision) {
-            return false;
-        }
-        let mut changed = false;
-        if copy.base.is_none() {
-            let names: HashSet<&InstanceName> = copy.entries.iter().map(|entry| &entry.instance.name).collect();
-            for name in self.missing_from(&names) {
-                changed |= self.forget(&name, copy.revision, now);
-            }
-            self.gone_since = self.gone_since.max(copy.revision);
-        }
-        for gone in &copy.gone {
-            let is_newer = self.entries.get(&gone.name).is_some_and(|entry| entry.revision < gone.revision);
-            changed |= is_newer && self.forget(&gone.name, gone.revision, now);
-        }
-        for entry in &copy.entries {
-            let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
-            changed |= self.insert(&listed, now);
-            let is_same = self.entries.get(&entry.instance.name).is_some_and(|own| own.revision == entry.revision);
-            if let Some(left) = entry.held_for.filter(|_| is_same) {
-                self.hold(&entry.instance.name, now + left.duration());
-            }
-        }
-        self.finish(copy.revision, changed)
-    }
-
-    /// What a node that knows the state `known` lacks: the changes since, or everything when
-    /// removals since then are no longer remembered.
-    pub fn copy_since(&self, known: Revision, now: Moment) -> DirectoryCopy {
-        let is_whole = known < self.gone_since || known == Revision::default();
-        let base = if is_whole { None } else { Some(known) };
-        let is_news = |entry: &&Entry| is_whole || entry.revision > known || entry.held_until.is_some();
-        let entries = self.entries.values().filter(is_news).map(|entry| DirectoryEntry {
-            instance: Instance::clone(&entry.instance),
-            revision: entry.revision,
-            held_for: entry.held_until.map(|until| Millis::of(until.since(now))),
-        });
-        let removed = self.gone.iter().filter(|(_, tombstone)| !is_whole && tombstone.revision > known);
-        let gone = removed.map(|(name, tombstone)| GoneEntry { name: name.clone(), revision: tombstone.revision });
-        DirectoryCopy { base, entries: entries.collect(), gone: gone.collect(), revision: self.revision }
-    }
-
-    /// Ends holds whose time is over; call every second or so. An instance that was met on
-    /// its own machine can't be listed while the source is away. True when anything changed.
+    /// Ends holds whose time is over; call every second or so. True when anything changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         self.forget_old_removals(now);
         let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
-        let is_away = self.source == SourceHealth::Away;
-        let is_over = |entry: &Entry| {
-            let was_listed = entry.revision != Revision::default();
-            entry.held_until.is_some_and(|until| now >= until) && (was_listed || !is_away)
-        };
+        let source = self.source;
+        let is_over = |entry: &Entry| entry.hold.is_some_and(|hold| hold.is_over(source, now));
         let ended: Vec<InstanceName> =
             self.entries.iter().filter(|(_, entry)| is_over(entry)).map(|(name, _)| name.clone()).collect();
         let mut changed = false;
         for name in ended {
-            changed |= self.forget(&name, Revision::default(), now);
+            changed |= self.forget(&name, self.removal_of(&name), now);
         }
         self.finish(self.revision, changed)
     }
@@ -333,7 +237,10 @@
 
     /// An instance is known to be gone from its own machine, whatever the source says.
     pub fn note_gone(&mut self, name: &InstanceName, now: Moment) -> bool {
-        let changed = self.forget(name, Revision::default(), now);
+        let changed = self.forget(name, self.removal_of(name), now);
+        if let Some(tombstone) = self.gone.get_mut(name) {
+            tombstone.is_seen = true;
+        }
         self.finish(self.revision, changed)
     }
 
@@ -343,12 +250,80 @@
         if self.standing(&instance.name) != Standing::Unknown {
             return false;
         }
+        let hold =
+            Hold { reason: HoldReason::Met, until: now + self.policy.listed_within, removed: Revision::default() };
+        self.believe(instance, hold, now);
+        true
+    }
+
+    /// The gate on its machine attests until `until` that an instance lives whose entry is
+    /// gone. True when that is news which is to be passed on.
+    pub fn attest(&mut self, instance: Instance, until: Moment, now: Moment) -> bool {
+        if self.left_as_draining(&instance.name) {
+            return false;
+        }
+        let removed = self.removal_of(&instance.name);
+        let hold = Hold { reason: HoldReason::Attested, until, removed };
+        let Some(entry) = self.entries.get_mut(&instance.name) else {
+            self.believe(instance, hold, now);
+            return true;
+        };
+        let is_news = entry.hold.is_some_and(|known| until.since(known.until) >= NEWS_OF_HOLD);
+        if is_news {
+            entry.hold = Some(hold);
+        }
+        is_news
+    }
+
+    /// The gate of an instance knows better than the word that its entry went away.
+    fn is_attested(&self, name: &InstanceName) -> bool {
+        let hold = self.entries.get(name).and_then(|entry| entry.hold);
+        hold.is_some_and(|hold| hold.reason == HoldReason::Attested)
+    }
+
+    /// The change that took the entry of an instance away, where that is known.
+    fn removal_of(&self, name: &InstanceName) -> Revision {
+        let held = self.entries.get(name).and_then(|entry| entry.hold).map(|hold| hold.removed);
+        held.or(self.gone.get(name).map(|tombstone| tombstone.revision)).unwrap_or_default()
+    }
+
+    /// An instance said that it leaves before its entry went.
+    fn left_as_draining(&self, name: &InstanceName) -> bool {
+        self.gone.get(name).is_some_and(|tombstone| tombstone.instance.state == InstanceState::Draining)
+    }
+
+    fn believe(&mut self, instance: Instance, hold: Hold, now: Moment) {
         self.note_machine(&instance, now);
         let name = instance.name.clone();
-        let held_until = Some(now + self.policy.listed_within);
-        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), held_until };
+        self.gone.remove(&name);
+        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), hold: Some(hold) };
         self.entries.insert(name, entry);
-        self.finish(self.revision, true)
+        self.finish(self.revision, true);
+    }
+
+    /// The instance at `address` that the source does not list any more, or not yet, although
+    /// nothing here shows that it is gone or leaves.
+    pub fn unlisted_at(&self, address: SocketAddr) -> Option<Rc<Instance>> {
+        let known = self.entries.values().filter(|entry| entry.instance.address == address);
+        if let Some(entry) = known.max_by_key(|entry| entry.revision) {
+            return entry.hold.is_some().then(|| entry.instance.clone());
+        }
+        let removed = self.gone.values().filter(|tombstone| tombstone.instance.address == address);
+        let last = removed.max_by_key(|tombstone| tombstone.since)?;
+        (!last.is_seen && last.instance.state == InstanceState::Ready).then(|| last.instance.clone())
+    }
+
+    /// The gate of an instance whose entry went away says that it is gone. True when anything
+    /// changed.
+    pub fn confirm_gone(&mut self, name: &InstanceName, now: Moment) -> bool {
+        let hold = self.entries.get(name).and_then(|entry| entry.hold);
+        hold.is_some_and(|hold| hold.reason == HoldReason::Unconfirmed) && self.note_gone(name, now)
+    }
+
+    /// An instance that is not listed was not found. True when anything changed.
+    pub fn drop_held(&mut self, name: &InstanceName, now: Moment) -> bool {
+        let is_held = self.entries.get(name).is_some_and(|entry| entry.hold.is_some());
+        is_held && self.note_gone(name, now)
     }
 
     /// Slots of the instances of `service`, where one is listed.
@@ -359,8 +334,7 @@
 
     /// Entries that are not in `names`; those that are held end with their hold.
     fn missing_from(&self, names: &HashSet<&InstanceName>) -> Vec<InstanceName> {
-        let missing =
-            self.entries.iter().filter(|(name, entry)| !names.contains(name) && entry.held_until.is_none());
+        let missing = self.entries.iter().filter(|(name, entry)| !names.contains(name) && entry.hold.is_none());
         missing.map(|(name, _)| name.clone()).collect()
     }
 
@@ -368,32 +342,33 @@
         let name = &listed.instance.name;
         self.note_machine(&listed.instance, now);
         let known = self.entries.get(name);
-        let is_news = known.is_none_or(|entry| entry.revision < listed.revision || entry.held_until.is_some());
+        let is_news = known.is_none_or(|entry| entry.revision < listed.revision || entry.hold.is_some());
         if !is_news || known.is_some_and(|entry| entry.revision > listed.revision) {
             return false;
         }
         let changed = known.is_none_or(|entry| *entry.instance != listed.instance);
         let instance = Rc::new(listed.instance.clone());
         self.gone.remove(name);
-        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, held_until: None });
+        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, hold: None });
         changed
     }
 
-    /// An entry went missing: held when the source was away, else gone.
+    /// An entry went missing: held for a while unless it was draining.
     fn remove(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
-        match self.hold_of_missing(now) {
-            Some(until) if self.standing(name) == Standing::Ready => {
-                self.hold(name, until);
-                false
-            }
+        match self.source.hold_of_missing(self.policy, revision, now) {
+            Some(hold) if self.standing(name) == Standing::Ready => self.hold(name, hold),
             _ => self.forget(name, revision, now),
         }
     }
 
-    fn hold(&mut self, name: &InstanceName, until: Moment) {
-        if let Some(entry) = self.entries.get_mut(name) {
-            entry.held_until = entry.held_until.max(Some(until));
+    /// True when it was not held before.
+    fn hold(&mut self, name: &InstanceName, hold: Hold) -> bool {
+        let Some(entry) = self.entries.get_mut(name) else { return false };
+        let was_held = entry.hold.is_some();
+        if entry.hold.is_none_or(|known| known.until < hold.until) {
+            entry.hold = Some(hold);
         }
+        !was_held
     }
 
     /// Removes an entry. `revision` is the change that removed it, or the default when only
@@ -401,7 +376,8 @@
     fn forget(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
         let Some(entry) = self.entries.remove(name) else { return false };
         self.note_machine(&entry.instance, now);
-        self.gone.insert(name.clone(), Tombstone { revision, since: now });
+        self.gone
+            .insert(name.clone(), Tombstone { instance: entry.instance, revision, is_seen: false, since: now });
         true
     }
 
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -192,10 +192,16 @@
                 },
                 GateReply::Refused { refusal, successor } => {
                     self.follow_successor(&instance, successor);
+                    if refusal.reason == RefusalReason::InstanceLeaving {
+                        self.drop_held(&instance);
+                    }
                     attempts.on_refused(refusal)
                 }
                 GateReply::Failed(failure) => {
                     self.note_failure(&instance, failure);
+                    if failure.reason == FailureReason::GateLost {
+                        self.drop_held(&instance);
+                    }
                     let (node, service, is_call) = (self.node, &self.service, self.is_call);
                     attempts.on_failed(failure, || node.take_repeat(service, is_call, clock::now()))
                 }
@@ -314,6 +320,12 @@
         });
     }
 
+    /// An instance that the source does not list was not found either.
+    fn drop_held(&self, instance: &Instance) {
+        let now = clock::now();
+        self.node.update_directory("gate", |directory| directory.drop_held(&instance.name, now));
+    }
+
     fn note_load(&self, name: &InstanceName, load: Load) {
         let now = clock::now();
         let mut balancer = self.node.balancer.borrow_mut();
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -34,8 +34,8 @@
 const FAILURES_TO_BE_AWAY: u32 = 2;
 
 /// Follows the source until the process ends.
-pub async fn follow<S: Source>(node: Rc<Node>, source: S) {
-    start::learn(&node, &source).await;
+pub async fn follow<S: Source>(node: Rc<Node>, source: Rc<S>) {
+    start::learn(&node, source.as_ref()).await;
     let mut failures = 0;
     loop {
         let reads = becomes_reader(&node).await;
@@ -44,7 +44,7 @@
             tokio::time::sleep(IDLE_POLL).await;
             continue;
         }
-        match read(&node, &source, failures > 0).await {
+        match read(&node, source.as_ref(), failures > 0).await {
             Ok(()) => failures = 0,
             Err(error) => {
                 failures += 1;
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -54,6 +54,7 @@
             return Err(failure);
         }
     };
+    slots.note_close(!matched.head.keeps_connection());
     let reusable = matched.request_sent && matched.head.keeps_connection();
     let rest = named_rest(&matched.head);
     let whole_length = match matched.length {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -89,6 +89,11 @@
         self.instances.borrow().get(name).map(|slots| slots.status()).unwrap_or_default()
     }
 
+    /// True when the instance closes its connections as one that leaves does.
+    pub fn is_leaving(&self, name: &InstanceName) -> bool {
+        self.instances.borrow().get(name).is_some_and(|slots| slots.is_leaving())
+    }
+
     /// Load of one instance, to be told to an edge. A node that stops seems busy, so that it
     /// is chosen only where nothing else is left.
     pub fn load(&self, name: &InstanceName, route: &str, stop: &StopState) -> Load {
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -27,6 +27,9 @@
 /// Expected time in the instance of a route that was never seen, as a part of its target
 /// latency.
 const UNSEEN_PART: f64 = 0.1;
+/// Answers in a row that close their connection and so show that the instance leaves: now and
+/// then a single one does otherwise.
+const CLOSES_OF_LEAVING: u32 = 3;
 /// Bounds of the queue; each demand brings its own longest wait.
 const QUEUE: Settings = Settings { max_wait: Duration::from_millis(100), waiting_per_slot: 4 };
 
@@ -37,6 +40,7 @@
     expected: RefCell<HashMap<String, Duration>>,
     slowness: RefCell<f64>,
     failing: Cell<f64>,
+    closes_in_a_row: Cell<u32>,
     levels: RefCell<OutcomeLevels>,
     connections: InstanceConnections,
 }
@@ -70,6 +74,7 @@
             expected: RefCell::default(),
             slowness: RefCell::new(0.0),
             failing: Cell::new(0.0),
+            closes_in_a_row: Cell::new(0),
             levels: RefCell::default(),
             connections: InstanceConnections::default(),
         }
@@ -95,6 +100,16 @@
         &self.connections
     }
 
+    /// Notes whether an answer closes its connection.
+    pub fn note_close(&self, closes: bool) {
+        self.closes_in_a_row.set(if closes { self.closes_in_a_row.get() + 1 } else { 0 });
+    }
+
+    /// True when the instance closes its connections as one that leaves does.
+    pub fn is_leaving(&self) -> bool {
+        self.closes_in_a_row.get() >= CLOSES_OF_LEAVING
+    }
+
     /// True while requests run or wait.
     pub fn in_use(&self) -> bool {
         let queue = self.queue.borrow();
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::directory::DirectoryCopy;
+use crate::directory::copy::DirectoryCopy;
 use crate::model::{Configuration, ConfigurationVersion, Instance, RepeatSafety, Revision};
 use crate::peers::AnnouncedReading;
 use crate::reply::{AnswerFault, Failure, Load};
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! everywhere within some round trips, and a node that the source does not answer learns
 //! from those that it does.
 
+pub mod attestation;
 pub mod freshness;
 pub mod relay;
 
@@ -23,6 +24,7 @@
 use crate::hop::{self, EdgeMessage, GateMessage, KnownState};
 use crate::model::Millis;
 use crate::state::Node;
+use attestation::Attestation;
 use freshness::Reading;
 use olivegate_clock as clock;
 
@@ -36,11 +38,20 @@
 const FETCHES: usize = 2;
 /// Time limit of a fetch.
 const FETCH_LIMIT: Duration = Duration::from_millis(600);
-/// Largest announcement in bytes.
-const MAX_DATAGRAM: usize = 512;
+/// Largest datagram in bytes.
+const MAX_DATAGRAM: usize = 2_048;
 
 /// What a node tells others by UDP.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum PeerMessage {
+    /// What it knows.
+    Announcement(Announcement),
+    /// Instances that live although the source does not list them.
+    Attestations(Vec<Attestation>),
+}
+
+/// How much a node knows, and how recent that is.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Announcement {
     /// What it knows.
     pub known: KnownState,
@@ -89,14 +100,16 @@
     let fetching: Rc<std::cell::RefCell<HashSet<IpAddr>>> = Rc::default();
     tokio::task::spawn_local(announce_changes(node.clone(), socket.clone()));
     tokio::task::spawn_local(announce_readings(node.clone(), socket.clone()));
+    tokio::task::spawn_local(attestation::pass_on(node.clone(), socket.clone()));
     let mut buffer = [0; MAX_DATAGRAM];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        match borsh::from_slice::<Announcement>(&buffer[..length]) {
-            Ok(announcement) => {
+        match borsh::from_slice::<PeerMessage>(&buffer[..length]) {
+            Ok(PeerMessage::Attestations(attestations)) => attestation::take(&node, attestations),
+            Ok(PeerMessage::Announcement(announcement)) => {
                 if on_reading(&node, &announcement) {
                     announce(&node, &socket, Audience::Children).await;
                 }
@@ -241,7 +254,12 @@
     let settings = node.settings();
     let announcement =
         Announcement { known: node.known_state(), zone: settings.zone.clone(), reading: latest_reading(node) };
-    let datagram = hop::encode(&announcement);
+    send(node, socket, to, &PeerMessage::Announcement(announcement)).await;
+}
+
+async fn send(node: &Node, socket: &UdpSocket, to: Audience, message: &PeerMessage) {
+    let settings = node.settings();
+    let datagram = hop::encode(message);
     for machine in audience(node, to) {
         // A datagram that can't be sent is lost like any other; the next one follows.
         let _ = socket.send_to(&datagram, settings.peers_of(machine)).await;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -13,7 +13,8 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
-use crate::directory::{Directory, HoldPolicy};
+use crate::directory::Directory;
+use crate::directory::hold::HoldPolicy;
 use crate::edge::hop_pool::HopPool;
 use crate::event::{LineBudgets, LineClass};
 use crate::gate::Gate;
@@ -21,6 +22,7 @@
 use crate::lineage::Lineage;
 use crate::metrics::Metrics;
 use crate::model::Configuration;
+use crate::peers::attestation::Attestation;
 use crate::peers::freshness::Freshness;
 use crate::routes::{RouteTable, WeightedDealer};
 use crate::settings::SidecarSettings;
@@ -31,6 +33,9 @@
 /// Time after the source's return within which live instances have written lost entries again:
 /// two seconds, and some for the reading.
 const REWRITTEN_WITHIN: Duration = Duration::from_millis(2_300);
+/// Time within which the gate of an instance whose entry went away says whether it lives: a
+/// call of the source that is not answered, and the way to all nodes.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(900);
 /// Heartbeats within which an instance that has just started is listed.
 const LISTED_HEARTBEATS: u32 = 2;
 /// Part of the repeat ratio that clients' requests may use. What is repeated makes its calls
@@ -94,6 +99,10 @@
     pub source_failing: Cell<bool>,
     /// Bytes that a request and its answer hold on average; as much as they may at first.
     request_bytes: Cell<f64>,
+    /// Attestations that are to be passed on.
+    pub attestations: RefCell<Vec<Attestation>>,
+    /// Told when there are such.
+    pub attestations_changed: Notify,
     /// Stop and requests in flight.
     pub stop: Rc<StopState>,
     /// Metrics.
@@ -108,6 +117,7 @@
     pub fn new(settings: SidecarSettings, vocabulary: Vocabulary) -> Self {
         let hold = HoldPolicy {
             rewritten_within: REWRITTEN_WITHIN,
+            confirmed_within: CONFIRMED_WITHIN,
             listed_within: settings.heartbeat * LISTED_HEARTBEATS,
         };
         let knowledge = Knowledge { configuration: None, routes: None, directory: Directory::new(hold) };
@@ -130,6 +140,8 @@
             caught_up: Cell::new(false),
             source_failing: Cell::new(false),
             request_bytes: Cell::new(LARGEST_PIECES as f64),
+            attestations: RefCell::default(),
+            attestations_changed: Notify::new(),
             stop: Rc::default(),
             metrics: Metrics::default(),
             lines: LineBudgets::default(),
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -3,15 +3,21 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use olivegate_sidecar::directory::{Directory, HoldPolicy, Standing};
+use olivegate_sidecar::directory::hold::HoldPolicy;
+use olivegate_sidecar::directory::{Directory, Standing};
 use olivegate_sidecar::model::{Instance, InstanceState, Revision};
 use olivegate_sidecar::source::{Change, ListedInstance};
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 use proptest::prelude::*;
 use rstest::rstest;
 
-const POLICY: HoldPolicy =
-    HoldPolicy { rewritten_within: Duration::from_millis(2_000), listed_within: Duration::from_millis(3_000) };
+const POLICY: HoldPolicy = HoldPolicy {
+    rewritten_within: Duration::from_millis(2_000),
+    confirmed_within: Duration::ZERO,
+    listed_within: Duration::from_millis(3_000),
+};
+/// Gates have time to say whether their instances live.
+const WITH_GATES: HoldPolicy = HoldPolicy { confirmed_within: Duration::from_millis(900), ..POLICY };
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(millis)
@@ -176,6 +182,97 @@
     assert!(ready(&directory).is_empty());
 }
 
+/// A directory from which the entry of `a` has just gone.
+fn without_a() -> Directory {
+    let mut directory = Directory::new(WITH_GATES);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) };
+    assert!(directory.apply_change(&gone, at(100)));
+    directory.advance(Revision(2));
+    directory
+}
+
+#[rstest]
+fn an_entry_that_goes_is_believed_until_its_gate_had_time_to_speak() {
+    let mut directory = without_a();
+    assert_eq!(ready(&directory), ["a"]);
+    assert!(directory.expire(at(1_000)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn its_gate_or_an_offer_ends_that_at_once() {
+    let name = InstanceName::new("a");
+    let mut directory = without_a();
+    assert!(directory.confirm_gone(&name, at(110)));
+    assert!(ready(&directory).is_empty());
+    let mut directory = without_a();
+    assert!(directory.drop_held(&name, at(110)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_gate_does_not_end_the_hold_of_what_lapsed_while_the_source_was_away() {
+    let mut directory = Directory::new(WITH_GATES);
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.note_source_away();
+    directory.note_source_answered(at(100));
+    directory.apply_snapshot(&[], Revision(2), at(100));
+    assert!(!directory.confirm_gone(&InstanceName::new("a"), at(110)));
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[rstest]
+fn an_attested_instance_is_believed_as_long_as_its_gate_says_so() {
+    let mut directory = without_a();
+    directory.expire(at(1_000));
+    assert!(directory.attest(instance("a", InstanceState::Ready), at(4_000), at(1_000)));
+    assert_eq!(ready(&directory), ["a"]);
+    assert!(!directory.attest(instance("a", InstanceState::Ready), at(4_010), at(1_010)), "heard again: no news");
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) };
+    directory.apply_change(&gone, at(1_100));
+    directory.apply_snapshot(&[], Revision(3), at(1_200));
+    assert_eq!(ready(&directory), ["a"], "the gate knows better than the source");
+    assert!(directory.attest(instance("a", InstanceState::Ready), at(5_500), at(2_500)), "it says so again");
+    assert!(!directory.expire(at(5_400)));
+    assert!(directory.expire(at(5_500)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn what_left_as_draining_is_not_attested() {
+    let mut directory = Directory::new(WITH_GATES);
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[], Revision(2), at(10));
+    assert!(!directory.attest(instance("a", InstanceState::Ready), at(4_000), at(20)));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_listed_instance_needs_no_attestation_and_a_new_entry_ends_one() {
+    let mut directory = without_a();
+    directory.attest(instance("a", InstanceState::Ready), at(4_000), at(500));
+    directory.apply_change(&Change::Instance(listed("a", InstanceState::Ready, 7)), at(600));
+    assert!(!directory.attest(instance("a", InstanceState::Ready), at(9_000), at(700)));
+    assert!(!directory.expire(at(20_000)));
+    directory.apply_change(&Change::Instance(listed("a", InstanceState::Draining, 8)), at(20_000));
+    assert!(ready(&directory).is_empty());
+}
+
+#[rstest]
+fn a_gate_finds_its_unlisted_instance_unless_it_is_known_to_be_gone() {
+    let address = instance("a", InstanceState::Ready).address;
+    let mut directory = without_a();
+    assert!(directory.unlisted_at(address).is_some());
+    directory.expire(at(1_000));
+    assert!(directory.unlisted_at(address).is_some(), "its gate may still speak");
+    let mut directory = without_a();
+    directory.drop_held(&InstanceName::new("a"), at(200));
+    assert!(directory.unlisted_at(address).is_none(), "another instance answered there");
+    directory.apply_change(&Change::Instance(listed("b", InstanceState::Ready, 3)), at(300));
+    assert!(directory.unlisted_at(address).is_none(), "one is listed");
+}
+
 /// A change of the source, or a way of reading it.
 #[derive(Debug, Clone)]
 enum Step {
@@ -302,3 +399,49 @@
     names.sort();
     names
 }
+
+proptest! {
+    /// The same where entries that go are held for a while: a node that fetches late, when the
+    /// hold is over elsewhere, must not keep them.
+    #[test]
+    fn holds_end_alike_on_nodes_that_fetch_at_any_moments(steps in steps(), fetches in proptest::collection::vec(any::<bool>(), 42)) {
+        let mut model = Model::default();
+        let (mut reader, mut follower) = (Directory::new(WITH_GATES), Directory::new(WITH_GATES));
+        let mut now = at(0);
+        for (index, step) in steps.into_iter().enumerate() {
+            now = at(400 * index as u64);
+            reader.expire(now);
+            follower.expire(now);
+            match step {
+                Step::Write(name, draining) => {
+                    model.revision += 1;
+                    let state = if draining { InstanceState::Draining } else { InstanceState::Ready };
+                    let entry = listed(&format!("i-{name}"), state, model.revision);
+                    model.entries.insert(name, entry.clone());
+                    reader.apply_change(&Change::Instance(entry), now);
+                }
+                Step::Remove(name) => {
+                    if let Some(old) = model.entries.remove(&name) {
+                        model.revision += 1;
+                        let revision = Revision(model.revision);
+                        reader.apply_change(&Change::InstanceGone { name: old.instance.name, revision }, now);
+                    }
+                }
+                Step::ReadAll | Step::ForgetHistory => {
+                    reader.apply_snapshot(&model.snapshot(), Revision(model.revision), now);
+                }
+                Step::ReadChanges => {}
+            }
+            reader.advance(Revision(model.revision));
+            if fetches[index] {
+                follower.apply_copy(&reader.copy_since(follower.revision(), now), now);
+            }
+        }
+        let later = at(now.since_start().as_millis() as u64 + 1_000);
+        reader.expire(later);
+        follower.apply_copy(&reader.copy_since(follower.revision(), later), later);
+        follower.expire(at(later.since_start().as_millis() as u64 + 1_000));
+        prop_assert_eq!(sorted(ready(&reader)), sorted(model.ready()));
+        prop_assert_eq!(sorted(ready(&follower)), sorted(model.ready()));
+    }
+}
