Repeats are bounded where they arrive: a budget at each gate, inherited repeats counted, any depth

Cause: each edge kept to its own part of the bound, 0.10 of the ratio for requests and 0.28 for calls, constants for three levels; at 95 nodes a node's part of the slack was 0.065 of a repeat, so a node with few requests repeated nothing, and what repeated runs call was not counted at all.

Change: an edge marks an offer that has arrived before; the gate takes the repeat from a budget of its own arrivals (three quarters of the ratio, of first arrivals that were answered) and its part of the slack, or refuses (repeat-budget, also tried at a second gate). Calls carry the probability that the run that makes them is a repeat; the called gate counts that as used. Since only answered first arrivals count, the part that is inherited never exceeds what callers keep to: the bound holds at any depth. Clients' requests may use half of it; clients come back by themselves. Deadlines of running requests are looked up in order instead of one by one for each request.

--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -6,8 +6,8 @@
 //! No answer means no retry. Copying an allowance in a header would multiply it
 //! at every fan-out; see docs/DESIGN.md.
 //!
-//! Where no root can be told from its calls, each node keeps to its share of a bound over
-//! all nodes: [`window::RepeatBudget`].
+//! Where no root can be told from its calls, each gate of a service keeps to its share of a
+//! bound over all nodes: [`window::RepeatBudget`].
 
 pub mod budget;
 pub mod ledger;
--- a/crates/retry/tests/window.rs
+++ b/crates/retry/tests/window.rs
@@ -1,47 +1,240 @@
-//! The windowed budget of repeats against a simple count.
+//! The windowed budget of repeats against simple counts: one gate, all gates of a service, and
+//! a chain of services.
 
 use std::time::Duration;
 
 use olivegate_retry::{RepeatBudget, RepeatPolicy};
 use olivegate_types::Moment;
 use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rstest::rstest;
 
 const POLICY: RepeatPolicy = RepeatPolicy { ratio: 0.2, slack: 3.0, window: Duration::from_secs(10) };
 
 #[rstest]
-fn repeats_follow_requests() {
+fn repeats_follow_answered_requests() {
     let mut budget = RepeatBudget::default();
     let now = Moment::from_millis(50_000);
     for _ in 0..10 {
-        budget.on_request(&POLICY, now);
+        budget.on_answered(&POLICY, 1.0, now);
     }
-    let granted = (0..20).filter(|_| budget.try_repeat(&POLICY, now)).count();
+    let granted = (0..20).filter(|_| budget.try_repeat(&POLICY, 1.0, now)).count();
     assert_eq!(granted, 5, "a fifth of ten, and three");
-    assert!(!budget.try_repeat(&POLICY, now + Duration::from_secs(5)));
-    assert!(budget.try_repeat(&POLICY, now + Duration::from_secs(11)), "the window has passed");
+    assert!(!budget.try_repeat(&POLICY, 1.0, now + Duration::from_secs(5)));
+    assert!(budget.try_repeat(&POLICY, 1.0, now + Duration::from_secs(11)), "the window has passed");
+}
+
+#[rstest]
+fn inherited_repeats_use_the_budget_up() {
+    let mut budget = RepeatBudget::default();
+    let now = Moment::from_millis(50_000);
+    for _ in 0..4 {
+        budget.on_inherited(&POLICY, 0.5, now);
+    }
+    assert!(budget.try_repeat(&POLICY, 1.0, now));
+    assert!(!budget.try_repeat(&POLICY, 1.0, now), "two inherited, one taken, three allowed");
+}
+
+#[rstest]
+fn a_kind_may_be_bound_to_a_part_of_the_budget() {
+    let mut budget = RepeatBudget::default();
+    let now = Moment::from_millis(50_000);
+    assert!(budget.try_repeat(&POLICY, 0.5, now));
+    assert!(!budget.allows(&POLICY, 0.5, now));
+    assert!(budget.allows(&POLICY, 1.0, now));
+}
+
+const GATES: usize = 4;
+const WINDOW_MS: u64 = 10_000;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Pause(u64),
+    Answered(usize),
+    Inherited(usize),
+    Repeat(usize),
+}
+
+/// When what happened, at all gates of a service.
+#[derive(Debug, Clone, Default)]
+struct Counted {
+    now: u64,
+    answered: Vec<u64>,
+    inherited: Vec<u64>,
+}
+
+fn within(times: &[u64], now: u64) -> f64 {
+    times.iter().filter(|at| **at + WINDOW_MS > now).count() as f64
+}
+
+impl ReferenceStateMachine for Counted {
+    type State = Counted;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Counted> {
+        Just(Counted { now: 20_000, ..Counted::default() }).boxed()
+    }
+
+    fn transitions(_: &Counted) -> BoxedStrategy<Event> {
+        prop_oneof![
+            2 => (0_u64..1_500).prop_map(Event::Pause),
+            6 => (0..GATES).prop_map(Event::Answered),
+            1 => (0..GATES).prop_map(Event::Inherited),
+            4 => (0..GATES).prop_map(Event::Repeat),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Counted, event: &Event) -> Counted {
+        match event {
+            Event::Pause(millis) => state.now += millis,
+            Event::Answered(_) => state.answered.push(state.now),
+            Event::Inherited(_) => state.inherited.push(state.now),
+            Event::Repeat(_) => {}
+        }
+        state
+    }
+}
+
+/// The budgets of the gates, and the repeats that they granted.
+struct Gates {
+    budgets: Vec<RepeatBudget>,
+    granted: Vec<u64>,
+}
+
+impl StateMachineTest for Gates {
+    type SystemUnderTest = Gates;
+    type Reference = Counted;
+
+    fn init_test(_: &Counted) -> Gates {
+        Gates { budgets: vec![RepeatBudget::default(); GATES], granted: Vec::new() }
+    }
+
+    fn apply(mut gates: Gates, counted: &Counted, event: Event) -> Gates {
+        let now = Moment::from_millis(counted.now);
+        match event {
+            Event::Pause(_) => {}
+            Event::Answered(gate) => gates.budgets[gate].on_answered(&POLICY, 1.0, now),
+            Event::Inherited(gate) => gates.budgets[gate].on_inherited(&POLICY, 1.0, now),
+            Event::Repeat(gate) => {
+                if gates.budgets[gate].try_repeat(&POLICY, 1.0, now) {
+                    gates.granted.push(counted.now);
+                    gates.check(counted);
+                }
+            }
+        }
+        gates
+    }
+}
+
+impl Gates {
+    /// The sum over all gates keeps the bound, unless what was inherited alone exceeds it.
+    fn check(&self, counted: &Counted) {
+        let slack = POLICY.slack * GATES as f64;
+        let allowed = within(&counted.answered, counted.now) * POLICY.ratio + slack;
+        let inherited = within(&counted.inherited, counted.now);
+        let granted = within(&self.granted, counted.now);
+        assert!(granted <= allowed, "{granted} of {allowed}");
+        assert!(
+            inherited > allowed || granted + inherited <= allowed + inherited.min(slack),
+            "{granted} + {inherited}"
+        );
+    }
+}
+
+prop_state_machine! {
+    #[test]
+    fn the_sum_over_the_gates_of_a_service_keeps_the_bound(sequential 1..300 => Gates);
+}
+
+/// How often a run fails at a level, and how.
+#[derive(Debug, Clone, Copy)]
+struct Faults {
+    lost: f64,
+    early: f64,
+}
+
+/// A service of a chain: its gates, and what the rule counts.
+struct Service {
+    budgets: Vec<RepeatBudget>,
+    faults: Faults,
+    calls: u32,
+    requests: f64,
+    repeats: f64,
+}
+
+/// Nothing beyond the ratio, so that a chain that multiplies repeats shows.
+const CHAIN: RepeatPolicy = RepeatPolicy { slack: 0.0, ..POLICY };
+/// Room over the ratio and beyond it for chance: which runs make all their calls.
+const KEPT: f64 = 1.25;
+const FEW: f64 = 12.0;
+
+/// Runs a request at `level` until it is answered or given up. `is_inherited`: the run that
+/// calls is a repeat.
+fn request(chain: &mut [Service], level: usize, is_inherited: bool, dice: &mut impl FnMut() -> f64) -> bool {
+    let now = Moment::from_millis(20_000);
+    let Some(service) = chain.get_mut(level) else { return true };
+    service.requests += 1.0;
+    for attempt in 0..3 {
+        let service = &mut chain[level];
+        let gate = (dice() * GATES as f64) as usize % GATES;
+        let is_repeat = attempt > 0;
+        if is_repeat && !service.budgets[gate].try_repeat(&CHAIN, 1.0, now) {
+            return false;
+        }
+        service.repeats += f64::from(u8::from(is_repeat || is_inherited));
+        if !is_repeat && is_inherited {
+            service.budgets[gate].on_inherited(&CHAIN, 1.0, now);
+        }
+        let (faults, calls) = (service.faults, service.calls);
+        if dice() < faults.early {
+            continue;
+        }
+        let all_called = (0..calls).all(|_| request(chain, level + 1, is_repeat || is_inherited, dice));
+        if dice() < faults.lost {
+            continue;
+        }
+        if !is_repeat && !is_inherited {
+            chain[level].budgets[gate].on_answered(&CHAIN, 1.0, now);
+        }
+        return all_called;
+    }
+    false
 }
 
 proptest! {
-    /// In any window the repeats stay within the ratio of the requests of that window and one
-    /// part more, plus the slack.
+    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+
+    /// Whatever fails at which level of a chain eleven deep, each service gets no more repeats
+    /// than the ratio of its requests and some for chance.
     #[test]
-    fn no_window_holds_more_than_its_share(events in proptest::collection::vec((0_u64..400, any::<bool>()), 0..300)) {
-        let mut budget = RepeatBudget::default();
-        let mut time = 0;
-        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-        for (pause, is_repeat) in events {
-            time += pause;
-            let now = Moment::from_millis(time);
-            if !is_repeat {
-                budget.on_request(&POLICY, now);
-                requests.push(time);
-            } else if budget.try_repeat(&POLICY, now) {
-                repeats.push(time);
-                let since = |times: &[u64], window: u64| times.iter().filter(|at| **at + window > time).count() as f64;
-                let allowed = since(&requests, 10_000) * POLICY.ratio + POLICY.slack;
-                prop_assert!(since(&repeats, 9_000) <= allowed, "{} of {allowed}", since(&repeats, 9_000));
-            }
+    fn no_depth_multiplies_repeats(
+        faults in proptest::collection::vec((0.0_f64..0.4, 0.0_f64..0.4, 1_u32..3), 2..11),
+        seed in any::<u64>(),
+    ) {
+        let mut state = seed | 1;
+        let mut dice = || {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            (state >> 11) as f64 / (1_u64 << 53) as f64
+        };
+        let mut chain: Vec<Service> = faults
+            .iter()
+            .enumerate()
+            // A few levels fan out; more would take too long.
+            .map(|(level, (lost, early, calls))| Service {
+                budgets: vec![RepeatBudget::default(); GATES],
+                faults: Faults { lost: *lost, early: *early },
+                calls: if level < 3 { *calls } else { 1 },
+                requests: 0.0,
+                repeats: 0.0,
+            })
+            .collect();
+        for _ in 0..1_000 {
+            request(&mut chain, 0, false, &mut dice);
+        }
+        for (level, service) in chain.iter().enumerate() {
+            let allowed = service.requests * CHAIN.ratio * KEPT + FEW;
+            prop_assert!(service.repeats <= allowed, "level {level}: {} of {allowed}", service.repeats);
         }
     }
 }
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -1,8 +1,8 @@
 //! What follows when an attempt did not give an answer.
 //!
 //! A gate's refusal means that the request never reached an instance: offering it
-//! elsewhere is free. Sending it to a second instance costs a repeat from the budget of all
-//! nodes, and is only done when the first did not run it or it may run twice.
+//! elsewhere is free. Sending it to a second instance is a repeat, which that instance's gate
+//! may refuse, and is only done when the first did not run it or it may run twice.
 
 use olivegate_types::{InstanceName, Refusal, RefusalReason};
 
@@ -13,6 +13,9 @@
 /// the least busy is taken, so further ones are full too, and offers cost the nodes work.
 const MOST_FULL: u32 = 4;
 
+/// Gates without a repeat left that a request is offered to at most.
+const MOST_DENIED: u32 = 2;
+
 /// What the client is told when no instance gave an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
@@ -42,6 +45,8 @@
     possible_arrivals: u32,
     may_have_run: bool,
     full: u32,
+    /// Gates that had no repeat left for it.
+    denied: u32,
     tried: Vec<InstanceName>,
     /// The refusal that the client is told: want of capacity before anything else.
     refusal: Option<Refusal>,
@@ -58,6 +63,7 @@
             possible_arrivals: 0,
             may_have_run: false,
             full: 0,
+            denied: 0,
             tried: Vec::new(),
             refusal: None,
             trail: String::new(),
@@ -107,12 +113,13 @@
             self.refusal = Some(refusal);
         }
         self.full += u32::from(refusal.reason.is_for_want_of_capacity());
-        if self.full < MOST_FULL { Next::TryAnother } else { self.give_up() }
+        self.denied += u32::from(refusal.reason == RefusalReason::RepeatBudget);
+        let goes_on = self.full < MOST_FULL && self.denied < MOST_DENIED;
+        if goes_on { Next::TryAnother } else { self.give_up() }
     }
 
-    /// The exchange gave no answer. `take_repeat` takes a repeat from the budget and is
-    /// asked only when one is needed.
-    pub fn on_failed(&mut self, failure: Failure, take_repeat: impl FnOnce() -> bool) -> Next {
+    /// The exchange gave no answer.
+    pub fn on_failed(&mut self, failure: Failure) -> Next {
         self.note(failure.reason.as_str());
         self.arrivals += u32::from(failure.arrived);
         self.possible_arrivals += u32::from(failure.arrived || failure.may_have_run);
@@ -123,17 +130,17 @@
         if self.possible_arrivals >= self.most_arrivals {
             return self.give_up();
         }
-        if self.arrivals == 0 || take_repeat() { Next::TryAnother } else { self.give_up() }
+        Next::TryAnother
     }
 
     /// The instance ran the request and failed it by itself.
-    pub fn on_instance_failed(&mut self, take_repeat: impl FnOnce() -> bool) -> Next {
+    pub fn on_instance_failed(&mut self) -> Next {
         self.note("instance-failed");
         self.arrivals += 1;
         self.possible_arrivals += 1;
         self.may_have_run = true;
         let may_repeat = self.safety == RepeatSafety::Safe && self.possible_arrivals < self.most_arrivals;
-        if may_repeat && take_repeat() { Next::TryAnother } else { self.give_up() }
+        if may_repeat { Next::TryAnother } else { self.give_up() }
     }
 
     /// There is no further instance to offer the request to.
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -117,7 +117,6 @@
     let dealt = node.dealer.borrow_mut().deal(&request.route);
     let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
     let is_call = node.lineage.borrow().is_call_route(&request.route.name);
-    node.count_request(&service, is_call, arrived);
     let deadline = arrived + request.time;
     let head = forwarded_head(node, taken.head);
     let body_bytes = taken.body.held_bytes();
@@ -167,10 +166,8 @@
     /// The answer when it is final; `None` when another instance is to be tried, since this one
     /// failed the request by itself and it may run again.
     fn after_answer(&mut self, attempts: &mut Attempts, answer: Answer) -> Option<Answer> {
-        let (node, service, is_call) = (self.node, &self.service, self.is_call);
         let is_own_failure = answer.fault == AnswerFault::Instance && !self.body_is_spent;
-        let take_repeat = || node.take_repeat(service, is_call, clock::now());
-        if is_own_failure && attempts.on_instance_failed(take_repeat) == Next::TryAnother {
+        if is_own_failure && attempts.on_instance_failed() == Next::TryAnother {
             self.failed_answer = Some(answer);
             return None;
         }
@@ -184,7 +181,7 @@
                 return Err(attempts.on_no_candidate().into());
             };
             attempts.on_offer(&instance.name);
-            let reply = self.offer(&instance).await;
+            let reply = self.offer(&instance, attempts.has_arrived()).await;
             let next = match reply {
                 GateReply::Answered(answer) => match self.after_answer(attempts, answer) {
                     Some(answer) => return Ok(answer),
@@ -202,8 +199,7 @@
                     if failure.reason == FailureReason::GateLost {
                         self.drop_held(&instance);
                     }
-                    let (node, service, is_call) = (self.node, &self.service, self.is_call);
-                    attempts.on_failed(failure, || node.take_repeat(service, is_call, clock::now()))
+                    attempts.on_failed(failure)
                 }
             };
             if let Next::GiveUp(verdict) = next {
@@ -241,10 +237,10 @@
     }
 
     /// Offers the request to the gate of `instance`.
-    async fn offer(&mut self, instance: &Instance) -> GateReply {
+    async fn offer(&mut self, instance: &Instance, is_repeat: bool) -> GateReply {
         let settings = self.node.settings();
         let is_remote = instance.address.ip() != settings.ip();
-        let offer = self.offer_message(instance, is_remote);
+        let offer = self.offer_message(instance, is_remote, is_repeat);
         let name = instance.name.clone();
         let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
         self.node.balancer.borrow_mut().on_send(&name);
@@ -279,7 +275,7 @@
         stream
     }
 
-    fn offer_message(&self, instance: &Instance, is_remote: bool) -> Offer {
+    fn offer_message(&self, instance: &Instance, is_remote: bool, is_repeat: bool) -> Offer {
         let now = clock::now();
         let time_left = self.deadline.since(now);
         let route = &self.request.route;
@@ -287,6 +283,7 @@
             Some((_, length)) => OfferedBody::Streamed(*length),
             None => OfferedBody::Whole(self.whole_body.clone()),
         };
+        let inherited = if self.is_call { self.node.lineage.borrow().repeat_part() } else { 0.0 };
         Offer {
             instance: instance.name.clone(),
             route: route.name.clone(),
@@ -299,6 +296,8 @@
             importance: importance_of_priority(route.priority),
             hop: u8::from(self.is_call),
             safety: route.safety,
+            is_repeat,
+            inherited: inherited as f32,
             needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -6,6 +6,7 @@
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`exchange`]: one request and its answer on such a connection.
+//! - [`repeats`]: how many repeats are let through.
 //! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
@@ -13,6 +14,7 @@
 pub mod confirmation;
 pub mod exchange;
 pub mod instance_connection;
+pub mod repeats;
 pub mod rest_trust;
 pub mod serve;
 pub mod slots;
@@ -37,6 +39,7 @@
 use crate::stop::StopState;
 use confirmation::Confirmation;
 use olivegate_clock as clock;
+use repeats::GateRepeats;
 use slots::InstanceSlots;
 
 /// Status of an instance that gave up at the deadline.
@@ -54,6 +57,7 @@
 #[derive(Default)]
 pub struct Gate {
     instances: RefCell<HashMap<InstanceName, Rc<InstanceSlots>>>,
+    repeats: GateRepeats,
 }
 
 impl Gate {
@@ -116,6 +120,9 @@
         let successor = successor_of(node, &offer.instance);
         return count_refusal(node, &offer, GateReply::Refused { refusal, successor });
     }
+    if !node.gate.repeats.allows(node, &offer, arrived) {
+        return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
+    }
     let slots = node.gate.slots_of(node, &offer.instance);
     let demand = demand_of(node, &offer, &slots, deadline);
     let slot = match slots.acquire(demand).await {
@@ -143,9 +150,12 @@
     if time_left.is_zero() {
         return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
     }
+    if !node.gate.repeats.begin(node, &offer, started) {
+        return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
+    }
     log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
-    let _running = Running::begin(node, started + time_left);
+    let _running = Running::begin(node, &offer, started + time_left);
     let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -158,6 +168,7 @@
             answer.fault = fault_of(node, answer.head.status);
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_answer(&offer, answer.fault, used);
+            node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
             GateReply::Answered(slots::holding(answer, slot))
         }
         Err(failure) => {
@@ -218,8 +229,9 @@
 }
 
 impl<'a> Running<'a> {
-    fn begin(node: &'a Node, deadline: Moment) -> Self {
-        let key = node.lineage.borrow_mut().begin(deadline);
+    fn begin(node: &'a Node, offer: &Offer, deadline: Moment) -> Self {
+        let repeat = if offer.is_repeat { 1.0 } else { f64::from(offer.inherited) };
+        let key = node.lineage.borrow_mut().begin(deadline, repeat);
         Running { node, key }
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/gate/repeats.rs
@@ -0,0 +1,69 @@
+//! Repeats that this gate lets through to its instance.
+//!
+//! The bound on repeats is one of a service over all nodes. Its gates keep it: each takes from
+//! a budget of what arrived at it. An edge marks an offer whose request has arrived at an
+//! instance before, and says with a call how probably the run that calls is a repeat itself.
+
+use std::cell::RefCell;
+
+use olivegate_retry::{RepeatBudget, RepeatPolicy};
+use olivegate_types::Moment;
+
+use crate::hop::Offer;
+use crate::reply::AnswerFault;
+use crate::state::Node;
+
+/// Part of the bound's ratio that is used: what calls inherit is known by probability only.
+const RATIO_PART: f64 = 0.75;
+/// Part of the bound's slack that the gates of a service divide among them. A gate that
+/// restarts has forgotten what it used.
+const SLACK_PART: f64 = 0.4;
+/// Part of the budget that requests of clients may use: they come back by themselves, while
+/// for a call work has been done that is lost without it.
+const CLIENTS_PART: f64 = 0.5;
+
+/// The budget of a gate.
+#[derive(Debug, Default)]
+pub struct GateRepeats {
+    budget: RefCell<RepeatBudget>,
+}
+
+fn policy(node: &Node) -> RepeatPolicy {
+    let settings = node.settings();
+    let gates = node.knowledge.borrow().directory.ready_instances(&settings.service).len().max(1);
+    RepeatPolicy {
+        ratio: settings.bounds.repeat_ratio * RATIO_PART,
+        slack: settings.bounds.repeat_slack * SLACK_PART / gates as f64,
+        window: settings.bounds.repeat_window,
+    }
+}
+
+fn part_of(offer: &Offer) -> f64 {
+    if offer.hop > 0 { 1.0 } else { CLIENTS_PART }
+}
+
+impl GateRepeats {
+    /// True when the offer is no repeat, or one that the budget has room for.
+    pub fn allows(&self, node: &Node, offer: &Offer, now: Moment) -> bool {
+        !offer.is_repeat || self.budget.borrow().allows(&policy(node), part_of(offer), now)
+    }
+
+    /// Counts an offer that is about to be sent to the instance; false when it is a repeat that
+    /// the budget has no room for.
+    pub fn begin(&self, node: &Node, offer: &Offer, now: Moment) -> bool {
+        let mut budget = self.budget.borrow_mut();
+        if offer.is_repeat {
+            return budget.try_repeat(&policy(node), part_of(offer), now);
+        }
+        budget.on_inherited(&policy(node), f64::from(offer.inherited), now);
+        true
+    }
+
+    /// Counts an answer. Only requests that were answered have made all their calls.
+    pub fn on_answer(&self, node: &Node, offer: &Offer, fault: AnswerFault, now: Moment) {
+        if !offer.is_repeat && fault != AnswerFault::Instance {
+            let share = 1.0 - f64::from(offer.inherited);
+            self.budget.borrow_mut().on_answered(&policy(node), share, now);
+        }
+    }
+}
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -42,7 +42,7 @@
 }
 
 /// A request that an edge offers to a gate.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Offer {
     /// The instance that is to run it.
     pub instance: InstanceName,
@@ -66,6 +66,10 @@
     pub hop: u8,
     /// Whether it may run more than once.
     pub safety: RepeatSafety,
+    /// True when it has arrived at an instance before.
+    pub is_repeat: bool,
+    /// Probability that the run which makes this call is a repeat; 0 for a client's request.
+    pub inherited: f32,
     /// True when it may run only once the edge has confirmed it.
     pub needs_confirmation: bool,
 }
@@ -80,7 +84,7 @@
 }
 
 /// Messages of an edge.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum EdgeMessage {
     /// A request.
     Offer(Box<Offer>),
--- a/crates/sidecar/src/lineage.rs
+++ b/crates/sidecar/src/lineage.rs
@@ -8,8 +8,11 @@
 //! A call that is refused makes its parent fail at once. So an instance's failure right
 //! after such a refusal is a failure for want of capacity further down, and is passed on as
 //! such: hop by hop this reaches the edge where the request began.
+//!
+//! A call of a run that was a repeat is a repeat at the called service. Which run made a call
+//! is not known, but which part of the running requests are repeats.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use olivegate_types::Moment;
@@ -31,30 +34,54 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunningKey(usize);
 
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    deadline: Moment,
+    repeat: f64,
+}
+
 /// Deadlines of running requests, and what they tell of routes.
 #[derive(Debug, Default)]
 pub struct Lineage {
-    running: Slab<Moment>,
+    running: Slab<Running>,
+    /// Sum of their probabilities of being repeats.
+    repeats: f64,
+    /// Deadlines of the running requests, in order.
+    deadlines: BTreeSet<(Moment, usize)>,
     call_share: HashMap<String, f64>,
     call_refused: Option<Moment>,
     call_failed: Option<Moment>,
 }
 
 impl Lineage {
-    /// The instance was given a request with this deadline.
-    pub fn begin(&mut self, deadline: Moment) -> RunningKey {
-        RunningKey(self.running.insert(deadline))
+    /// The instance was given a request with this deadline, which is a repeat with the
+    /// probability `repeat`.
+    pub fn begin(&mut self, deadline: Moment, repeat: f64) -> RunningKey {
+        let key = self.running.insert(Running { deadline, repeat });
+        self.repeats += repeat;
+        self.deadlines.insert((deadline, key));
+        RunningKey(key)
     }
 
     /// It no longer runs it.
     pub fn end(&mut self, key: RunningKey) {
-        self.running.try_remove(key.0);
+        if let Some(running) = self.running.try_remove(key.0) {
+            self.deadlines.remove(&(running.deadline, key.0));
+            // Nothing runs, nothing repeats: no rounding is kept.
+            self.repeats = if self.running.is_empty() { 0.0 } else { self.repeats - running.repeat };
+        }
+    }
+
+    /// Probability that a call of the instance belongs to a run that is a repeat.
+    pub fn repeat_part(&self) -> f64 {
+        (self.repeats / self.running.len().max(1) as f64).clamp(0.0, 1.0)
     }
 
     /// A request of `route` with this deadline began on this machine.
     pub fn observe(&mut self, route: &str, deadline: Moment) {
-        let matches =
-            self.running.iter().any(|(_, parent)| deadline + EARLIER >= *parent && deadline <= *parent + LATER);
+        let first = (deadline.saturating_sub(LATER), 0);
+        let last = (deadline + EARLIER, usize::MAX);
+        let matches = self.deadlines.range(first..=last).next().is_some();
         let sample = f64::from(u8::from(matches));
         match self.call_share.get_mut(route) {
             Some(share) => *share += (sample - *share) * SAMPLE_WEIGHT,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,14 +1,12 @@
 //! What all parts of a node share. A node runs on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use olivegate_overload::{ProcessPressure, ReportedLevels};
-use olivegate_retry::{RepeatBudget, RepeatPolicy};
 use olivegate_routing::balance::Balancer;
-use olivegate_types::{Moment, ServiceName};
+use olivegate_types::Moment;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
@@ -38,16 +36,6 @@
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(900);
 /// Heartbeats within which an instance that has just started is listed.
 const LISTED_HEARTBEATS: u32 = 2;
-/// Part of the repeat ratio that clients' requests may use. What is repeated makes its calls
-/// again, so each level of a call graph adds to the repeats of the levels below it; clients
-/// come back by themselves anyway.
-const REQUEST_REPEAT_PART: f64 = 0.10;
-/// Part of the repeat ratio that calls of instances may use at each level; three levels and
-/// the requests above them stay within the whole.
-const CALL_REPEAT_PART: f64 = 0.28;
-/// Part of the slack that the nodes divide among them: one repeat above can be several below.
-const SLACK_PART: f64 = 0.05;
-
 /// Bytes that are held of a body and of an answer that are read whole, at most.
 const LARGEST_PIECES: u64 = 128 << 10;
 /// Weight of one request in the mean of what requests hold.
@@ -77,8 +65,6 @@
     pub balancer: RefCell<Balancer>,
     /// Deals weighted routes.
     pub dealer: RefCell<WeightedDealer>,
-    /// By service, and whether for calls of the instance.
-    budgets: RefCell<HashMap<(ServiceName, bool), RepeatBudget>>,
     /// How much of each route is let through, as gates report.
     pub levels: RefCell<ReportedLevels>,
     /// Whether this process keeps up with its work.
@@ -129,7 +115,6 @@
             knowledge_changed: Notify::new(),
             balancer: RefCell::default(),
             dealer: RefCell::default(),
-            budgets: RefCell::default(),
             levels: RefCell::default(),
             pressure: RefCell::default(),
             lateness_sampled: Cell::new(Moment::START),
@@ -235,17 +220,6 @@
             && !self.stop.is_stopping()
     }
 
-    fn repeat_policy(&self, is_call: bool) -> RepeatPolicy {
-        let bounds = self.settings().bounds;
-        let nodes = self.knowledge.borrow().directory.machines().count().max(1);
-        let part = if is_call { CALL_REPEAT_PART } else { REQUEST_REPEAT_PART };
-        RepeatPolicy {
-            ratio: bounds.repeat_ratio * part,
-            slack: bounds.repeat_slack * SLACK_PART / nodes as f64,
-            window: bounds.repeat_window,
-        }
-    }
-
     /// Notes what a request and its answer held.
     pub fn note_request_bytes(&self, bytes: usize) {
         let mean = self.request_bytes.get();
@@ -258,20 +232,6 @@
         self.stop.in_flight() > most
     }
 
-    /// Counts a request or call to `service`.
-    pub fn count_request(&self, service: &ServiceName, is_call: bool, now: Moment) {
-        let policy = self.repeat_policy(is_call);
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.entry((service.clone(), is_call)).or_default().on_request(&policy, now);
-    }
-
-    /// Takes one repeat of a request or call to `service` from this node's share.
-    pub fn take_repeat(&self, service: &ServiceName, is_call: bool, now: Moment) -> bool {
-        let policy = self.repeat_policy(is_call);
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.entry((service.clone(), is_call)).or_default().try_repeat(&policy, now)
-    }
-
     /// Calls `with` with the node's random numbers.
     pub fn random<T>(&self, with: impl FnOnce(&mut SmallRng) -> T) -> T {
         with(&mut self.random.borrow_mut())
--- a/crates/sidecar/tests/decisions/attempts.rs
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -13,29 +13,35 @@
     Refusal::new(RefusalReason::PredictedWait, Duration::from_millis(100))
 }
 
+fn no_repeat() -> Refusal {
+    Refusal::new(RefusalReason::RepeatBudget, Duration::from_millis(100))
+}
+
 #[rstest]
 #[case::safe_may_run_twice(Safe, Failure::unknown(FailureReason::Broken), Next::TryAnother)]
 #[case::unsafe_may_not(Unsafe, Failure::unknown(FailureReason::Broken), Next::GiveUp(Verdict::Unknown))]
 #[case::not_run_is_sure(Unsafe, Failure::not_run(FailureReason::WrongInstance), Next::TryAnother)]
 #[case::not_sent_is_free(Unsafe, Failure::not_sent(FailureReason::Connect), Next::TryAnother)]
 fn after_a_failure(#[case] safety: RepeatSafety, #[case] failure: Failure, #[case] next: Next) {
-    assert_eq!(Attempts::new(safety, 2).on_failed(failure, || true), next);
+    assert_eq!(Attempts::new(safety, 2).on_failed(failure), next);
 }
 
 #[rstest]
 fn without_a_repeat_left_the_verdict_follows_what_is_sure() {
     let mut may_have_run = Attempts::new(Safe, 2);
-    let next = may_have_run.on_failed(Failure::unknown(FailureReason::Broken), || false);
-    assert_eq!(next, Next::GiveUp(Verdict::Unknown));
+    may_have_run.on_failed(Failure::unknown(FailureReason::Broken));
+    assert_eq!(may_have_run.on_refused(no_repeat()), Next::TryAnother, "another gate may have one");
+    assert_eq!(may_have_run.on_refused(no_repeat()), Next::GiveUp(Verdict::Unknown));
     let mut not_run = Attempts::new(Unsafe, 2);
-    let next = not_run.on_failed(Failure::not_run(FailureReason::RefusedByInstance), || false);
-    assert!(matches!(next, Next::GiveUp(Verdict::NotRun(_))));
+    not_run.on_failed(Failure::not_run(FailureReason::RefusedByInstance));
+    not_run.on_refused(no_repeat());
+    assert!(matches!(not_run.on_refused(no_repeat()), Next::GiveUp(Verdict::NotRun(_))));
 }
 
 #[rstest]
 fn a_refusal_after_a_possible_run_is_not_called_not_run() {
     let mut attempts = Attempts::new(Safe, 3);
-    attempts.on_failed(Failure::unknown(FailureReason::GateSilent), || true);
+    attempts.on_failed(Failure::unknown(FailureReason::GateSilent));
     attempts.on_refused(refusal());
     assert_eq!(attempts.on_no_candidate(), Verdict::Unknown);
 }
@@ -85,17 +91,17 @@
             attempts.on_offer(&InstanceName::new(format!("i-{index}")));
             let granted = grants >> (index % 16) & 1 == 1;
             let next = match step {
-                Step::Refused => attempts.on_refused(refusal()),
-                Step::NotSent => attempts.on_failed(Failure::not_sent(FailureReason::Connect), || granted),
+                Step::Refused => attempts.on_refused(if granted { refusal() } else { no_repeat() }),
+                Step::NotSent => attempts.on_failed(Failure::not_sent(FailureReason::Connect)),
                 Step::NotRun => {
                     arrivals += 1;
-                    attempts.on_failed(Failure::not_run(FailureReason::RefusedByInstance), || granted)
+                    attempts.on_failed(Failure::not_run(FailureReason::RefusedByInstance))
                 }
                 Step::Unknown => {
                     prop_assert!(is_safe || !may_have_run);
                     arrivals += 1;
                     may_have_run = true;
-                    attempts.on_failed(Failure::unknown(FailureReason::Broken), || granted)
+                    attempts.on_failed(Failure::unknown(FailureReason::Broken))
                 }
             };
             prop_assert!(arrivals <= most);
@@ -113,9 +119,9 @@
 fn a_gate_that_fell_silent_may_still_pass_the_request_on() {
     let silent = Failure { reason: FailureReason::GateSilent, may_have_run: true, arrived: false };
     let mut attempts = Attempts::new(Safe, 2);
-    assert_eq!(attempts.on_failed(silent, || panic!("no repeat is needed")), Next::TryAnother);
-    assert_eq!(attempts.on_failed(silent, || true), Next::GiveUp(Verdict::Unknown));
+    assert_eq!(attempts.on_failed(silent), Next::TryAnother);
+    assert_eq!(attempts.on_failed(silent), Next::GiveUp(Verdict::Unknown));
     let mut attempts = Attempts::new(Safe, 2);
-    assert_eq!(attempts.on_instance_failed(|| true), Next::TryAnother);
-    assert_eq!(attempts.on_failed(silent, || true), Next::GiveUp(Verdict::Unknown));
+    assert_eq!(attempts.on_instance_failed(), Next::TryAnother);
+    assert_eq!(attempts.on_failed(silent), Next::GiveUp(Verdict::Unknown));
 }
--- a/crates/sidecar/tests/decisions/lineage.rs
+++ b/crates/sidecar/tests/decisions/lineage.rs
@@ -17,7 +17,7 @@
     let mut running = Vec::new();
     for step in 0..200 {
         let now = 40 * step;
-        running.push((now, lineage.begin(at(now + 785))));
+        running.push((now, lineage.begin(at(now + 785), 0.0)));
         if now >= 120 {
             lineage.observe("call", at(now - 120 + 785 + 3));
         }
@@ -50,7 +50,7 @@
 #[rstest]
 fn ended_requests_are_no_parents() {
     let mut lineage = Lineage::default();
-    let key = lineage.begin(at(500));
+    let key = lineage.begin(at(500), 0.0);
     lineage.end(key);
     lineage.observe("route", at(500));
     assert!(!lineage.is_call_route("route"));
@@ -65,3 +65,15 @@
     assert!(!lineage.explains_failure(at(10_002)), "a failed call is no want of capacity");
     assert!(!lineage.follows_failed_call(at(10_000) + Duration::from_millis(100)));
 }
+
+#[rstest]
+fn a_call_is_a_repeat_as_probably_as_what_runs() {
+    let mut lineage = Lineage::default();
+    assert_eq!(lineage.repeat_part(), 0.0);
+    let repeat = lineage.begin(at(100), 1.0);
+    lineage.begin(at(100), 0.0);
+    lineage.begin(at(200), 0.5);
+    assert_eq!(lineage.repeat_part(), 0.5);
+    lineage.end(repeat);
+    assert_eq!(lineage.repeat_part(), 0.25);
+}
--- a/crates/sidecar/tests/path/failing.rs
+++ b/crates/sidecar/tests/path/failing.rs
@@ -22,7 +22,17 @@
 
 /// A way in on machine 1, an instance that fails on 2, a sound one on 3.
 async fn one_of_two_fails(fails: Rc<Cell<bool>>) -> (Fleet, TestInstance, TestInstance) {
-    let fleet = Fleet::new();
+    one_of_two_fails_with(1.0, 100_000.0, fails).await
+}
+
+async fn one_of_two_fails_with(
+    repeat_ratio: f64,
+    repeat_slack: f64,
+    fails: Rc<Cell<bool>>,
+) -> (Fleet, TestInstance, TestInstance) {
+    let mut fleet = Fleet::new();
+    fleet.repeat_ratio = repeat_ratio;
+    fleet.repeat_slack = repeat_slack;
     let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
     fleet.source.configure(configuration(1, routes));
     fleet.list(2, "books-1", "books");
@@ -35,6 +45,26 @@
     (fleet, failing, sound)
 }
 
+/// With nothing left for repeats, an instance's failure is what the client gets; with as
+/// little for each of many nodes as one request a node and window allows, the gates still
+/// repeat what the service as a whole may.
+#[rstest]
+#[case::nothing_left(0.0, 0.0, 0)]
+#[case::a_fifth_of_the_requests(0.2, 0.0, 12)]
+fn repeats_are_bounded_where_they_arrive(#[case] ratio: f64, #[case] slack: f64, #[case] at_least: usize) {
+    run(async move {
+        let (fleet, failing, sound) = one_of_two_fails_with(ratio, slack, Rc::new(Cell::new(true))).await;
+        for number in 0..REQUESTS {
+            // Each request by a connection of its own, as from as many edges.
+            let mut client = Client::connect(fleet.outbound(1)).await;
+            client.ask(&get("/safe/", &format!("r{number}"))).await;
+        }
+        let repeats = failing.runs() + sound.runs() - REQUESTS;
+        assert!(repeats <= (ratio * REQUESTS as f64 + slack) as usize, "{repeats} repeats");
+        assert!(repeats >= at_least.min(failing.runs() / 2), "{repeats} repeats of {} failures", failing.runs());
+    });
+}
+
 #[rstest]
 fn a_safe_request_that_an_instance_fails_is_served_by_another() {
     run(async {
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -169,6 +169,8 @@
         importance: olivegate_types::Importance::PROTECTED,
         hop: 0,
         safety: Unsafe,
+        is_repeat: false,
+        inherited: 0.0,
         needs_confirmation: true,
     }
 }
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -7,5 +7,6 @@
 mod gates;
 mod requests;
 mod resting;
+mod source;
 mod stopping;
 mod support;
--- /dev/null
+++ b/crates/sidecar/tests/path/source.rs
@@ -0,0 +1,162 @@
+//! Nodes and the source: how little is asked of it, and what holds where it does not answer.
+
+use std::time::Duration;
+
+use olivegate_sidecar::model::InstanceState;
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use olivegate_types::ServiceName;
+use rstest::rstest;
+
+use crate::support::{
+    Action, Client, Fault, Fleet, Seen, TestInstance, answer, configuration, eventually, get, route, run,
+};
+
+const BOOKS: &str = "books";
+
+fn served(seen: &Seen, _: usize) -> Vec<Action> {
+    vec![Action::Send(answer(200, &seen.id(), "ok"))]
+}
+
+/// Machine 1 without an instance of the service, instances on 2 and 3.
+fn fleet_of_three() -> Fleet {
+    let fleet = Fleet::new();
+    fleet.source.configure(configuration(1, vec![route("/safe/", BOOKS, Safe)]));
+    fleet.list(1, "desk-1", "desk");
+    fleet.list(2, "books-2", BOOKS);
+    fleet.list(3, "books-3", BOOKS);
+    fleet
+}
+
+#[rstest]
+fn a_node_that_starts_among_others_asks_the_source_once() {
+    run(async {
+        let fleet = fleet_of_three();
+        Fleet::ready(&fleet.start(1, "desk").await).await;
+        let way = fleet.source.own_way();
+        let node = fleet.start_with(2, BOOKS, way.clone()).await;
+        Fleet::ready(&node).await;
+        assert_eq!(way.calls.get(), 1);
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        let calls = way.calls.get() + fleet.source.calls.get();
+        assert!(calls < 20, "{calls} calls of two nodes in two calm seconds");
+    });
+}
+
+#[rstest]
+fn a_node_acts_on_nothing_old_when_it_starts() {
+    run(async {
+        let fleet = fleet_of_three();
+        fleet.source.freeze_old_readings();
+        fleet.source.configure(configuration(5, vec![route("/newer/", BOOKS, Safe)]));
+        fleet.source.set_fault(Fault::OldReadingsOnly);
+        let instance = TestInstance::start(fleet.instance_address(2), served).await;
+        let node = fleet.start(2, BOOKS).await;
+        eventually("it has read the old list", || node.known_state().configuration.0 == 1).await;
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        assert!(!node.is_ready());
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        assert_eq!(client.ask(&get("/safe/", "early")).await.head.status, 503);
+        assert_eq!(instance.runs(), 0);
+        fleet.source.set_fault(Fault::None);
+        Fleet::ready(&node).await;
+        assert_eq!(node.routes().unwrap().version().0, 5);
+    });
+}
+
+#[rstest]
+fn a_change_reaches_all_while_the_reader_waits_in_one_call() {
+    run(async {
+        let fleet = fleet_of_three();
+        let nodes = [fleet.start(1, "desk").await, fleet.start(2, BOOKS).await, fleet.start(3, BOOKS).await];
+        for node in &nodes {
+            Fleet::ready(node).await;
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        fleet.source.configure(configuration(9, vec![route("/newer/", BOOKS, Safe)]));
+        let began = std::time::Instant::now();
+        eventually("all follow", || nodes.iter().all(|node| node.known_state().configuration.0 == 9)).await;
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    });
+}
+
+/// The entry of an instance goes whose machine alone is cut off from the source, while others
+/// read it.
+#[rstest]
+fn an_instance_whose_machine_alone_lost_the_source_goes_on_serving() {
+    run(async {
+        let fleet = fleet_of_three();
+        let instance = TestInstance::start(fleet.instance_address(2), served).await;
+        let way = fleet.source.own_way();
+        let edge = fleet.start(1, "desk").await;
+        let gate = fleet.start_with(2, BOOKS, way.clone()).await;
+        Fleet::ready(&edge).await;
+        Fleet::ready(&gate).await;
+        fleet.source.unlist("books-3");
+        way.set_fault(Fault::Silent);
+        fleet.source.unlist("books-2");
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..30 {
+            let answer = client.ask(&get("/safe/", &format!("r{number}"))).await;
+            assert_eq!(answer.head.status, 200, "request {number}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(instance.runs(), 30);
+    });
+}
+
+/// The same where the machine reaches the source: then its instance has left.
+#[rstest]
+#[case::it_answers(Fault::None)]
+#[case::it_refuses(Fault::Refusing)]
+fn an_instance_that_left_gets_nothing_new(#[case] fault: Fault) {
+    run(async move {
+        let fleet = fleet_of_three();
+        let instance = TestInstance::start(fleet.instance_address(2), served).await;
+        let way = fleet.source.own_way();
+        let edge = fleet.start(1, "desk").await;
+        let gate = fleet.start_with(2, BOOKS, way.clone()).await;
+        Fleet::ready(&edge).await;
+        Fleet::ready(&gate).await;
+        fleet.source.unlist("books-3");
+        way.set_fault(fault);
+        fleet.source.unlist("books-2");
+        eventually("it is gone", || {
+            edge.knowledge.borrow().directory.ready_instances(&ServiceName::new(BOOKS)).is_empty()
+        })
+        .await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..10 {
+            let answer = client.ask(&get("/safe/", &format!("r{number}"))).await;
+            assert_eq!(answer.head.status, 503, "request {number}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(instance.runs(), 0);
+    });
+}
+
+#[rstest]
+fn what_lapsed_while_the_source_was_away_is_used_until_it_is_written_again() {
+    run(async {
+        let fleet = fleet_of_three();
+        TestInstance::start(fleet.instance_address(2), served).await;
+        let edge = fleet.start(1, "desk").await;
+        Fleet::ready(&edge).await;
+        Fleet::ready(&fleet.start(2, BOOKS).await).await;
+        fleet.source.unlist("books-3");
+        eventually("one is left", || edge.known_state().directory.0 >= 5).await;
+        fleet.source.set_down(true);
+        tokio::time::sleep(Duration::from_millis(1_800)).await;
+        fleet.source.unlist("books-2");
+        fleet.source.set_down(false);
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..15 {
+            let answer = client.ask(&get("/safe/", &format!("r{number}"))).await;
+            assert_eq!(answer.head.status, 200, "request {number}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let mut listed = fleet.list(2, "books-2", BOOKS);
+        listed.state = InstanceState::Ready;
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(client.ask(&get("/safe/", "late")).await.head.status, 200);
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -55,11 +55,20 @@
 pub struct Fleet {
     number: u8,
     pub source: TestSource,
+    /// Repeats allowed over all nodes in a window, beyond one for each request.
+    pub repeat_slack: f64,
+    /// Repeats allowed for each request.
+    pub repeat_ratio: f64,
 }
 
 impl Fleet {
     pub fn new() -> Self {
-        Fleet { number: NEXT_FLEET.fetch_add(1, Ordering::SeqCst), source: TestSource::default() }
+        Fleet {
+            number: NEXT_FLEET.fetch_add(1, Ordering::SeqCst),
+            source: TestSource::default(),
+            repeat_slack: 100_000.0,
+            repeat_ratio: 1.0,
+        }
     }
 
     pub fn ip(&self, machine: u8) -> IpAddr {
@@ -103,6 +112,11 @@
 
     /// Starts the node of `machine`, beside an instance of `service`.
     pub async fn start(&self, machine: u8, service: &str) -> Rc<Node> {
+        self.start_with(machine, service, self.source.clone()).await
+    }
+
+    /// Starts a node that reads the fleet's source by a way of its own.
+    pub async fn start_with(&self, machine: u8, service: &str, source: TestSource) -> Rc<Node> {
         let ip = self.ip(machine);
         let settings = SidecarSettings {
             node: NodeName::new(format!("node-{machine}")),
@@ -123,13 +137,13 @@
                 contact: Duration::from_millis(300),
                 grace_period: Duration::from_secs(6),
                 drain: Duration::from_secs(2),
-                repeat_ratio: 1.0,
-                repeat_slack: 100_000.0,
+                repeat_ratio: self.repeat_ratio,
+                repeat_slack: self.repeat_slack,
                 repeat_window: Duration::from_secs(10),
             },
             machine: self.machine_limits(),
         };
-        olivegate_sidecar::app::start(settings, VOCABULARY, self.source.clone()).await.unwrap()
+        olivegate_sidecar::app::start(settings, VOCABULARY, source).await.unwrap()
     }
 
     /// Waits until `node` is ready.
@@ -167,11 +181,26 @@
     Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default() }
 }
 
+/// How the source fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    #[default]
+    None,
+    Refusing,
+    Silent,
+    /// Only readings that may be old are answered.
+    OldReadingsOnly,
+}
+
 /// A source in memory that can be made to fail.
 #[derive(Clone, Default)]
 pub struct TestSource {
     snapshot: Rc<RefCell<Snapshot>>,
-    down: Rc<Cell<bool>>,
+    /// What a reading that may be old shows, when that is set.
+    old: Rc<RefCell<Option<Snapshot>>>,
+    fault: Rc<Cell<Fault>>,
+    /// Calls of this way to the source.
+    pub calls: Rc<Cell<u32>>,
 }
 
 impl TestSource {
@@ -196,32 +225,60 @@
     }
 
     pub fn set_down(&self, down: bool) {
-        self.down.set(down);
+        self.set_fault(if down { Fault::Refusing } else { Fault::None });
+    }
+
+    pub fn set_fault(&self, fault: Fault) {
+        self.fault.set(fault);
+    }
+
+    /// Readings that may be old show what there is now, from now on.
+    pub fn freeze_old_readings(&self) {
+        *self.old.borrow_mut() = Some(self.snapshot.borrow().clone());
+    }
+
+    /// The same source by a way that fails and is counted by itself.
+    pub fn own_way(&self) -> Self {
+        TestSource { fault: Rc::default(), calls: Rc::default(), ..self.clone() }
+    }
+
+    async fn call(&self, limit: Duration) -> Result<(), SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        match self.fault.get() {
+            Fault::None => Ok(()),
+            Fault::Refusing => Err(SourceError::Refused(503)),
+            Fault::Silent | Fault::OldReadingsOnly => {
+                tokio::time::sleep(limit).await;
+                Err(SourceError::TimedOut)
+            }
+        }
     }
 }
 
 impl Source for TestSource {
-    async fn snapshot(&self, _recency: Recency, _limit: Duration) -> Result<Snapshot, SourceError> {
-        if self.down.get() {
-            return Err(SourceError::Refused(503));
+    async fn snapshot(&self, recency: Recency, limit: Duration) -> Result<Snapshot, SourceError> {
+        if recency == Recency::Latest || self.fault.get() != Fault::OldReadingsOnly {
+            self.call(limit).await?;
         }
-        Ok(self.snapshot.borrow().clone())
+        let old = self.old.borrow().clone().filter(|_| recency == Recency::MaybeOld);
+        Ok(old.unwrap_or_else(|| self.snapshot.borrow().clone()))
     }
 
     /// Forgets its history at once: each change is followed by reading everything.
-    async fn changes(&self, after: Revision, _wait: Duration, _limit: Duration) -> Result<Changes, SourceError> {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-        if self.down.get() {
-            return Err(SourceError::Refused(503));
-        }
-        if self.snapshot.borrow().revision > after {
-            return Err(SourceError::HistoryGone);
+    async fn changes(&self, after: Revision, wait: Duration, limit: Duration) -> Result<Changes, SourceError> {
+        self.call(limit).await?;
+        let until = tokio::time::Instant::now() + wait;
+        while self.snapshot.borrow().revision <= after {
+            if tokio::time::Instant::now() >= until {
+                return Ok(Changes { changes: Vec::new(), revision: after });
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        Ok(Changes { changes: Vec::new(), revision: after })
+        Err(SourceError::HistoryGone)
     }
 
-    async fn probe(&self, _limit: Duration) -> Result<(), SourceError> {
-        if self.down.get() { Err(SourceError::Refused(503)) } else { Ok(()) }
+    async fn probe(&self, limit: Duration) -> Result<(), SourceError> {
+        self.call(limit).await
     }
 }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -78,11 +78,13 @@
     NodeNotReady,
     /// The node's process does not keep up with its work.
     NodeOverloaded,
+    /// It would be a repeat, and the budget of repeats is used up.
+    RepeatBudget,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 14] = [
+    pub const ALL: [RefusalReason; 15] = [
         RefusalReason::AdmissionLevel,
         RefusalReason::PredictedWait,
         RefusalReason::QueueTimeout,
@@ -97,6 +99,7 @@
         RefusalReason::TooManyHops,
         RefusalReason::NodeNotReady,
         RefusalReason::NodeOverloaded,
+        RefusalReason::RepeatBudget,
     ];
 
     /// Text of the reason header and of log lines.
@@ -116,6 +119,7 @@
             RefusalReason::TooManyHops => "too-many-hops",
             RefusalReason::NodeNotReady => "node-not-ready",
             RefusalReason::NodeOverloaded => "node-overloaded",
+            RefusalReason::RepeatBudget => "repeat-budget",
         }
     }
 
