A node that starts uses the old list for the names of peers only

Cause: the old list set the directory's revision while the configuration came from a peer at an earlier one; a change between them would have been missed by a node that goes on reading from there (found by a_version_never_goes_back failing while the configuration was taken out of the first reading).

Change: the list names machines, nothing else of it is kept.

--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -154,6 +154,11 @@
         self.machines.insert(instance.address.ip(), machine);
     }
 
+    /// Notes the machines of a list that may be old; nothing else of it.
+    pub fn note_machines(&mut self, listed: &[ListedInstance], now: Moment) {
+        listed.iter().for_each(|listed| self.note_machine(&listed.instance, now));
+    }
+
     /// Notes that the source does not answer this node: what goes missing may live.
     pub fn note_source_away(&mut self) {
         self.source = SourceHealth::Away;
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -16,7 +16,7 @@
 use rand::RngExt;
 
 use crate::model::Revision;
-use crate::source::{Change, Changes, Recency, Snapshot, Source, SourceError};
+use crate::source::{Change, Changes, Snapshot, Source, SourceError};
 use crate::state::Node;
 use olivegate_clock as clock;
 
@@ -37,7 +37,13 @@
 pub async fn follow<S: Source>(node: Rc<Node>, source: Rc<S>) {
     start::learn(&node, source.as_ref()).await;
     let mut failures = 0;
+    let mut is_alone = true;
     loop {
+        if is_alone && start::knows_peers(&node) {
+            // Others may have been reading unheard.
+            is_alone = false;
+            node.freshness.borrow_mut().set_reader(false);
+        }
         let reads = becomes_reader(&node).await;
         node.freshness.borrow_mut().set_reader(reads);
         if !reads {
@@ -102,7 +108,7 @@
 }
 
 async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
-    let snapshot = source.snapshot(Recency::Latest, CALL_LIMIT).await?;
+    let snapshot = source.snapshot(CALL_LIMIT).await?;
     note_answered(node);
     take_snapshot(node, snapshot);
     note_reading(node);
@@ -111,12 +117,11 @@
 
 /// Takes over a snapshot; an own state that is newer stays.
 fn take_snapshot(node: &Node, snapshot: Snapshot) {
-    let revision = snapshot.revision;
     if let Some(configuration) = snapshot.configuration {
         node.accept_configuration(configuration, "source");
     }
-    let now = clock::now();
-    node.update_directory("source", |directory| directory.apply_snapshot(&snapshot.instances, revision, now));
+    let (list, now) = (snapshot.list, clock::now());
+    node.update_directory("source", |directory| directory.apply_snapshot(&list.instances, list.revision, now));
 }
 
 /// Takes over changes. Those that a peer has told of meanwhile are passed over.
@@ -156,7 +161,6 @@
 /// What this node knows is as recent as the source.
 fn note_reading(node: &Node) {
     node.freshness.borrow_mut().on_read(clock::now());
-    node.note_caught_up();
 }
 
 fn note_failure(node: &Node, error: &SourceError, failures: u32) {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -148,8 +148,6 @@
         configuration: Option<Configuration>,
         /// A newer directory.
         directory: Option<DirectoryCopy>,
-        /// True when the other node has caught up with the fleet itself.
-        is_caught_up: bool,
         /// The latest reading of the source that it knows of.
         reading: Option<AnnouncedReading>,
     },
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -171,7 +171,7 @@
     let mut stream = node.hops.connection(address).await?;
     stream.send(hop::encode(&EdgeMessage::Fetch(node.known_state()))).await?;
     let frame = stream.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-    let GateMessage::Knowledge { configuration, directory, is_caught_up, reading } = hop::decode(&frame)? else {
+    let GateMessage::Knowledge { configuration, directory, reading } = hop::decode(&frame)? else {
         return Err(std::io::ErrorKind::InvalidData.into());
     };
     node.hops.keep(address, stream);
@@ -183,9 +183,6 @@
         let now = clock::now();
         node.update_directory(&from, |known| known.apply_copy(&copy, now));
     }
-    if is_caught_up {
-        node.note_caught_up();
-    }
     if let Some(reading) = reading {
         node.freshness.borrow_mut().on_read_elsewhere(reading.to_reading());
     }
@@ -201,7 +198,6 @@
     GateMessage::Knowledge {
         configuration: newer.map(|own| own.as_ref().clone()),
         directory,
-        is_caught_up: node.is_caught_up(),
         reading: latest_reading(node),
     }
 }
--- a/crates/sidecar/src/source.rs
+++ b/crates/sidecar/src/source.rs
@@ -18,18 +18,25 @@
     pub revision: Revision,
 }
 
+/// All instances.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct InstanceList {
+    /// The instances.
+    pub instances: Vec<ListedInstance>,
+    /// Changes after this one are not in the list for certain.
+    pub revision: Revision,
+}
+
 /// Everything that the source holds.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
     /// The newest configuration, if there is one that can be read.
     pub configuration: Option<Configuration>,
     /// All instances.
-    pub instances: Vec<ListedInstance>,
-    /// Changes after this one are not in the snapshot for certain.
-    pub revision: Revision,
+    pub list: InstanceList,
 }
 
-/// How recent a snapshot has to be.
+/// How recent a list has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Recency {
     /// It shows all changes that the source had acknowledged before it was asked.
@@ -105,8 +112,15 @@
 
 /// A source of configuration and instances.
 pub trait Source {
-    /// Reads everything. `limit` bounds the time of each call.
-    fn snapshot(&self, recency: Recency, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
+    /// Reads the instances. `limit` bounds the time of each call.
+    fn instances(
+        &self,
+        recency: Recency,
+        limit: Duration,
+    ) -> impl Future<Output = Result<InstanceList, SourceError>>;
+
+    /// Reads everything, as it is now. `limit` bounds the time of each call.
+    fn snapshot(&self, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
 
     /// Waits up to `wait` for changes after `revision`; none when there were none.
     /// `limit` bounds the time of the call beyond `wait`.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -79,8 +79,6 @@
     pub gate: Gate,
     /// How recent the knowledge is, and who reads the source.
     pub freshness: RefCell<Freshness>,
-    /// What this node knows was once as recent as what the source or another node told.
-    caught_up: Cell<bool>,
     /// True while the source can't be read from here.
     pub source_failing: Cell<bool>,
     /// Bytes that a request and its answer hold on average; as much as they may at first.
@@ -122,7 +120,6 @@
             hops: HopPool::default(),
             gate: Gate::default(),
             freshness: RefCell::new(freshness),
-            caught_up: Cell::new(false),
             source_failing: Cell::new(false),
             request_bytes: Cell::new(LARGEST_PIECES as f64),
             attestations: RefCell::default(),
@@ -144,9 +141,9 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
-    /// The routes in force; `None` before the first configuration that is not an old one.
+    /// The routes in force; `None` before the first configuration.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
-        self.knowledge.borrow().routes.clone().filter(|_| self.is_caught_up())
+        self.knowledge.borrow().routes.clone()
     }
 
     /// Version of the configuration and state of the directory.
@@ -200,24 +197,10 @@
         self.knowledge_changed.notify_waiters();
     }
 
-    /// Notes that nothing newer is known elsewhere.
-    pub fn note_caught_up(&self) {
-        self.caught_up.set(true);
-    }
-
-    /// True once the node has known all that the fleet knew; before, it may know an old
-    /// configuration.
-    pub fn is_caught_up(&self) -> bool {
-        self.caught_up.get()
-    }
-
     /// True when the node can serve: it knows routes and instances and does not stop.
     pub fn is_ready(&self) -> bool {
         let knowledge = self.knowledge.borrow();
-        self.is_caught_up()
-            && knowledge.routes.is_some()
-            && knowledge.directory.ready_count() > 0
-            && !self.stop.is_stopping()
+        knowledge.routes.is_some() && knowledge.directory.ready_count() > 0 && !self.stop.is_stopping()
     }
 
     /// Notes what a request and its answer held.
