--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -1,14 +1,17 @@
 //! Nodes and the source: how little is asked of it, and what holds where it does not answer.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use olivegate_sidecar::model::InstanceState;
 use olivegate_sidecar::model::RepeatSafety::Safe;
+use olivegate_sidecar::state::Node;
 use olivegate_types::ServiceName;
 use rstest::rstest;
 
 use crate::support::{
-    Action, Client, Fault, Fleet, Seen, TestInstance, answer, configuration, eventually, get, route, run,
+    Action, Client, Fault, Fleet, Seen, TestInstance, TestSource, answer, configuration, eventually, get, route,
+    run,
 };
 
 const BOOKS: &str = "books";
@@ -27,6 +30,17 @@
     fleet
 }
 
+/// An edge on machine 1 and the gate of the only instance on 2, which reads by a way of its own.
+async fn edge_and_gate(fleet: &Fleet) -> (Rc<Node>, TestSource) {
+    let way = fleet.source.own_way();
+    let edge = fleet.start(1, "desk").await;
+    let gate = fleet.start_with(2, BOOKS, way.clone()).await;
+    Fleet::ready(&edge).await;
+    Fleet::ready(&gate).await;
+    fleet.source.unlist("books-3");
+    (edge, way)
+}
+
 #[rstest]
 fn a_node_that_starts_among_others_asks_the_source_once() {
     run(async {
@@ -83,12 +97,7 @@
     run(async {
         let fleet = fleet_of_three();
         let instance = TestInstance::start(fleet.instance_address(2), served).await;
-        let way = fleet.source.own_way();
-        let edge = fleet.start(1, "desk").await;
-        let gate = fleet.start_with(2, BOOKS, way.clone()).await;
-        Fleet::ready(&edge).await;
-        Fleet::ready(&gate).await;
-        fleet.source.unlist("books-3");
+        let (_edge, way) = edge_and_gate(&fleet).await;
         way.set_fault(Fault::Silent);
         fleet.source.unlist("books-2");
         let mut client = Client::connect(fleet.outbound(1)).await;
@@ -109,12 +118,7 @@
     run(async move {
         let fleet = fleet_of_three();
         let instance = TestInstance::start(fleet.instance_address(2), served).await;
-        let way = fleet.source.own_way();
-        let edge = fleet.start(1, "desk").await;
-        let gate = fleet.start_with(2, BOOKS, way.clone()).await;
-        Fleet::ready(&edge).await;
-        Fleet::ready(&gate).await;
-        fleet.source.unlist("books-3");
+        let (edge, way) = edge_and_gate(&fleet).await;
         way.set_fault(fault);
         fleet.source.unlist("books-2");
         eventually("it is gone", || {
