--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -1,8 +1,8 @@
 //! Reads the source: first knowledge at the start, then changes as they come.
 //!
 //! Every call of a source costs, and most nodes need none: they learn from peers. A node
-//! that has just started reads once, as cheaply as the source allows ([`start`]). Of those
-//! that run, the readers of each zone wait for changes ([`watch`]).
+//! that has just started reads once, as cheaply as the source allows (`start`). Of those
+//! that run, the readers of each zone wait for changes (`watch`).
 //!
 //! One failed call says nothing: a waiting call may be cut at any time. Two in a row, or
 //! one without an answer, mean that the source is away.
