A client that leaves after a request that closes its connection is noticed

After a request with `Connection: close` the edge read the connection no more, so it did not see its end before the answer was written; downloads open a connection each.

Change: once nothing more is to be read as requests, the connection is still read to its end, and what comes is read over.

`a_client_that_leaves_after_its_last_request_frees_the_instance` failed first.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -13,7 +13,7 @@
 use futures::stream::FuturesOrdered;
 use olivegate_http1::head::{write_chunk, write_last_chunk};
 use olivegate_http1::{BodyLength, DecodeError, Frame, RequestDecoder, RequestHead};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::Instant;
@@ -31,6 +31,9 @@
 /// Most requests of one connection that are read ahead.
 const READ_AHEAD: usize = 32;
 
+/// Bytes that are read over at a time.
+const READ_OVER_BYTES: usize = 512;
+
 /// An answer that is ready to be written.
 struct Ready {
     answer: Answer,
@@ -80,6 +83,21 @@
     while connection.step().await.is_ok() {}
 }
 
+/// The next piece of a request; `None` when the client has closed. Once no more requests are to
+/// be read, what still comes is read over and only the end is told.
+async fn next_frame(
+    requests: &mut FramedRead<OwnedReadHalf, RequestDecoder>,
+    input_ended: bool,
+) -> Option<Result<Frame<RequestHead>, DecodeError>> {
+    if !input_ended {
+        return requests.next().await;
+    }
+    let input = requests.get_mut();
+    let mut read_over = [0; READ_OVER_BYTES];
+    while matches!(input.read(&mut read_over).await, Ok(1..)) {}
+    None
+}
+
 /// What a connection waits for.
 enum Event {
     Ready(Ready),
@@ -114,6 +132,7 @@
 
     async fn next_event(&mut self) -> Event {
         let may_read = !self.intake.is_full() && !self.input_ended && self.pending.len() < READ_AHEAD;
+        let watches_end = self.input_ended && !self.pending.is_empty();
         let is_full = self.intake.is_full();
         let waits = !self.pending.is_empty();
         let at_rest = self.is_at_rest();
@@ -126,7 +145,7 @@
         tokio::select! {
             biased;
             // First: a client that has left already is not to be served.
-            frame = self.requests.next(), if may_read => Event::Frame(frame),
+            frame = next_frame(&mut self.requests, self.input_ended), if may_read || watches_end => Event::Frame(frame),
             Some(ready) = self.pending.next(), if waits => Event::Ready(ready),
             () = self.intake.make_room(), if is_full => Event::Room,
             () = self.node.stop.closing(), if at_rest => Event::Closing,
--- a/crates/sidecar/tests/path/requests.rs
+++ b/crates/sidecar/tests/path/requests.rs
@@ -67,6 +67,21 @@
     });
 }
 
+/// The request says that nothing follows it: its connection is watched all the same.
+#[rstest]
+fn a_client_that_leaves_after_its_last_request_frees_the_instance() {
+    run(async {
+        let (fleet, instance) = one_machine(slow(1_500)).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let last = get("/safe/", "a").replacen("\r\n", "\r\nConnection: close\r\n", 1);
+        client.send(&last).await;
+        eventually("the instance runs it", || instance.runs() == 1).await;
+        drop(client);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(instance.abandoned.get(), 1);
+    });
+}
+
 #[rstest]
 fn what_does_not_fit_is_refused_at_once_and_never_runs() {
     run(async {
