--- a/crates/sidecar/src/directory/copy.rs
+++ b/crates/sidecar/src/directory/copy.rs
@@ -5,7 +5,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use olivegate_types::{InstanceName, Moment};
 
-use super::hold::{Hold, PassedHold};
+use super::hold::{Hold, HoldReason, PassedHold};
 use super::{Directory, Entry};
 use crate::model::{Instance, Revision};
 use crate::source::ListedInstance;
@@ -62,6 +62,9 @@
             changed |= is_newer && !self.is_attested(&gone.name) && self.forget(&gone.name, gone.revision, now);
         }
         for entry in &copy.entries {
+            if self.was_seen_gone(entry) {
+                continue;
+            }
             let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
             changed |= self.insert(&listed, now);
             let is_same = self.entries.get(&entry.instance.name).is_some_and(|own| own.revision == entry.revision);
@@ -72,6 +75,13 @@
         self.finish(copy.revision, changed)
     }
 
+    /// True for an entry that another node still believes since it waits for the word of the
+    /// instance's gate, while this node knows already that the instance is gone.
+    fn was_seen_gone(&self, entry: &DirectoryEntry) -> bool {
+        let is_unconfirmed = entry.hold.as_ref().is_some_and(|hold| hold.reason == HoldReason::Unconfirmed);
+        is_unconfirmed && self.gone.get(&entry.instance.name).is_some_and(|tombstone| tombstone.is_seen)
+    }
+
     /// What a node that knows the state `known` lacks: the changes since, or everything when
     /// removals since then are no longer remembered.
     pub fn copy_since(&self, known: Revision, now: Moment) -> DirectoryCopy {
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -16,8 +16,10 @@
 use crate::source::{Changes, Source, SourceError};
 use crate::state::Node;
 
-/// Wait for changes in one call, as parts of the time for which a disturbance counts.
-const WAIT_PARTS: Range<f64> = 0.4..0.65;
+/// Wait for changes in one call, as parts of the shorter of the time for which a disturbance
+/// counts and the time within which no request goes to an instance that left: a call that is
+/// never woken by its change must end in time for both.
+const WAIT_PARTS: Range<f64> = 0.3..0.5;
 /// Interval of probes while a call waits.
 const PROBE_INTERVAL: Duration = Duration::from_millis(450);
 
@@ -32,7 +34,8 @@
 /// Changes after `known`, as soon as there are some; `None` when other nodes read for this one.
 pub async fn changes<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Option<Changes>, SourceError> {
     let part = node.random(|random| random.random_range(WAIT_PARTS));
-    let wait = node.settings().bounds.contact.mul_f64(part);
+    let bounds = node.settings().bounds;
+    let wait = bounds.contact.min(bounds.drain).mul_f64(part);
     let waiting = source.changes(known, wait, CALL_LIMIT);
     tokio::select! {
         biased;
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -211,6 +211,22 @@
     assert!(ready(&directory).is_empty());
 }
 
+#[rstest]
+fn what_its_gate_has_seen_gone_is_not_believed_again_by_what_a_peer_still_holds() {
+    let name = InstanceName::new("a");
+    let mut gate = without_a();
+    assert!(gate.confirm_gone(&name, at(110)));
+    let mut peer = without_a();
+    let other = Change::Instance(listed("b", InstanceState::Ready, 3));
+    peer.apply_change(&other, at(120));
+    peer.advance(Revision(3));
+    gate.apply_copy(&peer.copy_since(gate.revision(), at(130)), at(130));
+    assert_eq!(ready(&gate), ["b"]);
+    let again = Change::Instance(listed("a", InstanceState::Ready, 4));
+    gate.apply_change(&again, at(200));
+    assert_eq!(ready(&gate), ["a", "b"], "listed anew by the source");
+}
+
 #[rstest]
 fn a_gate_does_not_end_the_hold_of_what_lapsed_while_the_source_was_away() {
     let mut directory = Directory::new(WITH_GATES);
