--- a/crates/overload/src/admission/level_table.rs
+++ b/crates/overload/src/admission/level_table.rs
@@ -17,6 +17,9 @@
 const REPORT_MEMORY: Duration = Duration::from_millis(150);
 /// Levels from here on count as "everything is admitted".
 const FULL_LEVEL: f64 = 0.995;
+/// Largest level held. Above 1 it tells how much room a gate has left, which makes up for
+/// another gate of the service that has none.
+const LARGEST_LEVEL: f64 = 2.0;
 
 #[derive(Debug, Clone)]
 struct Learnt {
@@ -27,9 +30,9 @@
 }
 
 impl Learnt {
-    fn level_at(&self, now: Moment) -> f64 {
-        let unconfirmed = now.since(self.at).saturating_sub(HOLD);
-        (self.level + RECOVERY_PER_SECOND * unconfirmed.as_secs_f64()).min(1.0)
+    fn level_at(&self, hold: Duration, now: Moment) -> f64 {
+        let unconfirmed = now.since(self.at).saturating_sub(hold);
+        (self.level + RECOVERY_PER_SECOND * unconfirmed.as_secs_f64()).min(LARGEST_LEVEL)
     }
 }
 
@@ -37,16 +40,28 @@
 ///
 /// The hop keeps reports from circling: a gate passes on only what it learnt from
 /// calls deeper than the one it answers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LevelTable {
     levels: HashMap<ClassKey, Vec<Learnt>>,
+    hold: Duration,
+}
+
+impl Default for LevelTable {
+    fn default() -> Self {
+        LevelTable { levels: HashMap::new(), hold: HOLD }
+    }
 }
 
 impl LevelTable {
+    /// Holds a level for `hold` after its last report, before it rises by itself.
+    pub fn with_hold(hold: Duration) -> Self {
+        LevelTable { hold, ..LevelTable::default() }
+    }
+
     /// Notes the level that came with the reply of `service` to a call at `hop`; reports
     /// of the service's gates are averaged.
     pub fn on_report(&mut self, class: &ClassKey, service: &ServiceName, hop: u8, level: f64, now: Moment) {
-        let level = level.clamp(0.0, 1.0);
+        let level = level.clamp(0.0, LARGEST_LEVEL);
         let Some(learnt) = self.levels.get_mut(class) else {
             if level < FULL_LEVEL {
                 self.levels.insert(class.clone(), vec![Learnt { service: service.clone(), hop, level, at: now }]);
@@ -55,24 +70,33 @@
         };
         match learnt.iter_mut().find(|learnt| learnt.hop == hop && learnt.service == *service) {
             Some(entry) => {
-                let held = entry.level_at(now);
+                let held = entry.level_at(self.hold, now);
                 let age = now.since(entry.at).as_secs_f64() / REPORT_MEMORY.as_secs_f64();
                 entry.level = held + age.clamp(REPORT_WEIGHT, 1.0) * (level - held);
                 entry.at = now;
             }
             None => learnt.push(Learnt { service: service.clone(), hop, level, at: now }),
         }
-        learnt.retain(|entry| entry.level < FULL_LEVEL);
+        learnt.retain(|entry| entry.level < LARGEST_LEVEL * FULL_LEVEL);
         if learnt.is_empty() {
             self.levels.remove(class);
         }
     }
 
-    /// The level in force for a class at calls from `hop` on; levels rise while no
+    /// The level in force for a class at calls from `hop` on, at most 1. Levels rise while no
     /// report confirms them.
     pub fn level(&self, class: &ClassKey, hop: u8, now: Moment) -> f64 {
+        self.room(class, hop, now).min(1.0)
+    }
+
+    /// The same for a gate that passes it on: above 1 where there is room for more.
+    pub fn room(&self, class: &ClassKey, hop: u8, now: Moment) -> f64 {
         let learnt = self.levels.get(class).map(Vec::as_slice).unwrap_or_default();
-        learnt.iter().filter(|entry| entry.hop >= hop).map(|entry| entry.level_at(now)).fold(1.0, f64::min)
+        learnt
+            .iter()
+            .filter(|entry| entry.hop >= hop)
+            .map(|entry| entry.level_at(self.hold, now))
+            .fold(LARGEST_LEVEL, f64::min)
     }
 
     /// True when a root request of this rank may pass.
@@ -80,9 +104,15 @@
         rank.fraction() < self.level(class, 0, now)
     }
 
+    /// Forgets classes of which `keeps` is false.
+    pub fn retain(&mut self, keeps: impl Fn(&ClassKey) -> bool) {
+        self.levels.retain(|class, _| keeps(class));
+    }
+
     /// Levels below 1, for status.
     pub fn entries(&self, now: Moment) -> Vec<(ClassKey, f64)> {
         let mut entries: Vec<_> = self.levels.keys().map(|key| (key.clone(), self.level(key, 0, now))).collect();
+        entries.retain(|(_, level)| *level < FULL_LEVEL);
         entries.sort_by(|left, right| left.0.cmp(&right.0));
         entries
     }
--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -7,15 +7,15 @@
 //! shedding rank, the same at each hop, is below the level.
 
 //!
-//! Where requests carry no context, [`OutcomeLevels`] learns from how they end.
+//! [`DemandLevels`] does without search: it divides what the slots can give by what was wanted.
 
+mod demand_levels;
 mod gate_levels;
 mod level_table;
-mod outcome_levels;
 
+pub use demand_levels::DemandLevels;
 pub use gate_levels::{Arrival, GateLevels};
 pub use level_table::LevelTable;
-pub use outcome_levels::{OutcomeLevels, ReportedLevels};
 
 use olivegate_types::{GroupName, Importance, KindName};
 
--- a/crates/sidecar/src/edge/admission.rs
+++ b/crates/sidecar/src/edge/admission.rs
@@ -7,6 +7,8 @@
 use rand::RngExt;
 
 use crate::edge::own_answer::OwnAnswer;
+use crate::gate::importance_of_priority;
+use crate::hop::{Root, class_of};
 use crate::model::Route;
 use crate::state::Node;
 
@@ -15,12 +17,9 @@
 /// When to come back to a node that is about to end.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Lets a request begin, or refuses it because requests like it fail further down. Calls
-/// are never held back: work has been done for them.
-pub fn admit(node: &Node, route: &Route, now: Moment) -> Result<(), OwnAnswer> {
-    if node.lineage.borrow().is_call_route(&route.name) {
-        return Ok(());
-    }
+/// Lets a client's request begin as the root of its calls, or refuses it because requests like
+/// it fail further down. Calls are never held back: work has been done for them.
+pub fn admit(node: &Node, route: &Route, now: Moment) -> Result<Root, OwnAnswer> {
     if node.stop.is_closing() {
         return Err(OwnAnswer::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER });
     }
@@ -29,8 +28,13 @@
     }
     let part = node.pressure.borrow().part();
     draw(node, part, RefusalReason::NodeOverloaded)?;
-    let level = node.levels.borrow().level(&route.name, now);
-    draw(node, level, RefusalReason::AdmissionLevel)
+    let class = class_of(&route.name, importance_of_priority(route.priority));
+    let level = node.levels.borrow().level(&class, 0, now);
+    let root = Root::new(node, route, level);
+    if root.rank.fraction() < level {
+        return Ok(root);
+    }
+    Err(not_run(node, level, RefusalReason::AdmissionLevel))
 }
 
 /// Lets `part` of the requests begin, drawn at random, and refuses the others for `reason`.
@@ -38,6 +42,11 @@
     if part >= 1.0 || node.random(|random| random.random::<f64>()) < part {
         return Ok(());
     }
+    Err(not_run(node, part, reason))
+}
+
+/// The answer to a request of which `part` are let begin.
+fn not_run(node: &Node, part: f64, reason: RefusalReason) -> OwnAnswer {
     let jitter = node.random(|random| random.random::<f64>());
-    Err(OwnAnswer::NotRun { reason, retry_after: retry_after(part, jitter) })
+    OwnAnswer::NotRun { reason, retry_after: retry_after(part, jitter) }
 }
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -114,6 +114,10 @@
         }
         self.full += u32::from(refusal.reason.is_for_want_of_capacity());
         self.denied += u32::from(refusal.reason == RefusalReason::RepeatBudget);
+        if refusal.reason == RefusalReason::AdmissionLevel {
+            // Its rank is the same everywhere.
+            return self.give_up();
+        }
         let goes_on = self.full < MOST_FULL && self.denied < MOST_DENIED;
         if goes_on { Next::TryAnother } else { self.give_up() }
     }
--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -4,6 +4,7 @@
 //! not wait in a row; answers go out in the order of the requests. A client that closes is
 //! noticed while its requests wait or run, and they are dropped with the connection.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::edge::dispatch;
 use crate::edge::intake::{Intake, TakenRequest};
 use crate::edge::own_answer::OwnAnswer;
+use crate::lineage::ConnectionEvidence;
 use crate::model::ClientLimits;
 use crate::reply::{Answer, Body, BodyBroken};
 use crate::state::Node;
@@ -51,6 +53,8 @@
     pending: FuturesOrdered<LocalBoxFuture<'static, Ready>>,
     last_active: Instant,
     place: Place,
+    /// What its requests showed of whose connection it is.
+    evidence: Rc<Cell<ConnectionEvidence>>,
     /// No more requests are read: the client said that it closes, or sent what can't be read.
     input_ended: bool,
 }
@@ -78,6 +82,7 @@
         pending: FuturesOrdered::new(),
         last_active: Instant::now(),
         place,
+        evidence: Rc::default(),
         input_ended: false,
     };
     while connection.step().await.is_ok() {}
@@ -177,9 +182,10 @@
         let is_head = taken.head.method == "HEAD";
         self.input_ended |= !client_keeps && self.intake.is_idle();
         let node = self.node.clone();
+        let evidence = self.evidence.clone();
         let in_flight = node.stop.enter();
         self.pending.push_back(Box::pin(async move {
-            let answer = dispatch::answer(&node, taken).await;
+            let answer = dispatch::answer(&node, taken, &evidence).await;
             Ready { answer, client_keeps, is_head, _in_flight: in_flight }
         }));
     }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -1,5 +1,6 @@
 //! From a request to its answer: route, instance, attempts.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,10 +16,12 @@
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
 use crate::edge::request::{self, CheckedRequest};
+use crate::edge::request_lineage::RequestLineage;
+use crate::gate;
 use crate::gate::confirmation::Confirmation;
-use crate::gate::{self, importance_of_priority};
 use crate::hop::{Offer, OfferedBody};
 use crate::lateness;
+use crate::lineage::{Arriving, ConnectionEvidence, Origin};
 use crate::model::{Instance, RepeatSafety};
 use crate::reply::{Answer, AnswerFault, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
@@ -36,8 +39,8 @@
 struct Dispatch<'a> {
     node: &'a Rc<Node>,
     request: CheckedRequest,
-    /// It is a call of the instance beside this node.
-    is_call: bool,
+    /// Where it comes from, and what it hands down to its calls.
+    lineage: RequestLineage,
     service: ServiceName,
     head: RequestHead,
     whole_body: Bytes,
@@ -51,14 +54,14 @@
 }
 
 /// Answers a request.
-pub async fn answer(node: &Rc<Node>, taken: TakenRequest) -> Answer {
+pub async fn answer(node: &Rc<Node>, taken: TakenRequest, connection: &Cell<ConnectionEvidence>) -> Answer {
     let arrived = clock::now();
     lateness::sample(node, arrived);
     let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
     let shown_id = id.clone().unwrap_or_default();
-    let mut outcome = Outcome { route: None, trail: String::new() };
+    let mut outcome = Outcome::begin(arrived);
     let cancelling = CancelLog::begin(node, &shown_id, arrived);
-    let result = run(node, taken, arrived, &mut outcome).await;
+    let result = run(node, taken, connection, arrived, &mut outcome).await;
     cancelling.answered();
     let elapsed = clock::now().since(arrived);
     let answer = match result {
@@ -74,24 +77,24 @@
             own.to_answer(&node.vocabulary, id.as_ref())
         }
     };
-    note_end(node, outcome.route_name(), &answer);
+    note_failed_call(node, &outcome, &answer);
     answer
 }
 
 /// A call that failed makes its parent fail.
-fn note_end(node: &Node, route: &str, answer: &Answer) {
-    let now = clock::now();
-    let mut lineage = node.lineage.borrow_mut();
-    match answer.fault {
-        AnswerFault::Capacity => lineage.on_refused(route, now),
-        _ if answer.head.status >= 400 => lineage.on_call_failed(route, now),
-        _ => {}
+fn note_failed_call(node: &Node, outcome: &Outcome, answer: &Answer) {
+    let Origin::Call(parent) = outcome.origin else { return };
+    if answer.head.status < 400 {
+        return;
     }
+    let fault = if answer.fault == AnswerFault::Capacity { AnswerFault::Capacity } else { AnswerFault::Callee };
+    node.lineage.borrow_mut().on_call_failed(parent, outcome.deadline, fault, clock::now());
 }
 
 async fn run(
     node: &Rc<Node>,
     taken: TakenRequest,
+    connection: &Cell<ConnectionEvidence>,
     arrived: Moment,
     outcome: &mut Outcome,
 ) -> Result<Answer, OwnAnswer> {
@@ -102,21 +105,26 @@
     let request = request::check(&taken.head, &routes, &node.vocabulary)?;
     let route = request.route.clone();
     outcome.route = Some(route.clone());
-    node.lineage.borrow_mut().observe(&route.name, arrived + request.sender_time);
-    admission::admit(node, &route, arrived)?;
-    dispatch(node, taken, request, arrived, &mut outcome.trail).await
+    outcome.deadline = arrived + request.sender_time;
+    let arriving = Arriving { id: &request.id, route: &route.name, deadline: outcome.deadline };
+    outcome.origin = node.lineage.borrow_mut().classify(arriving, connection, arrived);
+    let lineage = match outcome.origin {
+        Origin::Client => RequestLineage::of_client(admission::admit(node, &route, arrived)?),
+        Origin::Call(parent) => RequestLineage::of_call(node, &route, parent),
+    };
+    dispatch(node, taken, request, lineage, arrived, &mut outcome.trail).await
 }
 
 async fn dispatch(
     node: &Rc<Node>,
     taken: TakenRequest,
     request: CheckedRequest,
+    lineage: RequestLineage,
     arrived: Moment,
     trail: &mut String,
 ) -> Result<Answer, OwnAnswer> {
     let dealt = node.dealer.borrow_mut().deal(&request.route);
     let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
-    let is_call = node.lineage.borrow().is_call_route(&request.route.name);
     let deadline = arrived + request.time;
     let head = forwarded_head(node, taken.head);
     let body_bytes = taken.body.held_bytes();
@@ -127,7 +135,7 @@
     let mut dispatch = Dispatch {
         node,
         request,
-        is_call,
+        lineage,
         service,
         head,
         whole_body,
@@ -248,7 +256,7 @@
         let (reply, load) = if !is_remote {
             let body = self.take_body();
             let reply = gate::run_offer(self.node, offer, body, Confirmation::NotNeeded).await;
-            (reply, Some(self.node.gate.load(&name, &self.request.route.name, &self.node.stop)))
+            (reply, Some(self.node.gate.load(self.node, &name, &self.lineage.root, self.lineage.hop)))
         } else {
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(pieces, _)| pieces);
@@ -283,7 +291,6 @@
             Some((_, length)) => OfferedBody::Streamed(*length),
             None => OfferedBody::Whole(self.whole_body.clone()),
         };
-        let inherited = if self.is_call { self.node.lineage.borrow().repeat_part() } else { 0.0 };
         Offer {
             instance: instance.name.clone(),
             route: route.name.clone(),
@@ -293,11 +300,11 @@
             time_left_ms: milliseconds(time_left),
             longest_wait_ms: milliseconds(self.longest_wait(now)),
             target_latency_ms: route.target_latency.0,
-            importance: importance_of_priority(route.priority),
-            hop: u8::from(self.is_call),
+            root: self.lineage.root.clone(),
+            hop: self.lineage.hop,
             safety: route.safety,
             is_repeat,
-            inherited: inherited as f32,
+            inherited: self.lineage.inherited,
             needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
     }
@@ -331,7 +338,9 @@
         balancer.on_report(name, f64::from(load.occupancy), now);
         let health = Health { slowness: f64::from(load.slowness), failing: f64::from(load.failing) };
         balancer.on_health(name, health, now);
-        self.node.levels.borrow_mut().on_report(&self.request.route.name, f64::from(load.level), now);
+        let class = self.lineage.root.class();
+        let hop = self.lineage.hop;
+        self.node.levels.borrow_mut().on_report(&class, &self.service, hop, f64::from(load.level), now);
     }
 
     fn note_failure(&self, instance: &Instance, failure: Failure) {
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -3,6 +3,7 @@
 //! - [`connection`]: one connection of a client or of the instance.
 //! - [`intake`]: a request from the pieces of its message.
 //! - [`request`]: what the headers of a request say.
+//! - [`request_lineage`]: what a request hands down to its calls.
 //! - [`admission`]: which requests may begin.
 //! - [`dispatch`]: route, instance, attempts, answer.
 //! - [`attempts`]: what follows an attempt without an answer.
@@ -20,6 +21,7 @@
 pub mod own_answer;
 pub mod remote;
 pub mod request;
+pub mod request_lineage;
 
 use std::rc::Rc;
 
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -8,6 +8,7 @@
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::request::CheckedRequest;
 use crate::event::{LineClass, shown};
+use crate::lineage::Origin;
 use crate::model::{Instance, Route};
 use crate::reply::{Answer, Failure};
 use crate::state::Node;
@@ -17,11 +18,20 @@
 pub struct Outcome {
     /// Its route, where it has one.
     pub route: Option<Rc<Route>>,
+    /// Where it came from.
+    pub origin: Origin,
+    /// When its sender gives it up.
+    pub deadline: Moment,
     /// What became of each attempt.
     pub trail: String,
 }
 
 impl Outcome {
+    /// Nothing is known of the request but when it arrived.
+    pub fn begin(arrived: Moment) -> Self {
+        Outcome { route: None, origin: Origin::Client, deadline: arrived, trail: String::new() }
+    }
+
     /// Name of its route, for log lines and metrics.
     pub fn route_name(&self) -> &str {
         self.route.as_ref().map_or("none", |route| route.name.as_str())
@@ -38,9 +48,10 @@
         return;
     }
     log::info!(
-        "event=own_answer request={} route={} status={} reason={} version={} after_ms={} attempts={:?}",
+        "event=own_answer request={} route={} origin={} status={} reason={} version={} after_ms={} attempts={:?}",
         shown(id),
         outcome.route_name(),
+        outcome.origin.as_str(),
         own.status(),
         own.reason(),
         node.known_state().configuration,
@@ -117,9 +128,10 @@
     let class = if answer.head.status < 500 { LineClass::Routine } else { LineClass::Failure };
     if node.may_log(class, id) {
         log::info!(
-            "event=answered request={} route={} status={} fault={} after_ms={} attempts={:?}",
+            "event=answered request={} route={} origin={} status={} fault={} after_ms={} attempts={:?}",
             shown(id),
             outcome.route_name(),
+            outcome.origin.as_str(),
             answer.head.status,
             answer.fault.as_str(),
             elapsed.as_millis(),
--- /dev/null
+++ b/crates/sidecar/src/edge/request_lineage.rs
@@ -0,0 +1,52 @@
+//! What a request hands down to the calls that are made for it.
+
+use olivegate_types::SheddingRank;
+use rand::RngExt;
+
+use crate::gate::importance_of_priority;
+use crate::hop::Root;
+use crate::lineage::Parent;
+use crate::model::Route;
+use crate::state::Node;
+
+/// Where a request stands in its call graph.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestLineage {
+    /// The request at the root.
+    pub root: Root,
+    /// Calls between the root and this request.
+    pub hop: u8,
+    /// Probability that the run which makes this call is a repeat; 0 for a client's request.
+    pub inherited: f32,
+}
+
+impl Root {
+    /// A request of `route` of whose kind the part `admitted` is let begin; draws its rank.
+    pub fn new(node: &Node, route: &Route, admitted: f64) -> Self {
+        Root {
+            route: route.name.clone(),
+            importance: importance_of_priority(route.priority),
+            rank: SheddingRank(node.random(|random| random.random())),
+            admitted: admitted as f32,
+        }
+    }
+}
+
+impl RequestLineage {
+    /// A client's request with this root.
+    pub fn of_client(root: Root) -> Self {
+        RequestLineage { root, hop: 0, inherited: 0.0 }
+    }
+
+    /// A call of the instance. Where its parent is unknown it goes by its own route.
+    pub fn of_call(node: &Node, route: &Route, parent: Parent) -> Self {
+        let lineage = node.lineage.borrow();
+        let inherited = lineage.repeat_part(parent) as f32;
+        match parent.key().and_then(|key| lineage.request(key)) {
+            Some(request) => {
+                RequestLineage { root: request.root.clone(), hop: request.hop.saturating_add(1), inherited }
+            }
+            None => RequestLineage { root: Root::new(node, route, 1.0), hop: 1, inherited },
+        }
+    }
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -5,12 +5,14 @@
 //!
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
 //! - [`instance_connection`]: kept connections to the instance.
+//! - [`admission`]: which requests of clients may go on to their calls.
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
 
+pub mod admission;
 pub mod confirmation;
 pub mod exchange;
 pub mod instance_connection;
@@ -25,25 +27,21 @@
 use std::time::Duration;
 
 use olivegate_overload::{Demand, Pace};
-use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason, SheddingRank};
-use rand::RngExt;
+use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason};
 
 use crate::directory::Standing;
 use crate::event::{LineClass, shown};
-use crate::hop::Offer;
+use crate::hop::{ONE_GROUP, Offer, Root};
 use crate::lateness;
-use crate::lineage::RunningKey;
+use crate::lineage::{RunningKey, RunningRequest};
 use crate::model::{Instance, InstanceState};
-use crate::reply::{AnswerFault, Body, Failure, FailureReason, GateReply, Load, refused};
+use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
-use crate::stop::StopState;
 use confirmation::Confirmation;
 use olivegate_clock as clock;
 use repeats::GateRepeats;
 use slots::InstanceSlots;
 
-/// Status of an instance that gave up at the deadline.
-const GATEWAY_TIMEOUT: u16 = 504;
 /// Slots assumed for an instance that the directory does not list yet.
 const UNLISTED_SLOTS: u32 = 8;
 /// When to come back after a refusal that says nothing about load.
@@ -98,11 +96,15 @@
         self.instances.borrow().get(name).is_some_and(|slots| slots.is_leaving())
     }
 
-    /// Load of one instance, to be told to an edge. A node that stops seems busy, so that it
+    /// Load of one instance, to be told to the edge of an offer made for `root` at `hop`: with the
+    /// level of its class here and further down. A node that stops seems busy, so that it
     /// is chosen only where nothing else is left.
-    pub fn load(&self, name: &InstanceName, route: &str, stop: &StopState) -> Load {
-        let mut load = self.instances.borrow().get(name).map(|slots| slots.load(route)).unwrap_or_default();
-        if stop.is_stopping() {
+    pub fn load(&self, node: &Node, name: &InstanceName, root: &Root, hop: u8) -> Load {
+        let class = root.class();
+        let mut load = self.instances.borrow().get(name).map(|slots| slots.load(&class)).unwrap_or_default();
+        let deeper = node.levels.borrow().room(&class, hop.saturating_add(1), clock::now());
+        load.level = load.level.min(deeper as f32);
+        if node.stop.is_stopping() {
             load.occupancy += STOPPING_OCCUPANCY;
         }
         load
@@ -111,7 +113,7 @@
 
 /// Runs an offer: waits for a slot, then has the instance run it. Dropping the future
 /// cancels the request, wherever it is.
-pub async fn run_offer(node: &Rc<Node>, offer: Offer, body: Body, confirmation: Confirmation) -> GateReply {
+pub async fn run_offer(node: &Rc<Node>, mut offer: Offer, body: Body, confirmation: Confirmation) -> GateReply {
     let arrived = clock::now();
     lateness::sample(node, arrived);
     let deadline = arrived + Duration::from_millis(u64::from(offer.time_left_ms));
@@ -123,8 +125,12 @@
     if !node.gate.repeats.allows(node, &offer, arrived) {
         return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
     }
+    if let Err(refusal) = admission::admit_root(node, &mut offer, arrived) {
+        return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None });
+    }
     let slots = node.gate.slots_of(node, &offer.instance);
-    let demand = demand_of(node, &offer, &slots, deadline);
+    slots.note_demand(&offer, arrived);
+    let demand = demand_of(&offer, &slots, deadline);
     let slot = match slots.acquire(demand).await {
         Ok(slot) => slot,
         Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
@@ -155,7 +161,7 @@
     }
     log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
-    let _running = Running::begin(node, &offer, started + time_left);
+    let parent = Running::begin(node, &offer, started + time_left);
     let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -165,7 +171,7 @@
     let used = clock::now().since(started);
     match result {
         Ok(mut answer) => {
-            answer.fault = fault_of(node, answer.head.status);
+            answer.fault = node.lineage.borrow_mut().fault_of(parent.key, answer.head.status, clock::now());
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_answer(&offer, answer.fault, used);
             node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
@@ -181,19 +187,6 @@
     }
 }
 
-/// What a failure of the instance is put down to. At its deadline an instance gives up
-/// whatever held it up.
-fn fault_of(node: &Node, status: u16) -> AnswerFault {
-    let lineage = node.lineage.borrow();
-    let now = clock::now();
-    match status {
-        ..500 => AnswerFault::None,
-        _ if lineage.explains_failure(now) => AnswerFault::Capacity,
-        _ if status == GATEWAY_TIMEOUT || lineage.follows_failed_call(now) => AnswerFault::Callee,
-        _ => AnswerFault::Instance,
-    }
-}
-
 fn log_start(node: &Node, offer: &Offer, time_left: Duration) {
     if node.may_log(LineClass::Routine, &offer.request_id) {
         let status = node.gate.status(&offer.instance);
@@ -231,14 +224,21 @@
 impl<'a> Running<'a> {
     fn begin(node: &'a Node, offer: &Offer, deadline: Moment) -> Self {
         let repeat = if offer.is_repeat { 1.0 } else { f64::from(offer.inherited) };
-        let key = node.lineage.borrow_mut().begin(deadline, repeat);
+        let request = RunningRequest {
+            id: offer.request_id.clone(),
+            deadline,
+            repeat,
+            hop: offer.hop,
+            root: offer.root.clone(),
+        };
+        let key = node.lineage.borrow_mut().begin(request);
         Running { node, key }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.node.lineage.borrow_mut().end(self.key);
+        self.node.lineage.borrow_mut().end(self.key, clock::now());
     }
 }
 
@@ -253,14 +253,13 @@
     }
 }
 
-fn demand_of(node: &Node, offer: &Offer, slots: &InstanceSlots, deadline: Moment) -> Demand {
-    let rank = node.random(|random| random.random::<u16>());
+fn demand_of(offer: &Offer, slots: &InstanceSlots, deadline: Moment) -> Demand {
     Demand {
-        importance: offer.importance,
-        group: GroupName::new("all"),
+        importance: offer.root.importance,
+        group: GroupName::new(ONE_GROUP),
         weight: 1,
         hop: offer.hop,
-        rank: SheddingRank(rank),
+        rank: offer.root.rank,
         deadline,
         expected: slots.expected(offer),
         longest_wait: Some(Duration::from_millis(u64::from(offer.longest_wait_ms))),
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -75,7 +75,7 @@
 /// the connection the request is dropped, wherever it is.
 async fn serve_offer(node: &Rc<Node>, stream: &mut HopStream, offer: Offer) -> bool {
     let _in_flight = node.stop.enter();
-    let (instance, route) = (offer.instance.clone(), offer.route.clone());
+    let (instance, root, hop) = (offer.instance.clone(), offer.root.clone(), offer.hop);
     let (body, mut feed) = body_of(&offer);
     let (confirmation, mut relay) = confirmation(offer.needs_confirmation);
     let running = run_offer(node, offer, body, confirmation);
@@ -105,7 +105,7 @@
         }
     };
     let whole_request = matches!(feed, Feed::Closed);
-    send_reply(stream, node.gate.load(&instance, &route, &node.stop), reply).await && whole_request
+    send_reply(stream, node.gate.load(node, &instance, &root, hop), reply).await && whole_request
 }
 
 /// What a frame makes of the feed; `None` when the edge gave up or broke the protocol.
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use olivegate_overload::{
-    AdaptiveLimit, Admission, Demand, InstanceQueue, OutcomeLevels, Pace, Settings, TicketId,
+    AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, InstanceQueue, Pace, Settings, TicketId,
 };
-use olivegate_types::{Refusal, RefusalReason};
+use olivegate_types::{Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
 use crate::gate::instance_connection::InstanceConnections;
@@ -17,9 +17,11 @@
 use olivegate_clock as clock;
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
-const USED_FRACTION: f64 = 0.94;
+const USED_FRACTION: f64 = 0.95;
 /// Part of the slots kept for each class that waits behind a more important one.
 const LEAST_SHARE: f64 = 0.2;
+/// Part of the used slots that admission levels count on.
+const LEVEL_SLOTS: f64 = 1.0;
 /// Weight of a new sample in moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of one exchange in the fraction that fails.
@@ -41,7 +43,7 @@
     slowness: RefCell<f64>,
     failing: Cell<f64>,
     closes_in_a_row: Cell<u32>,
-    levels: RefCell<OutcomeLevels>,
+    demand: RefCell<DemandLevels>,
     connections: InstanceConnections,
 }
 
@@ -75,7 +77,7 @@
             slowness: RefCell::new(0.0),
             failing: Cell::new(0.0),
             closes_in_a_row: Cell::new(0),
-            levels: RefCell::default(),
+            demand: RefCell::new(DemandLevels::new(LEAST_SHARE)),
             connections: InstanceConnections::default(),
         }
     }
@@ -116,13 +118,14 @@
         queue.in_flight() + queue.waiting() > 0
     }
 
-    /// How busy the instance is, to be told with the reply to an offer of `route`.
-    pub fn load(&self, route: &str) -> Load {
+    /// How busy the instance is, to be told with the reply to an offer of `class`.
+    pub fn load(&self, class: &ClassKey) -> Load {
+        let slots = f64::from(self.limit()) * LEVEL_SLOTS;
         Load {
             occupancy: self.queue.borrow().occupancy() as f32,
             slowness: *self.slowness.borrow() as f32,
             failing: self.failing.get() as f32,
-            level: self.levels.borrow().level(route) as f32,
+            level: self.demand.borrow().level(class, slots, clock::now()) as f32,
         }
     }
 
@@ -139,6 +142,12 @@
         known.unwrap_or_else(|| target.mul_f64(UNSEEN_PART))
     }
 
+    /// Notes that an offer asks for a slot.
+    pub fn note_demand(&self, offer: &Offer, now: Moment) {
+        let slot_time = self.expected(offer);
+        self.demand.borrow_mut().note(&offer.root.class(), slot_time, f64::from(offer.root.admitted), now);
+    }
+
     /// Waits for a slot. Dropping the future gives the place up.
     pub async fn acquire(self: &Rc<Self>, demand: Demand) -> Result<Slot, Refusal> {
         let now = clock::now();
@@ -224,7 +233,6 @@
     pub fn note_answer(&mut self, offer: &Offer, fault: AnswerFault, used: Duration) {
         self.note_failing(fault == AnswerFault::Instance);
         self.note_time(offer, used);
-        self.note_outcome(offer, fault == AnswerFault::Capacity, used);
         let mut queue = self.slots.queue.borrow_mut();
         let in_flight = queue.in_flight();
         queue.limit_mut().on_success(in_flight);
@@ -239,7 +247,9 @@
             self.note_failing(true);
         }
         match failure.reason {
-            FailureReason::RefusedByInstance => self.slots.queue.borrow_mut().limit_mut().on_refused(now),
+            // The gate never gives it more than it has slots for: it refuses for a reason of its
+            // own, and would refuse as many with fewer requests in it.
+            FailureReason::RefusedByInstance => {}
             FailureReason::TimedOut => {
                 self.note_time(offer, used);
                 self.slots.queue.borrow_mut().limit_mut().on_failure(now);
@@ -254,17 +264,6 @@
         self.slots.failing.set(failing + (sample - failing) * FAILING_WEIGHT);
     }
 
-    fn note_outcome(&self, offer: &Offer, overloaded: bool, used: Duration) {
-        let now = clock::now();
-        let began = now.saturating_sub(used);
-        let mut levels = self.slots.levels.borrow_mut();
-        let before = levels.level(&offer.route);
-        let after = levels.on_outcome(&offer.route, offer.importance, began, overloaded, now);
-        if (before - after).abs() > f64::EPSILON {
-            log::info!("event=admission_level route={} level={after:.2} before={before:.2}", offer.route);
-        }
-    }
-
     fn note_time(&self, offer: &Offer, used: Duration) {
         let mut expected = self.slots.expected.borrow_mut();
         match expected.get_mut(&offer.route) {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -12,7 +12,8 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::Bytes;
 use olivegate_http1::{RequestHead, ResponseHead};
-use olivegate_types::{Importance, InstanceName, RefusalReason};
+use olivegate_overload::ClassKey;
+use olivegate_types::{GroupName, Importance, InstanceName, KindName, RefusalReason, SheddingRank};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -29,6 +30,8 @@
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(600);
 /// A gate waits so long for the edge's confirmation.
 pub const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
+/// Name of the only group of callers: the platform knows none.
+pub const ONE_GROUP: &str = "all";
 /// Longest frame in bytes: a knowledge transfer at the target size fits.
 const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
@@ -41,6 +44,32 @@
     Streamed(Option<u64>),
 }
 
+/// The request at the root of a call graph, as all calls made for it are told.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Root {
+    /// Name of its route.
+    pub route: String,
+    /// Its importance: more important ones go first, wherever their calls meet.
+    pub importance: Importance,
+    /// Its place among requests of the same importance, drawn once.
+    pub rank: SheddingRank,
+    /// Part of such requests that its edge let begin, above 0 and at most 1: each stands for
+    /// `1 / admitted` requests that wanted to.
+    pub admitted: f32,
+}
+
+impl Root {
+    /// The class that it is shed with.
+    pub fn class(&self) -> ClassKey {
+        class_of(&self.route, self.importance)
+    }
+}
+
+/// The class of the requests of `route`.
+pub fn class_of(route: &str, importance: Importance) -> ClassKey {
+    ClassKey { root_kind: KindName::new(route), group: GroupName::new(ONE_GROUP), importance }
+}
+
 /// A request that an edge offers to a gate.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Offer {
@@ -60,9 +89,9 @@
     pub longest_wait_ms: u32,
     /// Target latency of the route, in milliseconds.
     pub target_latency_ms: u32,
-    /// Importance; more important ones go first.
-    pub importance: Importance,
-    /// 0 for a client's request, 1 for a call on behalf of one.
+    /// The request that it is made for: itself, when a client made it.
+    pub root: Root,
+    /// 0 for a client's request; a call has one more than the request that makes it.
     pub hop: u8,
     /// Whether it may run more than once.
     pub safety: RepeatSafety,
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -170,7 +170,8 @@
     pub slowness: f32,
     /// Fraction of exchanges that the instance failed by itself, on average.
     pub failing: f32,
-    /// Fraction of new requests of the route that may begin.
+    /// Fraction of new requests of the root's class that may begin; above 1 where there is room
+    /// for more.
     pub level: f32,
 }
 
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_overload::{ProcessPressure, ReportedLevels};
+use olivegate_overload::{LevelTable, ProcessPressure};
 use olivegate_routing::balance::Balancer;
 use olivegate_types::Moment;
 use rand::SeedableRng;
@@ -36,6 +36,8 @@
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(900);
 /// Heartbeats within which an instance that has just started is listed.
 const LISTED_HEARTBEATS: u32 = 2;
+/// Time for which a reported level holds: edges where a class is rare hear of it this seldom.
+const LEVEL_HOLD: Duration = Duration::from_millis(500);
 /// Bytes that are held of a body and of an answer that are read whole, at most.
 const LARGEST_PIECES: u64 = 128 << 10;
 /// Weight of one request in the mean of what requests hold.
@@ -65,8 +67,8 @@
     pub balancer: RefCell<Balancer>,
     /// Deals weighted routes.
     pub dealer: RefCell<WeightedDealer>,
-    /// How much of each route is let through, as gates report.
-    pub levels: RefCell<ReportedLevels>,
+    /// How much of each class is let begin, as gates report.
+    pub levels: RefCell<LevelTable>,
     /// Whether this process keeps up with its work.
     pub pressure: RefCell<ProcessPressure>,
     /// When that was last sampled.
@@ -113,7 +115,7 @@
             knowledge_changed: Notify::new(),
             balancer: RefCell::default(),
             dealer: RefCell::default(),
-            levels: RefCell::default(),
+            levels: RefCell::new(LevelTable::with_hold(LEVEL_HOLD)),
             pressure: RefCell::default(),
             lateness_sampled: Cell::new(Moment::START),
             lineage: RefCell::default(),
@@ -167,7 +169,7 @@
         self.metrics.set_state("configuration_version", configuration.version.0);
         self.dealer.borrow_mut().retain(&configuration);
         let is_configured = |name: &str| configuration.routes.iter().any(|route| route.name == name);
-        self.levels.borrow_mut().retain(is_configured);
+        self.levels.borrow_mut().retain(|class| is_configured(class.root_kind.as_str()));
         self.lineage.borrow_mut().retain(is_configured);
         let mut knowledge = self.knowledge.borrow_mut();
         knowledge.routes = Some(Rc::new(RouteTable::new(&configuration)));
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -166,7 +166,12 @@
         time_left_ms: 5_000,
         longest_wait_ms: 100,
         target_latency_ms: 1_000,
-        importance: olivegate_types::Importance::PROTECTED,
+        root: hop::Root {
+            route: "once".into(),
+            importance: olivegate_types::Importance::PROTECTED,
+            rank: olivegate_types::SheddingRank(0),
+            admitted: 1.0,
+        },
         hop: 0,
         safety: Unsafe,
         is_repeat: false,
