--- /dev/null
+++ b/crates/sidecar/tests/path/calls.rs
@@ -0,0 +1,129 @@
+//! Calls that instances make, beside clients' requests.
+
+use std::time::Duration;
+
+use olivegate_clock as clock;
+use olivegate_sidecar::gate::importance_of_priority;
+use olivegate_sidecar::hop::class_of;
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use olivegate_sidecar::state::Node;
+use olivegate_types::ServiceName;
+use rstest::rstest;
+
+use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, call, configuration, get, route, run};
+
+/// Limit of the calls by themselves: shorter than what their parents have left.
+const CALL_LIMIT_MS: u64 = 700;
+
+fn answers(seen: &Seen, _before: usize) -> Vec<Action> {
+    vec![Action::Send(answer(200, &seen.id(), "body"))]
+}
+
+/// Makes `node` believe that the services further down have room for nothing of a route.
+fn close_level(node: &Node, route_name: &str) {
+    let class = class_of(route_name, importance_of_priority(1));
+    let mut levels = node.levels.borrow_mut();
+    for _ in 0..50 {
+        levels.on_report(&class, &ServiceName::new("deep"), 1, 0.0, clock::now());
+    }
+}
+
+#[rstest]
+fn a_call_goes_through_where_clients_are_held_back_and_a_forged_one_does_not() {
+    run(async {
+        let fleet = Fleet::new();
+        let routes = vec![route("/desk/", "desk", Safe), route("/deep/", "books", Safe)];
+        let deep = routes[1].name.clone();
+        fleet.source.configure(configuration(1, routes));
+        fleet.list(2, "desk-1", "desk");
+        fleet.list(3, "books-1", "books");
+        let _desk = TestInstance::start(fleet.instance_address(2), |seen: &Seen, _| {
+            vec![Action::Sleep(400), Action::Send(answer(200, &seen.id(), "body"))]
+        })
+        .await;
+        let _books = TestInstance::start(fleet.instance_address(3), answers).await;
+        let node = fleet.start(2, "desk").await;
+        for node in [node.clone(), fleet.start(3, "books").await] {
+            Fleet::ready(&node).await;
+        }
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        for number in 0..10 {
+            assert_eq!(client.ask(&get("/deep/", &format!("c{number}"))).await.head.status, 200);
+        }
+        let mut parent = Client::connect(fleet.outbound(2)).await;
+        parent.send(&get("/desk/", "parent")).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        close_level(&node, &deep);
+        assert_eq!(client.ask(&get("/deep/", "c10")).await.head.status, 503, "a client's request");
+        let forged = call("/deep/", "parent.1", CALL_LIMIT_MS);
+        assert_eq!(client.ask(&forged).await.head.status, 503, "a client's request with a call's id");
+        let mut instance = Client::connect(fleet.outbound(2)).await;
+        let mut served = 0;
+        for number in 2..12 {
+            let asked = instance.ask(&call("/deep/", &format!("parent.{number}"), CALL_LIMIT_MS)).await;
+            served += usize::from(asked.head.status == 200);
+        }
+        // What its connection shows is known from the second call on.
+        assert!(served >= 9, "{served} of 10 calls were served");
+    });
+}
+
+/// Three services deep, with the last one full: its refusal is nobody else's failure, so nothing
+/// is sent to a second instance on the way.
+#[rstest]
+fn a_refusal_three_calls_down_is_no_failure_of_the_instances_above() {
+    run(async {
+        let fleet = Fleet::new();
+        let routes = vec![
+            route("/first/", "first", Safe),
+            route("/second/", "second", Safe),
+            route("/third/", "third", Safe),
+        ];
+        fleet.source.configure(configuration(1, routes));
+        let first_out = [2, 3].map(|machine| fleet.outbound(machine));
+        let second_out = [4, 5].map(|machine| fleet.outbound(machine));
+        let mut instances = Vec::new();
+        for (index, machine) in [2, 3].into_iter().enumerate() {
+            fleet.list(machine, &format!("first-{machine}"), "first");
+            let out = first_out[index];
+            let script = move |seen: &Seen, _: usize| {
+                vec![Action::Call(out, call("/second/", &format!("{}.s", seen.id()), CALL_LIMIT_MS))]
+            };
+            instances.push(TestInstance::start(fleet.instance_address(machine), script).await);
+        }
+        for (index, machine) in [4, 5].into_iter().enumerate() {
+            fleet.list(machine, &format!("second-{machine}"), "second");
+            let out = second_out[index];
+            let script = move |seen: &Seen, _: usize| {
+                vec![Action::Call(out, call("/third/", &format!("{}.t", seen.id()), CALL_LIMIT_MS))]
+            };
+            instances.push(TestInstance::start(fleet.instance_address(machine), script).await);
+        }
+        fleet.list(6, "third-6", "third");
+        let third = TestInstance::start(fleet.instance_address(6), |seen: &Seen, _| {
+            vec![Action::Sleep(1_500), Action::Send(answer(200, &seen.id(), "body"))]
+        })
+        .await;
+        for (machine, service) in
+            [(2, "first"), (3, "first"), (4, "second"), (5, "second"), (6, "third"), (1, "desk")]
+        {
+            Fleet::ready(&fleet.start(machine, service).await).await;
+        }
+        // Each slot of the last service is taken.
+        let mut fillers = Vec::new();
+        for number in 0..8 {
+            let mut filler = Client::connect(fleet.outbound(6)).await;
+            filler.send(&get("/third/", &format!("f{number}"))).await;
+            fillers.push(filler);
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let before = third.runs();
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        let failed = client.ask(&get("/first/", "r1")).await;
+        assert_eq!(failed.head.status, 500);
+        assert_eq!(third.runs(), before, "the last service has no room");
+        let runs: Vec<usize> = instances.iter().map(TestInstance::runs).collect();
+        assert_eq!(runs[0] + runs[1], 1, "first: {runs:?}");
+        assert_eq!(runs[2] + runs[3], 1, "second: {runs:?}");
+    });
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! The whole path with real sockets: clients, nodes, instances and a source on loopback.
 
 mod answers;
+mod calls;
 mod configuration;
 mod connections;
 mod failing;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -292,6 +292,8 @@
 pub enum Action {
     Send(String),
     Sleep(u64),
+    /// Makes a call by the node at this address and answers 200 when that succeeds, else 500.
+    Call(SocketAddr, String),
     Close,
     Reset,
 }
@@ -389,6 +391,11 @@
                                     }
                                 }
                             },
+                            Action::Call(outbound, request) => {
+                                let called = Client::connect(outbound).await.ask(&request).await;
+                                let status = if called.head.status == 200 { 200 } else { 500 };
+                                let _ = writing.write_all(answer(status, &seen.id(), "body").as_bytes()).await;
+                            }
                             Action::Close => return,
                             Action::Reset => {
                                 let stream = requests.into_inner().reunite(writing).unwrap();
@@ -479,6 +486,11 @@
     format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n\r\n")
 }
 
+/// A call with a limit of its own, in milliseconds.
+pub fn call(path: &str, id: &str, limit_ms: u64) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: {limit_ms}\r\n\r\n")
+}
+
 /// A request with a body.
 pub fn post(path: &str, id: &str, body: &str) -> String {
     let length = body.len();
