--- a/crates/overload/src/retry_after.rs
+++ b/crates/overload/src/retry_after.rs
@@ -7,6 +7,17 @@
 /// Longest time named.
 const LONGEST: Duration = Duration::from_secs(10);
 
+/// Shortest time named while levels hold requests back: they need about this long to follow a
+/// change, so who comes back sooner meets the same overload.
+const SHORTEST_OF_LEVELS: Duration = Duration::from_millis(1_500);
+
+/// The time to name to a request that its class's level held back: at most `level` of its kind
+/// are let begin. `jitter` in `[0, 1)` spreads those who come back.
+pub fn retry_after_level(level: f64, jitter: f64) -> Duration {
+    let base = SHORTEST_OF_LEVELS.as_secs_f64() / level.clamp(0.02, 1.0);
+    Duration::from_secs_f64(base * (0.5 + jitter)).min(LONGEST)
+}
+
 /// The time to name when `admitted_fraction` of the class is let through: longer
 /// when the overload is deeper, spread by `jitter` in `[0, 1)` over half to one and
 /// a half times the base.
--- a/crates/overload/tests/levels.rs
+++ b/crates/overload/tests/levels.rs
@@ -1,5 +1,7 @@
 //! Admission levels: measured at gates, learnt and applied at the root.
 
+use std::time::Duration;
+
 use olivegate_overload::{Arrival, ClassKey, GateLevels, LevelTable};
 use olivegate_types::{GroupName, Importance, KindName, Moment, ServiceName, SheddingRank};
 
@@ -72,3 +74,16 @@
     assert!(table.level(&class(), 0, at(50)) < 0.2);
     assert_eq!(table.level(&class(), 0, at(1_000)), 1.0);
 }
+
+#[test]
+fn what_a_level_held_back_is_told_to_come_back_when_levels_can_have_followed() {
+    use olivegate_overload::retry_after::{retry_after, retry_after_level};
+    for level in [1.0, 0.5, 0.1] {
+        for jitter in [0.0, 0.5, 0.99] {
+            let told = retry_after_level(level, jitter);
+            assert!(told >= Duration::from_millis(750) && told <= Duration::from_secs(10), "{told:?}");
+            assert!(told >= retry_after(level, jitter).min(Duration::from_secs(10)));
+        }
+    }
+    assert!(retry_after_level(0.2, 0.5) > retry_after_level(0.8, 0.5));
+}
--- a/crates/sidecar/src/edge/admission.rs
+++ b/crates/sidecar/src/edge/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use olivegate_overload::retry_after::retry_after;
+use olivegate_overload::retry_after::{retry_after, retry_after_level};
 use olivegate_types::{Moment, RefusalReason};
 use rand::RngExt;
 
@@ -34,7 +34,9 @@
     if root.rank.fraction() < level {
         return Ok(root);
     }
-    Err(not_run(node, level, RefusalReason::AdmissionLevel))
+    let jitter = node.random(|random| random.random::<f64>());
+    let retry_after = retry_after_level(level, jitter);
+    Err(OwnAnswer::NotRun { reason: RefusalReason::AdmissionLevel, retry_after })
 }
 
 /// Lets `part` of the requests begin, drawn at random, and refuses the others for `reason`.
@@ -42,11 +44,6 @@
     if part >= 1.0 || node.random(|random| random.random::<f64>()) < part {
         return Ok(());
     }
-    Err(not_run(node, part, reason))
-}
-
-/// The answer to a request of which `part` are let begin.
-fn not_run(node: &Node, part: f64, reason: RefusalReason) -> OwnAnswer {
     let jitter = node.random(|random| random.random::<f64>());
-    OwnAnswer::NotRun { reason, retry_after: retry_after(part, jitter) }
+    Err(OwnAnswer::NotRun { reason, retry_after: retry_after(part, jitter) })
 }
--- a/crates/sidecar/src/gate/admission.rs
+++ b/crates/sidecar/src/gate/admission.rs
@@ -3,7 +3,7 @@
 //! The gate of a request's first instance hears from deeper services sooner than the edges that
 //! it answers, and nothing has been done for the request yet.
 
-use olivegate_overload::retry_after::retry_after;
+use olivegate_overload::retry_after::retry_after_level;
 use olivegate_types::{Moment, Refusal, RefusalReason};
 
 use crate::hop::Offer;
@@ -18,7 +18,7 @@
     let level = node.levels.borrow().level(&offer.root.class(), 1, now);
     let rank = offer.root.rank.fraction();
     if rank >= level {
-        return Err(Refusal::new(RefusalReason::AdmissionLevel, retry_after(level, rank)));
+        return Err(Refusal::new(RefusalReason::AdmissionLevel, retry_after_level(level, rank)));
     }
     offer.root.admitted = offer.root.admitted.min(level as f32);
     Ok(())
