--- a/crates/sidecar/src/peers/freshness.rs
+++ b/crates/sidecar/src/peers/freshness.rs
@@ -3,7 +3,8 @@
 //! The machines of a zone are ranked by hash, alike on all nodes. One of them reads the source
 //! and tells the others how recent its reading is; while they hear of recent readings they
 //! don't read. When the readings end, those of lower ranks take over a little earlier than the
-//! others. A reader goes on until it hears of one that ranks before it. What a node of another
+//! others. A reader that stops says no more that it reads, so that another one does before it
+//! ends. A reader goes on until it hears of one that ranks before it. What a node of another
 //! zone knows from a recent reading is as good; but each zone has a reader of its own.
 
 use std::net::IpAddr;
@@ -78,6 +79,12 @@
         self.latest
     }
 
+    /// The latest reading, as this node tells others. One that stops does not tell of its own
+    /// readings any more: others would rely on them until long after its end.
+    pub fn told(&self, is_stopping: bool) -> Option<Reading> {
+        self.latest.filter(|reading| !is_stopping || reading.reader != self.own)
+    }
+
     /// True while this node reads for its zone.
     pub fn is_reader(&self) -> bool {
         self.is_reader
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -77,7 +77,7 @@
 }
 
 fn latest_reading(node: &Node) -> Option<AnnouncedReading> {
-    let latest = node.freshness.borrow().latest()?;
+    let latest = node.freshness.borrow().told(node.stop.is_stopping())?;
     Some(AnnouncedReading { reader: latest.reader, age: Millis::of(clock::now().since(latest.at)) })
 }
 
--- a/crates/sidecar/tests/decisions/freshness.rs
+++ b/crates/sidecar/tests/decisions/freshness.rs
@@ -123,3 +123,28 @@
     freshness.on_announced(reading(zone[0], 0));
     assert!(freshness.should_read(rank, at(1_500)));
 }
+
+/// A reader that stops lives on for some seconds. Another one reads before it ends, without a
+/// gap: it goes on reading, but nobody relies on that.
+#[rstest]
+fn a_reader_that_stops_is_replaced_before_it_ends() {
+    const STOP_TAKES_MS: u64 = 2_000;
+    let zone = zone();
+    let (mut reader, mut other) = (Freshness::new(zone[0]), Freshness::new(zone[1]));
+    reader.set_reader(true);
+    let mut takes_over = None;
+    for millis in (0..3_000 + STOP_TAKES_MS).step_by(50) {
+        reader.on_read(at(millis));
+        assert!(reader.should_read(0, at(millis)), "it goes on");
+        if let Some(told) = reader.told(millis >= 3_000) {
+            other.on_announced(told);
+        }
+        let takes = other.should_read(1, at(millis));
+        takes_over = takes_over.or(takes.then_some(millis));
+    }
+    assert!(takes_over.is_some_and(|millis| (3_000..3_000 + STOP_TAKES_MS).contains(&millis)), "{takes_over:?}");
+    other.on_read(at(6_000));
+    assert_eq!(other.told(false), Some(reading(zone[1], 6_000)));
+    reader.on_announced(reading(zone[1], 6_000));
+    assert_eq!(reader.told(true), Some(reading(zone[1], 6_000)), "the word of others is passed on");
+}
