--- a/crates/sidecar/src/peers/attestation.rs
+++ b/crates/sidecar/src/peers/attestation.rs
@@ -29,7 +29,7 @@
 /// Time that an attestation is believed.
 const VALID_FOR: Duration = Duration::from_secs(3);
 /// A source that has not answered within this time is not reached.
-const SILENT_AFTER: Duration = Duration::from_millis(600);
+const SILENT_AFTER: Duration = Duration::from_millis(400);
 /// Time limit of a connection to the instance.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Attestations that come within this time are passed on together.
--- a/crates/sidecar/src/peers/freshness.rs
+++ b/crates/sidecar/src/peers/freshness.rs
@@ -5,7 +5,8 @@
 //! don't read. When the readings end, those of lower ranks take over a little earlier than the
 //! others. A reader that stops says no more that it reads, so that another one does before it
 //! ends. A reader goes on until it hears of one that ranks before it. What a node of another
-//! zone knows from a recent reading is as good; but each zone has a reader of its own.
+//! zone knows from a recent reading is as good, but the first of each zone does not rely on it:
+//! with one reader a zone, no change waits for a take-over.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 pub struct Freshness {
     own: IpAddr,
     latest: Option<Reading>,
+    /// The latest one of this zone.
+    latest_in_zone: Option<Moment>,
     /// Latest reading of a machine that ranks before this one.
     read_before_own_rank: Option<Moment>,
     is_reader: bool,
@@ -45,12 +48,13 @@
 impl Freshness {
     /// The node on `own`, which knows of no reading yet.
     pub fn new(own: IpAddr) -> Self {
-        Freshness { own, latest: None, read_before_own_rank: None, is_reader: false }
+        Freshness { own, latest: None, latest_in_zone: None, read_before_own_rank: None, is_reader: false }
     }
 
     /// Notes that this node read the source.
     pub fn on_read(&mut self, now: Moment) {
         self.latest = Some(Reading { reader: self.own, at: now });
+        self.latest_in_zone = Some(now);
     }
 
     /// Notes that a node told of a reading of this zone. True when it is news that is to be
@@ -59,6 +63,7 @@
         if ranks_before(reading.reader, self.own) {
             self.read_before_own_rank = self.read_before_own_rank.max(Some(reading.at));
         }
+        self.latest_in_zone = self.latest_in_zone.max(Some(reading.at));
         let is_later = self.latest.is_none_or(|known| reading.at > known.at);
         let is_news = self.latest.is_none_or(|known| reading.at.since(known.at) >= PASSED_ON_AFTER);
         if is_later {
@@ -97,7 +102,8 @@
             return is_over(self.read_before_own_rank, STALE_AFTER);
         }
         let patience = STALE_AFTER + RANK_STEP * rank.min(STEPPED_RANKS);
-        is_over(self.latest.map(|reading| reading.at), patience)
+        let relied_on = if rank == 0 { self.latest_in_zone } else { self.latest.map(|reading| reading.at) };
+        is_over(relied_on, patience)
     }
 
     /// This node reads from now on, or no longer.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -33,7 +33,7 @@
 const REWRITTEN_WITHIN: Duration = Duration::from_millis(2_300);
 /// Time within which the gate of an instance whose entry went away says whether it lives: a
 /// call of the source that is not answered, and the way to all nodes.
-const CONFIRMED_WITHIN: Duration = Duration::from_millis(900);
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(600);
 /// Heartbeats within which an instance that has just started is listed.
 const LISTED_HEARTBEATS: u32 = 2;
 /// Time for which a reported level holds: edges where a class is rare hear of it this seldom.
--- a/crates/sidecar/tests/decisions/freshness.rs
+++ b/crates/sidecar/tests/decisions/freshness.rs
@@ -100,6 +100,22 @@
     assert!(freshness.should_read(2, at(2_100)), "each zone has a reader of its own");
 }
 
+/// So a change does not wait for the take-over when the reader of one zone ends.
+#[rstest]
+fn the_first_of_a_zone_reads_whatever_other_zones_read() {
+    let zone = zone();
+    let elsewhere = IpAddr::V4(Ipv4Addr::new(10, 2, 0, 1));
+    let (mut first, mut second) = (Freshness::new(zone[0]), Freshness::new(zone[1]));
+    for millis in (0..5_000).step_by(250) {
+        first.on_read_elsewhere(reading(elsewhere, millis));
+        second.on_read_elsewhere(reading(elsewhere, millis));
+    }
+    assert!(first.should_read(0, at(5_000)));
+    assert!(!second.should_read(1, at(5_000)));
+    first.on_announced(reading(zone[3], 4_900));
+    assert!(!first.should_read(0, at(5_000)), "its zone has a reader");
+}
+
 #[rstest]
 fn lower_ranks_take_over_first() {
     let zone = zone();
