--- a/crates/sidecar/tests/path/failing.rs
+++ b/crates/sidecar/tests/path/failing.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
+use olivegate_types::InstanceName;
 use rstest::rstest;
 
 use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
@@ -105,3 +106,32 @@
         assert_eq!((failed.head.status, failed.field("x-signature").as_deref()), (500, Some("s-r1")));
     });
 }
+
+/// The gate never gives an instance more than it has slots for, so refusals are no want of room:
+/// with fewer slots in use it would serve less and refuse as often.
+#[rstest]
+fn an_instance_that_refuses_at_random_keeps_its_slots() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(2, "books-1", "books");
+        let refusing = |seen: &Seen, before: usize| {
+            let whole = answer(if before.is_multiple_of(2) { 503 } else { 200 }, &seen.id(), "body");
+            let marked = whole.replacen("\r\n", "\r\nx-not-run: full\r\n", 1);
+            vec![Action::Send(if before.is_multiple_of(2) { marked } else { whole })]
+        };
+        let instance = TestInstance::start(fleet.instance_address(2), refusing).await;
+        let gate = fleet.start(2, "books").await;
+        Fleet::ready(&gate).await;
+        let name = InstanceName::new("books-1");
+        let mut client = Client::connect(fleet.outbound(2)).await;
+        client.ask(&get("/safe/", "first")).await;
+        let before = gate.gate.status(&name);
+        for number in 0..REQUESTS {
+            client.ask(&get("/safe/", &format!("r{number}"))).await;
+        }
+        assert!(instance.runs() > REQUESTS / 2);
+        assert_eq!(gate.gate.status(&name), before);
+        assert!(before.ends_with("limit=3"), "{before}");
+    });
+}
