Keys, revocation and quotas: tenants in the model, proof of the configuration, counts told to zone collectors

Cause: tenants, API keys, revocation and quotas of the shifted deployment were unknown to the sidecar: the key reached instances, unknown and withdrawn keys ran, quotas were not kept. Ruled out: telling calls by lineage to let keyless requests in (ids, deadlines and connections can be forged; a trial shows that calls take public routes only); one-way announcements as proof (a paused receiver reads an old datagram as news); a watch's end as proof (a source may leave a watch deaf). Change: crate authentication (key table by keyed digest, proof of a configuration's age, decision), crate quota (ledgers, collectors, buckets, fixed parts), sidecar's access part, peer questions that carry the asker's own time, readings of the configuration by the zones' readers. A tenant's priority goes before its route's.

--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -281,8 +281,12 @@
             })
             .collect();
         routes.push(route(&self.host, &Self::version_path(version), &self.spec.services[0].name, true));
-        let configuration =
-            Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default() };
+        let configuration = Configuration {
+            version: ConfigurationVersion(version),
+            routes,
+            limits: ClientLimits::default(),
+            tenants: Vec::new(),
+        };
         records::put_configuration(&self.store, &configuration);
         self.version.set(version);
         let now_s = self.now_s();
@@ -346,5 +350,6 @@
         target_latency: Millis(800),
         priority: if is_repeatable { 2 } else { 0 },
         attempts: ATTEMPTS,
+        is_public: false,
     }
 }
--- a/crates/checked/src/lib.rs
+++ b/crates/checked/src/lib.rs
@@ -171,6 +171,11 @@
         self.wrong(field, &format!("expected a number from {} to {}", range.start(), range.end()))
     }
 
+    /// Number within `range`, if it is there.
+    pub fn opt_number(&mut self, field: &str, range: std::ops::RangeInclusive<f64>) -> Option<f64> {
+        if self.has(field) { Some(self.number_or(field, *range.start(), range)) } else { None }
+    }
+
     /// Optional truth value.
     pub fn boolean_or(&mut self, field: &str, default: bool) -> bool {
         match self.take(field) {
--- a/crates/olivegate/tests/sidecar.rs
+++ b/crates/olivegate/tests/sidecar.rs
@@ -51,10 +51,12 @@
                 target_latency: Millis(1_000),
                 priority: 0,
                 attempts: 1,
+                is_public: false,
             };
             let limits = ClientLimits::default();
             let version = ConfigurationVersion(1);
-            records::put_configuration(&store, &Configuration { version, routes: vec![route], limits });
+            let configuration = Configuration { version, routes: vec![route], limits, tenants: Vec::new() };
+            records::put_configuration(&store, &configuration);
             records::put_instance(&store, &instance, 1);
             sender.send(store.open().await.unwrap().address).unwrap();
             std::future::pending::<()>().await;
--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -17,7 +17,7 @@
 pub mod copy;
 pub mod hold;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -149,6 +149,11 @@
         in_zone.map(|(ip, _)| *ip).collect()
     }
 
+    /// Zones that have machines.
+    pub fn zones(&self) -> BTreeSet<&ZoneName> {
+        self.machines.values().map(|machine| &machine.zone).collect()
+    }
+
     fn note_machine(&mut self, instance: &Instance, now: Moment) {
         let machine = Machine { zone: instance.zone.clone(), seen: now };
         self.machines.insert(instance.address.ip(), machine);
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use olivegate_authentication::Tenant;
 use olivegate_http1::RequestHead;
 use olivegate_routing::balance::{Candidate, Health, Observation};
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
 use crate::edge::admission;
+use crate::edge::entrance;
 use crate::edge::attempts::{Attempts, Next};
 use crate::edge::intake::TakenRequest;
 use crate::edge::outcome::{CancelLog, Outcome, log_answer, log_failed_attempt, log_offer, log_own_answer};
@@ -106,18 +108,48 @@
     let route = request.route.clone();
     outcome.route = Some(route.clone());
     outcome.deadline = arrived + request.sender_time;
-    let arriving = Arriving { id: &request.id, route: &route.name, deadline: outcome.deadline };
+    let key = taken.head.fields.get(node.vocabulary.credential).cloned();
+    let arriving = Arriving {
+        id: &request.id,
+        route: &route.name,
+        deadline: outcome.deadline,
+        is_keyed: key.is_some() && node.access.has_tenants(),
+    };
     outcome.origin = node.lineage.borrow_mut().classify(arriving, connection, arrived);
+    outcome.tenant = entrance::tenant_of(node, key.as_deref(), &route, arrived)?;
+    let place = entrance::take_place(node, outcome.tenant.as_deref(), arrived)?;
+    let result = begin(node, taken, request, arrived, outcome).await;
+    if let (Some(place), Err(OwnAnswer::NotRun { .. })) = (place, &result) {
+        node.access.give_back(place, clock::now());
+    }
+    result
+}
+
+/// Lets a request begin and carries it through.
+async fn begin(
+    node: &Rc<Node>,
+    taken: TakenRequest,
+    request: CheckedRequest,
+    arrived: Moment,
+    outcome: &mut Outcome,
+) -> Result<Answer, OwnAnswer> {
+    let route = request.route.clone();
+    let tenant = outcome.tenant.as_deref();
     let lineage = match outcome.origin {
-        Origin::Client => RequestLineage::of_client(admission::admit(node, &route, arrived)?),
+        Origin::Client => {
+            let priority = tenant.and_then(|tenant| tenant.priority);
+            RequestLineage::of_client(admission::admit(node, &route, priority, arrived)?)
+        }
         Origin::Call(parent) => RequestLineage::of_call(node, &route, parent),
     };
-    dispatch(node, taken, request, lineage, arrived, &mut outcome.trail).await
+    let head = forwarded_head(node, taken.head, tenant);
+    dispatch(node, head, taken.body, request, lineage, arrived, &mut outcome.trail).await
 }
 
 async fn dispatch(
     node: &Rc<Node>,
-    taken: TakenRequest,
+    head: RequestHead,
+    body: Body,
     request: CheckedRequest,
     lineage: RequestLineage,
     arrived: Moment,
@@ -126,9 +158,8 @@
     let dealt = node.dealer.borrow_mut().deal(&request.route);
     let service = dealt.ok_or(OwnAnswer::Rejected { status: 404, reason: "no-service" })?;
     let deadline = arrived + request.time;
-    let head = forwarded_head(node, taken.head);
-    let body_bytes = taken.body.held_bytes();
-    let (whole_body, streamed) = match taken.body {
+    let body_bytes = body.held_bytes();
+    let (whole_body, streamed) = match body {
         Body::Whole(bytes) => (bytes, None),
         Body::Stream(pieces, length) => (Bytes::new(), Some((pieces, length))),
     };
@@ -159,14 +190,20 @@
     result
 }
 
-/// The head as every instance is to get it.
-fn forwarded_head(node: &Node, mut head: RequestHead) -> RequestHead {
+/// The head as every instance is to get it: without the client's key, and with the name of the
+/// tenant that holds it, whatever the client wrote there.
+fn forwarded_head(node: &Node, mut head: RequestHead, tenant: Option<&Tenant>) -> RequestHead {
     head.fields.remove_connection_fields();
     head.fields.remove("expect");
     let caller = node.settings().service.clone();
     head.fields.set(node.vocabulary.caller_service, Bytes::copy_from_slice(caller.as_str().as_bytes()));
     head.fields.remove(node.vocabulary.expected_instance);
     head.fields.remove(node.vocabulary.time_left_ms);
+    head.fields.remove(node.vocabulary.credential);
+    head.fields.remove(node.vocabulary.tenant);
+    if let Some(tenant) = tenant {
+        head.fields.set(node.vocabulary.tenant, Bytes::copy_from_slice(tenant.name.as_str().as_bytes()));
+    }
     head
 }
 
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! - [`intake`]: a request from the pieces of its message.
 //! - [`request`]: what the headers of a request say.
 //! - [`request_lineage`]: what a request hands down to its calls.
+//! - [`entrance`]: whose a request is, and whether its tenant has room for it.
 //! - [`admission`]: which requests may begin.
 //! - [`dispatch`]: route, instance, attempts, answer.
 //! - [`attempts`]: what follows an attempt without an answer.
@@ -15,6 +16,7 @@
 pub mod attempts;
 pub mod connection;
 pub mod dispatch;
+pub mod entrance;
 pub mod hop_pool;
 pub mod intake;
 pub mod outcome;
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_authentication::Tenant;
 use olivegate_types::Moment;
 
 use crate::edge::own_answer::OwnAnswer;
@@ -20,6 +21,8 @@
     pub route: Option<Rc<Route>>,
     /// Where it came from.
     pub origin: Origin,
+    /// The tenant that makes it, if one does.
+    pub tenant: Option<Rc<Tenant>>,
     /// When its sender gives it up.
     pub deadline: Moment,
     /// What became of each attempt.
@@ -29,37 +32,55 @@
 impl Outcome {
     /// Nothing is known of the request but when it arrived.
     pub fn begin(arrived: Moment) -> Self {
-        Outcome { route: None, origin: Origin::Client, deadline: arrived, trail: String::new() }
+        Outcome { route: None, origin: Origin::Client, tenant: None, deadline: arrived, trail: String::new() }
     }
 
     /// Name of its route, for log lines and metrics.
     pub fn route_name(&self) -> &str {
         self.route.as_ref().map_or("none", |route| route.name.as_str())
     }
+
+    /// Name of its tenant, for log lines.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("none", |tenant| tenant.name.as_str())
+    }
+}
+
+/// Age in milliseconds of what is proven of the configuration, for log lines.
+fn proof_age(node: &Node) -> String {
+    node.access.proof_age(clock::now()).map_or_else(|| "none".into(), |age| age.as_millis().to_string())
 }
 
 /// Logs an answer that the node gives itself.
 pub fn log_own_answer(node: &Node, id: &[u8], outcome: &Outcome, own: OwnAnswer, elapsed: Duration) {
     let class = match own {
-        OwnAnswer::NotRun { .. } | OwnAnswer::Rejected { .. } => LineClass::Refusal,
+        OwnAnswer::NotRun { .. } | OwnAnswer::OverQuota { .. } | OwnAnswer::Rejected { .. } => LineClass::Refusal,
         _ => LineClass::Failure,
     };
     if !node.may_log(class, id) {
         return;
     }
     log::info!(
-        "event=own_answer request={} route={} origin={} status={} reason={} version={} after_ms={} attempts={:?}",
+        "event=own_answer request={} route={} tenant={} origin={} status={} reason={} version={} proof_ms={} \
+         after_ms={} attempts={:?}",
         shown(id),
         outcome.route_name(),
+        outcome.tenant_name(),
         outcome.origin.as_str(),
         own.status(),
         own.reason(),
         node.known_state().configuration,
+        proof_age(node),
         elapsed.as_millis(),
         outcome.trail,
     );
 }
 
+/// Age in milliseconds of a gate's last report, for log lines; none where it never reported.
+fn report_age(age: Duration) -> String {
+    if age == Duration::MAX { "none".into() } else { age.as_millis().to_string() }
+}
+
 /// Logs to which instance a request is offered, and what decided it.
 pub fn log_offer(node: &Node, request: &CheckedRequest, instance: &Instance, deadline: Moment) {
     if !node.may_log(LineClass::Routine, &request.id) {
@@ -74,7 +95,7 @@
         instance.name,
         instance.zone,
         occupancy.occupancy,
-        occupancy.age.as_millis(),
+        report_age(occupancy.age),
         deadline.since(now).as_millis(),
     );
 }
@@ -128,9 +149,10 @@
     let class = if answer.head.status < 500 { LineClass::Routine } else { LineClass::Failure };
     if node.may_log(class, id) {
         log::info!(
-            "event=answered request={} route={} origin={} status={} fault={} after_ms={} attempts={:?}",
+            "event=answered request={} route={} tenant={} origin={} status={} fault={} after_ms={} attempts={:?}",
             shown(id),
             outcome.route_name(),
+            outcome.tenant_name(),
             outcome.origin.as_str(),
             answer.head.status,
             answer.fault.as_str(),
--- a/crates/sidecar/src/edge/own_answer.rs
+++ b/crates/sidecar/src/edge/own_answer.rs
@@ -10,6 +10,9 @@
 use crate::reply::{Answer, AnswerFault, Body};
 use crate::vocabulary::Vocabulary;
 
+/// Status of a request without a key that is known.
+pub const UNAUTHORIZED: u16 = 401;
+
 /// Why the node answers itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum OwnAnswer {
@@ -27,6 +30,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// Its tenant has used up its quota; it was not run and never will be.
+    OverQuota {
+        /// When the tenant has room again.
+        retry_after: Duration,
+    },
     /// It may have run; the answer can't be had.
     Unknown,
     /// No answer in time; it may have run.
@@ -50,6 +58,7 @@
         match self {
             OwnAnswer::Rejected { status, .. } => status,
             OwnAnswer::NotRun { .. } => 503,
+            OwnAnswer::OverQuota { .. } => 429,
             OwnAnswer::Unknown => 502,
             OwnAnswer::TimedOut => 504,
         }
@@ -60,6 +69,7 @@
         match self {
             OwnAnswer::Rejected { reason, .. } => reason,
             OwnAnswer::NotRun { reason, .. } => reason.as_str(),
+            OwnAnswer::OverQuota { .. } => "over-quota",
             OwnAnswer::Unknown => "unknown",
             OwnAnswer::TimedOut => "timed-out",
         }
@@ -78,9 +88,12 @@
         if let Some(id) = request_id {
             fields.add(vocabulary.request_id, id.clone());
         }
-        if let OwnAnswer::NotRun { retry_after, .. } = self {
+        if let OwnAnswer::NotRun { retry_after, .. } | OwnAnswer::OverQuota { retry_after } = self {
             fields.add(vocabulary.retry_after, format!("{:.2}", retry_after.as_secs_f64()));
         }
+        if self.status() == UNAUTHORIZED {
+            fields.add("WWW-Authenticate", "ApiKey");
+        }
         fields.add("Content-Type", "text/plain");
         let fault = if self.is_for_want_of_capacity() { AnswerFault::Capacity } else { AnswerFault::None };
         let body = format!("{}\n", self.reason());
--- a/crates/sidecar/src/edge/request_lineage.rs
+++ b/crates/sidecar/src/edge/request_lineage.rs
@@ -3,8 +3,8 @@
 use olivegate_types::SheddingRank;
 use rand::RngExt;
 
-use crate::gate::importance_of_priority;
 use crate::hop::Root;
+use crate::importance::importance_of;
 use crate::lineage::Parent;
 use crate::model::Route;
 use crate::state::Node;
@@ -21,11 +21,12 @@
 }
 
 impl Root {
-    /// A request of `route` of whose kind the part `admitted` is let begin; draws its rank.
-    pub fn new(node: &Node, route: &Route, admitted: f64) -> Self {
+    /// A request of `route` of whose kind the part `admitted` is let begin, made by a tenant with
+    /// this priority, if by any; draws its rank.
+    pub fn new(node: &Node, route: &Route, tenant_priority: Option<u32>, admitted: f64) -> Self {
         Root {
             route: route.name.clone(),
-            importance: importance_of_priority(route.priority),
+            importance: importance_of(tenant_priority, route.priority),
             rank: SheddingRank(node.random(|random| random.random())),
             admitted: admitted as f32,
         }
@@ -46,7 +47,7 @@
             Some(request) => {
                 RequestLineage { root: request.root.clone(), hop: request.hop.saturating_add(1), inherited }
             }
-            None => RequestLineage { root: Root::new(node, route, 1.0), hop: 1, inherited },
+            None => RequestLineage { root: Root::new(node, route, None, 1.0), hop: 1, inherited },
         }
     }
 }
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -13,13 +13,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_types::Moment;
 use rand::RngExt;
 
-use crate::model::Revision;
+use crate::model::{ConfigurationVersion, Revision};
 use crate::source::{Change, Changes, Snapshot, Source, SourceError};
 use crate::state::Node;
 use olivegate_clock as clock;
 
+/// Age of the proof from which on the configuration is read, as a part of the age up to which
+/// keys count: a reading may be missed, and other nodes hear of it later.
+const PROVED_PART: f64 = 0.16;
 /// Time limit of a call, beyond the wait for changes.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 /// First pause after a failed call; it doubles with each further one.
@@ -84,6 +88,9 @@
         source.probe(CALL_LIMIT).await?;
         count(node, "probed");
     }
+    if wants_proof(node) {
+        prove_configuration(node, source).await?;
+    }
     let known = node.known_state().directory;
     if known == Revision::default() {
         return read_everything(node, source).await;
@@ -108,13 +115,45 @@
 }
 
 async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+    let began = clock::now();
     let snapshot = source.snapshot(CALL_LIMIT).await?;
     note_answered(node);
+    let seen = snapshot.configuration.as_ref().map(|configuration| configuration.version);
     take_snapshot(node, snapshot);
+    note_proof(node, seen, began);
     note_reading(node);
     Ok(())
 }
 
+/// True where keys count only while the configuration is proven to be young, and the proof ages.
+fn wants_proof(node: &Node) -> bool {
+    let Some(within) = node.settings().bounds.keys_proven_within else { return false };
+    let is_old = |age: Duration| age >= within.mul_f64(PROVED_PART);
+    node.access.has_tenants() && node.access.proof_age(clock::now()).is_none_or(is_old)
+}
+
+/// Reads the configuration alone, which proves how old what is known of keys may be at most. The
+/// end of a wait for changes proves nothing: it may not have heard of a change.
+async fn prove_configuration<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+    let began = clock::now();
+    let configuration = source.configuration(CALL_LIMIT).await?;
+    count(node, "proved");
+    let seen = configuration.as_ref().map(|configuration| configuration.version);
+    if let Some(configuration) = configuration {
+        node.accept_configuration(configuration, "source");
+    }
+    note_proof(node, seen, began);
+    Ok(())
+}
+
+/// A reading that began at `began` showed the version `seen`. One that was not taken over proves
+/// nothing: it may have withdrawn keys.
+fn note_proof(node: &Node, seen: Option<ConfigurationVersion>, began: Moment) {
+    if seen.is_some_and(|seen| seen <= node.known_state().configuration) {
+        node.access.on_proven(began);
+    }
+}
+
 /// Takes over a snapshot; an own state that is newer stays.
 fn take_snapshot(node: &Node, snapshot: Snapshot) {
     if let Some(configuration) = snapshot.configuration {
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -11,7 +11,9 @@
 
 use rand::RngExt;
 
-use super::{CALL_LIMIT, FAILURES_TO_BE_AWAY, count, note_answered, note_reading, should_read};
+use super::{
+    CALL_LIMIT, FAILURES_TO_BE_AWAY, count, note_answered, note_reading, prove_configuration, should_read, wants_proof,
+};
 use crate::model::Revision;
 use crate::source::{Changes, Source, SourceError};
 use crate::state::Node;
@@ -60,7 +62,7 @@
         if !should_read(node) {
             return Err(Ended::NotNeeded);
         }
-        match source.probe(CALL_LIMIT).await {
+        match probe(node, source).await {
             Ok(()) => {
                 failures = 0;
                 count(node, "probed");
@@ -76,3 +78,12 @@
         }
     }
 }
+
+/// Asks whether the source answers: by a reading of the configuration where the proof of it has
+/// aged, else by the cheapest call.
+async fn probe<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+    if wants_proof(node) {
+        return prove_configuration(node, source).await;
+    }
+    source.probe(CALL_LIMIT).await
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -27,7 +27,7 @@
 use std::time::Duration;
 
 use olivegate_overload::{Demand, Pace};
-use olivegate_types::{GroupName, Importance, InstanceName, Moment, Refusal, RefusalReason};
+use olivegate_types::{GroupName, InstanceName, Moment, Refusal, RefusalReason};
 
 use crate::directory::Standing;
 use crate::event::{LineClass, shown};
@@ -266,11 +266,6 @@
     }
 }
 
-/// Importance of a request by its route's priority, 0 being the most urgent.
-pub fn importance_of_priority(priority: u32) -> Importance {
-    Importance(Importance::PROTECTED.0.saturating_sub(u8::try_from(priority).unwrap_or(u8::MAX)))
-}
-
 /// The instance beside this node that took the place of `meant`.
 fn successor_of(node: &Node, meant: &InstanceName) -> Option<Box<Instance>> {
     let settings = node.settings();
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,10 +8,13 @@
 //! - [`model`]: configuration and instances as the product knows them.
 //! - [`routes`]: which route a request takes, and which part of a weighted route.
 //! - [`directory`]: the instances that are known, and when one is no longer believed.
+//! - [`importance`]: how important a request is.
 //! - [`lineage`]: which requests are calls of the instance beside the node.
 //! - [`edge::attempts`]: what follows when an attempt did not give an answer.
 //! - [`peers::freshness`]: which nodes read the source, and when another takes over.
 //!
+//! - [`access`]: who may make requests, and how many.
+//!
 //! I/O:
 //! - [`source`]: the port through which configuration and instances are read.
 //! - [`follow`]: reads the source, lists first and changes afterwards.
@@ -24,6 +27,7 @@
 //! - [`status_port`]: readiness and metrics.
 //! - [`app`]: puts all this together; start, reload and stop.
 
+pub mod access;
 pub mod app;
 pub mod connection_limit;
 pub mod directory;
@@ -33,6 +37,7 @@
 pub mod follow;
 pub mod gate;
 pub mod hop;
+pub mod importance;
 pub mod lateness;
 pub mod lineage;
 pub mod metrics;
--- a/crates/sidecar/src/lineage/evidence.rs
+++ b/crates/sidecar/src/lineage/evidence.rs
@@ -28,6 +28,8 @@
     Possible,
     /// It outlasts every running request: a call never does.
     Impossible,
+    /// It carries a key: calls carry none.
+    Keyed,
 }
 
 /// Whose connection it is.
@@ -56,6 +58,7 @@
             Sign::SameDeadline => SAME_DEADLINE_POINTS,
             Sign::Possible => POSSIBLE_POINTS,
             Sign::Impossible => IMPOSSIBLE_POINTS,
+            Sign::Keyed => -2 * MOST_POINTS,
         };
         self.points = (self.points + points).clamp(-MOST_POINTS, MOST_POINTS);
     }
--- a/crates/sidecar/src/lineage/mod.rs
+++ b/crates/sidecar/src/lineage/mod.rs
@@ -10,6 +10,7 @@
 //!   for its neighbours.
 //! - where callers extend their parent's id, the id names the parent. Ids are written by
 //!   clients as well, so this counts only where connection and route agree.
+//! - a key is a client's: calls carry none.
 //! - a route whose requests came by the instance's connections so far is one of calls.
 //!
 //! The parent is then *sure* (named by the id), *probable* (the only running request that
@@ -127,6 +128,8 @@
     pub route: &'a str,
     /// When its sender gives it up.
     pub deadline: Moment,
+    /// True when it carries a key.
+    pub is_keyed: bool,
 }
 
 /// A failed call whose parent is unknown.
@@ -206,6 +209,9 @@
     }
 
     fn sign(&self, arriving: Arriving<'_>, nested: Option<RunningKey>) -> Sign {
+        if arriving.is_keyed {
+            return Sign::Keyed;
+        }
         if nested.is_some() {
             return Sign::NestedId;
         }
@@ -245,7 +251,7 @@
         let route = self.routes.get(arriving.route);
         let is_call_route = route.is_some_and(|route| route.is_call_route());
         let is_call = match (standing, sign) {
-            (Standing::Client, _) => false,
+            (Standing::Client, _) | (_, Sign::Keyed) => false,
             (Standing::Instance, Sign::NestedId | Sign::SameDeadline) => true,
             (Standing::Unsettled, Sign::NestedId) => is_call_route || route.is_none(),
             (Standing::Unsettled, _) if self.nesting >= NESTING_IN_USE => false,
@@ -260,8 +266,8 @@
 
     fn learn(&mut self, route: &str, standing: Standing, sign: Sign) {
         let is_call = match (standing, sign) {
+            (Standing::Client, _) | (_, Sign::Keyed) => false,
             (Standing::Instance, _) | (Standing::Unsettled, Sign::NestedId) => true,
-            (Standing::Client, _) => false,
             (Standing::Unsettled, _) if self.nesting >= NESTING_IN_USE => false,
             (Standing::Unsettled, _) => return,
         };
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use olivegate_authentication::Tenant;
 use olivegate_types::{InstanceName, ServiceName, ZoneName};
 
 /// A version of the configuration; later ones are larger.
@@ -82,6 +83,8 @@
     pub priority: u32,
     /// Most instances that one request is sent to.
     pub attempts: u32,
+    /// True when its requests need no key.
+    pub is_public: bool,
 }
 
 /// What clients may send.
@@ -109,7 +112,7 @@
 }
 
 /// One version of the configuration, whole.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Configuration {
     /// Version.
     pub version: ConfigurationVersion,
@@ -117,6 +120,8 @@
     pub routes: Vec<Route>,
     /// Limits of clients.
     pub limits: ClientLimits,
+    /// Tenants; none where requests need no keys.
+    pub tenants: Vec<Tenant>,
 }
 
 /// Whether an instance takes new requests.
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! everywhere within some round trips, and a node that the source does not answer learns
 //! from those that it does.
 
+pub mod access;
 pub mod attestation;
 pub mod freshness;
 pub mod relay;
@@ -17,6 +18,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use futures::{SinkExt, StreamExt};
+use olivegate_quota::UsageReport;
 use olivegate_types::ZoneName;
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
@@ -39,15 +41,21 @@
 /// Time limit of a fetch.
 const FETCH_LIMIT: Duration = Duration::from_millis(600);
 /// Largest datagram in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+const MAX_DATAGRAM: usize = 4_096;
 
 /// What a node tells others by UDP.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum PeerMessage {
     /// What it knows.
     Announcement(Announcement),
     /// Instances that live although the source does not list them.
     Attestations(Vec<Attestation>),
+    /// What a node wants to know of keys and quotas.
+    Question(access::Question),
+    /// The answer to it.
+    Told(access::Told),
+    /// What a collector has counted in its zone.
+    ZoneUsage(UsageReport),
 }
 
 /// How much a node knows, and how recent that is.
@@ -101,6 +109,8 @@
     tokio::task::spawn_local(announce_changes(node.clone(), socket.clone()));
     tokio::task::spawn_local(announce_readings(node.clone(), socket.clone()));
     tokio::task::spawn_local(attestation::pass_on(node.clone(), socket.clone()));
+    let asking: Rc<access::Asking> = Rc::default();
+    tokio::task::spawn_local(access::run(node.clone(), socket.clone(), asking.clone()));
     let mut buffer = [0; MAX_DATAGRAM];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
@@ -109,6 +119,9 @@
         };
         match borsh::from_slice::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Attestations(attestations)) => attestation::take(&node, attestations),
+            Ok(PeerMessage::Question(question)) => access::answer(&node, &socket, &question, sender).await,
+            Ok(PeerMessage::Told(told)) => access::on_told(&node, &asking, &told, sender),
+            Ok(PeerMessage::ZoneUsage(usage)) => access::on_zone_usage(&node, &usage, sender),
             Ok(PeerMessage::Announcement(announcement)) => {
                 if on_reading(&node, &announcement) {
                     announce(&node, &socket, Audience::Children).await;
@@ -254,10 +267,12 @@
 }
 
 async fn send(node: &Node, socket: &UdpSocket, to: Audience, message: &PeerMessage) {
-    let settings = node.settings();
-    let datagram = hop::encode(message);
     for machine in audience(node, to) {
-        // A datagram that can't be sent is lost like any other; the next one follows.
-        let _ = socket.send_to(&datagram, settings.peers_of(machine)).await;
+        send_to(node, socket, machine, message).await;
     }
 }
+
+async fn send_to(node: &Node, socket: &UdpSocket, machine: IpAddr, message: &PeerMessage) {
+    // A datagram that can't be sent is lost like any other; the next one follows.
+    let _ = socket.send_to(&hop::encode(message), node.settings().peers_of(machine)).await;
+}
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use olivegate_checked::{Mistakes, Reader};
+use olivegate_quota::Tolerance;
 use olivegate_types::{NodeName, ServiceName, ZoneName};
 
 /// Addresses that the node listens on.
@@ -39,6 +40,11 @@
     pub repeat_slack: f64,
     /// Window of the repeats.
     pub repeat_window: Duration,
+    /// A key counts only while the configuration that holds it is proven to be younger than this;
+    /// without a bound, until a newer configuration is known.
+    pub keys_proven_within: Option<Duration>,
+    /// By how much all nodes together may be off the quota of a tenant.
+    pub quota: Tolerance,
 }
 
 /// Descriptors kept for files, the source, readiness and the instance.
@@ -196,5 +202,13 @@
         repeat_ratio: reader.number_or("repeat_ratio", 0.2, 0.0..=10.0),
         repeat_slack: reader.number_or("repeat_slack", 20.0, 0.0..=1_000_000.0),
         repeat_window: read_seconds(reader, "repeat_window_s", 10.0),
+        keys_proven_within: reader
+            .opt_number("keys_proven_within_ms", 100.0..=3_600_000.0)
+            .map(|millis| Duration::from_secs_f64(millis / 1_000.0)),
+        quota: Tolerance {
+            window: read_seconds(reader, "quota_window_s", 5.0),
+            overshoot: reader.number_or("quota_overshoot", 0.25, 0.0..=10.0),
+            slack: reader.number_or("quota_slack", 20.0, 0.0..=1_000_000.0),
+        },
     }
 }
--- a/crates/sidecar/src/source.rs
+++ b/crates/sidecar/src/source.rs
@@ -28,7 +28,7 @@
 }
 
 /// Everything that the source holds.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Snapshot {
     /// The newest configuration, if there is one that can be read.
     pub configuration: Option<Configuration>,
@@ -46,7 +46,7 @@
 }
 
 /// One change.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Change {
     /// A configuration was written.
     Configuration(Configuration),
@@ -73,7 +73,7 @@
 }
 
 /// Changes in their order.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Changes {
     /// The changes.
     pub changes: Vec<Change>,
@@ -122,6 +122,10 @@
     /// Reads everything, as it is now. `limit` bounds the time of each call.
     fn snapshot(&self, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
 
+    /// Reads the newest configuration alone, as the source holds it when it is asked; `None` when
+    /// there is none that can be read.
+    fn configuration(&self, limit: Duration) -> impl Future<Output = Result<Option<Configuration>, SourceError>>;
+
     /// Waits up to `wait` for changes after `revision`; none when there were none.
     /// `limit` bounds the time of the call beyond `wait`.
     fn changes(
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_authentication::key_table::HashSecret;
 use olivegate_overload::{LevelTable, ProcessPressure};
 use olivegate_routing::balance::Balancer;
 use olivegate_types::Moment;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::access::Access;
 use crate::directory::Directory;
 use crate::directory::hold::HoldPolicy;
 use crate::edge::hop_pool::HopPool;
@@ -63,6 +65,8 @@
     pub knowledge: RefCell<Knowledge>,
     /// Told when configuration or directory changed.
     pub knowledge_changed: Notify,
+    /// Keys and quotas.
+    pub access: Access,
     /// Observations of instances.
     pub balancer: RefCell<Balancer>,
     /// Deals weighted routes.
@@ -113,6 +117,7 @@
             vocabulary,
             knowledge: RefCell::new(knowledge),
             knowledge_changed: Notify::new(),
+            access: Access::new(HashSecret(rand::rng().random()), rand::rng().random()),
             balancer: RefCell::default(),
             dealer: RefCell::default(),
             levels: RefCell::new(LevelTable::with_hold(LEVEL_HOLD)),
@@ -161,10 +166,19 @@
         if configuration.version <= current {
             return false;
         }
+        if let Err(error) = self.access.accept(&configuration.tenants, &self.settings().bounds) {
+            log::error!(
+                "event=configuration_rejected version={} in_force={current} from={from} error={:?}",
+                configuration.version,
+                error.to_string(),
+            );
+            return false;
+        }
         log::info!(
-            "event=configuration_in_force version={} before={current} from={from} routes={}",
+            "event=configuration_in_force version={} before={current} from={from} routes={} tenants={}",
             configuration.version,
             configuration.routes.len(),
+            configuration.tenants.len(),
         );
         self.metrics.set_state("configuration_version", configuration.version.0);
         self.dealer.borrow_mut().retain(&configuration);
--- a/crates/sidecar/src/vocabulary.rs
+++ b/crates/sidecar/src/vocabulary.rs
@@ -15,6 +15,10 @@
     pub not_run: &'static str,
     /// Service on whose machine the request began.
     pub caller_service: &'static str,
+    /// Key by which a client shows whose it is; goes no further than the edge.
+    pub credential: &'static str,
+    /// Tenant that holds the client's key, as instances are told.
+    pub tenant: &'static str,
     /// Marks an answer as an instance's own.
     pub signature: &'static str,
     /// When to come back, in seconds.
--- a/crates/sidecar/tests/decisions/lineage.rs
+++ b/crates/sidecar/tests/decisions/lineage.rs
@@ -26,7 +26,7 @@
 }
 
 fn arriving<'a>(id: &'a str, route: &'a str, deadline: u64) -> Arriving<'a> {
-    Arriving { id: id.as_bytes(), route, deadline: at(deadline) }
+    Arriving { id: id.as_bytes(), route, deadline: at(deadline), is_keyed: false }
 }
 
 /// How the emulated callers write ids.
--- a/crates/sidecar/tests/decisions/routes.rs
+++ b/crates/sidecar/tests/decisions/routes.rs
@@ -21,11 +21,12 @@
         target_latency: Millis(100),
         priority: 0,
         attempts: 1,
+        is_public: false,
     }
 }
 
 fn table(routes: Vec<Route>) -> RouteTable {
-    RouteTable::new(&Configuration { version: ConfigurationVersion(1), routes, limits: ClientLimits::default() })
+    RouteTable::new(&Configuration { version: ConfigurationVersion(1), routes, limits: ClientLimits::default(), tenants: Vec::new() })
 }
 
 #[rstest]
--- a/crates/sidecar/tests/path/calls.rs
+++ b/crates/sidecar/tests/path/calls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use olivegate_clock as clock;
-use olivegate_sidecar::gate::importance_of_priority;
+use olivegate_sidecar::importance::importance_of;
 use olivegate_sidecar::hop::class_of;
 use olivegate_sidecar::model::RepeatSafety::Safe;
 use olivegate_sidecar::state::Node;
@@ -21,7 +21,7 @@
 
 /// Makes `node` believe that the services further down have room for nothing of a route.
 fn close_level(node: &Node, route_name: &str) {
-    let class = class_of(route_name, importance_of_priority(1));
+    let class = class_of(route_name, importance_of(None, 1));
     let mut levels = node.levels.borrow_mut();
     for _ in 0..50 {
         levels.on_report(&class, &ServiceName::new("deep"), 1, 0.0, clock::now());
--- /dev/null
+++ b/crates/sidecar/tests/path/keys.rs
@@ -0,0 +1,194 @@
+//! Keys: whose a request is, what instances are told, and until when a key counts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_authentication::Tenant;
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use olivegate_sidecar::model::{Configuration, Route};
+use olivegate_sidecar::state::Node;
+use rstest::rstest;
+
+use crate::support::{
+    Action, Client, Fault, Fleet, Seen, TestInstance, answer, call, configuration, eventually, get, keyed, route, run,
+    tenant,
+};
+
+const PROVEN_WITHIN: Duration = Duration::from_millis(3_000);
+
+fn public(path: &str) -> Route {
+    Route { is_public: true, ..route(path, "books", Safe) }
+}
+
+fn keyed_configuration(version: u64, tenants: Vec<Tenant>) -> Configuration {
+    let routes = vec![route("/safe/", "books", Safe), public("/open/")];
+    Configuration { tenants, ..configuration(version, routes) }
+}
+
+async fn started(fleet: &Fleet) -> (Rc<Node>, TestInstance) {
+    fleet.source.configure(keyed_configuration(1, vec![tenant("left", &["one"]), tenant("right", &["two"])]));
+    fleet.list(1, "books-1", "books");
+    let script = |seen: &Seen, _| match seen.id().as_str() {
+        "slow" => vec![Action::Sleep(400), Action::Send(answer(200, "slow", "ok"))],
+        id => vec![Action::Send(answer(200, id, "ok"))],
+    };
+    let instance = TestInstance::start(fleet.instance_address(1), script).await;
+    let node = fleet.start(1, "books").await;
+    Fleet::ready(&node).await;
+    (node, instance)
+}
+
+async fn status(fleet: &Fleet, machine: u8, request: &str) -> u16 {
+    Client::connect(fleet.outbound(machine)).await.ask(request).await.head.status
+}
+
+#[rstest]
+fn instances_are_told_the_tenant_and_never_the_key() {
+    run(async {
+        let fleet = Fleet::new();
+        let (_node, instance) = started(&fleet).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "two")).await, 200);
+        assert_eq!(status(&fleet, 1, &get("/open/", "b").replace("x-id", "x-tenant: forged\r\nx-id")).await, 200);
+        let seen = instance.seen.borrow();
+        assert_eq!((seen[0].field("x-tenant").as_str(), seen[0].field("x-key").as_str()), ("right", ""));
+        assert_eq!(seen[1].field("x-tenant"), "", "a name that the client wrote itself");
+    });
+}
+
+#[rstest]
+#[case::unknown(keyed("/safe/", "a", "three"))]
+#[case::missing(get("/safe/", "a"))]
+#[case::unknown_on_a_public_route(keyed("/open/", "a", "three"))]
+#[case::as_long_as_a_page(keyed("/safe/", "a", &"x".repeat(4_000)))]
+fn without_a_key_that_is_held_nothing_runs(#[case] request: String) {
+    run(async {
+        let fleet = Fleet::new();
+        let (_node, instance) = started(&fleet).await;
+        let answer = Client::connect(fleet.outbound(1)).await.ask(&request).await;
+        assert_eq!(answer.head.status, 401);
+        assert!(answer.field("www-authenticate").is_some());
+        assert_eq!(instance.runs(), 0);
+    });
+}
+
+/// What tells a call from a client's request weighs importance; it opens no route.
+#[rstest]
+#[case::forged_id(call("/safe/", "slow.1", 200))]
+#[case::same_deadline(call("/safe/", "x", 1_900))]
+fn what_looks_like_a_call_of_a_running_request_needs_a_key(#[case] forged: String) {
+    run(async {
+        let fleet = Fleet::new();
+        let (_node, instance) = started(&fleet).await;
+        let mut running = Client::connect(fleet.outbound(1)).await;
+        running.send(&keyed("/safe/", "slow", "one")).await;
+        eventually("it runs", || instance.runs() == 1).await;
+        // A connection that has carried what calls carry: requests on public routes.
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for index in 0..10 {
+            let on_public_route = call("/open/", &format!("slow.{index}"), 200);
+            assert_eq!(client.ask(&on_public_route).await.head.status, 200);
+        }
+        assert_eq!(client.ask(&forged).await.head.status, 401);
+        assert_eq!(running.answer().await.unwrap().head.status, 200);
+        assert_eq!(instance.runs(), 11);
+    });
+}
+
+#[rstest]
+fn a_key_that_is_withdrawn_counts_no_more_and_one_that_moves_is_its_new_holders() {
+    run(async {
+        let fleet = Fleet::new();
+        let (node, instance) = started(&fleet).await;
+        fleet.source.configure(keyed_configuration(2, vec![tenant("right", &["one"])]));
+        eventually("the next version is in force", || node.known_state().configuration.0 == 2).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "two")).await, 401);
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "b", "one")).await, 200);
+        assert_eq!(instance.seen.borrow()[0].field("x-tenant"), "right");
+    });
+}
+
+#[rstest]
+#[case::shared_key(vec![tenant("left", &["one"]), tenant("right", &["one"])])]
+#[case::empty_key(vec![tenant("left", &[""])])]
+fn tenants_that_are_wrong_leave_the_last_good_ones_in_force(#[case] wrong: Vec<Tenant>) {
+    run(async {
+        let fleet = Fleet::new();
+        let (node, _instance) = started(&fleet).await;
+        fleet.source.configure(keyed_configuration(2, wrong));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(node.known_state().configuration.0, 1);
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "two")).await, 200);
+        fleet.source.configure(keyed_configuration(3, vec![tenant("left", &["one"])]));
+        eventually("a good one is taken", || node.known_state().configuration.0 == 3).await;
+    });
+}
+
+#[rstest]
+fn before_the_first_configuration_no_key_is_denied() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.set_down(true);
+        fleet.start(1, "books").await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "one")).await, 503);
+    });
+}
+
+fn fail_closed_fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.keys_proven_within = Some(PROVEN_WITHIN);
+    fleet
+}
+
+#[rstest]
+fn keys_count_only_while_the_configuration_is_proven_to_be_young() {
+    run(async {
+        let fleet = fail_closed_fleet();
+        let (node, instance) = started(&fleet).await;
+        eventually("it is proven", || node.access.proof_age(olivegate_clock::now()).is_some()).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "one")).await, 200);
+        fleet.source.set_fault(Fault::Silent);
+        tokio::time::sleep(PROVEN_WITHIN).await;
+        let refused = Client::connect(fleet.outbound(1)).await.ask(&keyed("/safe/", "b", "one")).await;
+        assert_eq!(refused.head.status, 503);
+        assert!(refused.field("retry-after").is_some());
+        assert_eq!(instance.runs(), 1);
+        assert_eq!(status(&fleet, 1, &get("/open/", "c")).await, 200, "public routes go on");
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "d", "three")).await, 401, "nobody ever held it");
+        fleet.source.set_fault(Fault::None);
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "e", "one")).await, 200);
+    });
+}
+
+#[rstest]
+fn a_node_that_the_source_does_not_answer_serves_on_by_its_peers_proof() {
+    run(async {
+        let fleet = fail_closed_fleet();
+        let (_reader, _instance) = started(&fleet).await;
+        fleet.list(2, "desk-1", "desk");
+        let way = fleet.source.own_way();
+        let node = fleet.start_with(2, "desk", way.clone()).await;
+        Fleet::ready(&node).await;
+        way.set_fault(Fault::Silent);
+        tokio::time::sleep(PROVEN_WITHIN + Duration::from_millis(1_000)).await;
+        for index in 0..5 {
+            assert_eq!(status(&fleet, 2, &keyed("/safe/", &format!("a{index}"), "one")).await, 200);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        // With the reader's way gone as well, its old proof helps nobody.
+        fleet.source.set_fault(Fault::Silent);
+        tokio::time::sleep(PROVEN_WITHIN).await;
+        assert_eq!(status(&fleet, 2, &keyed("/safe/", "b", "one")).await, 503);
+    });
+}
+
+#[rstest]
+fn a_configuration_that_can_not_be_taken_proves_nothing_of_the_one_before() {
+    run(async {
+        let fleet = fail_closed_fleet();
+        let (_node, _instance) = started(&fleet).await;
+        fleet.source.configure(keyed_configuration(2, vec![tenant("left", &["two"]), tenant("right", &["two"])]));
+        tokio::time::sleep(PROVEN_WITHIN + Duration::from_millis(200)).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "one")).await, 503);
+    });
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -6,6 +6,8 @@
 mod connections;
 mod failing;
 mod gates;
+mod keys;
+mod quotas;
 mod requests;
 mod resting;
 mod source;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -18,7 +18,8 @@
 use olivegate_sidecar::source::{Changes, InstanceList, ListedInstance, Recency, Snapshot, Source, SourceError};
 use olivegate_sidecar::state::Node;
 use olivegate_sidecar::{SidecarSettings, Vocabulary};
-use olivegate_types::{InstanceName, NodeName, ServiceName, ZoneName};
+use olivegate_authentication::{ApiKey, Tenant};
+use olivegate_types::{InstanceName, NodeName, ServiceName, TenantName, ZoneName};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -31,6 +32,8 @@
     instance: "x-instance",
     not_run: "x-not-run",
     caller_service: "x-caller",
+    credential: "x-key",
+    tenant: "x-tenant",
     signature: "x-signature",
     retry_after: "retry-after",
     readiness_path: "/ready",
@@ -59,6 +62,8 @@
     pub repeat_slack: f64,
     /// Repeats allowed for each request.
     pub repeat_ratio: f64,
+    /// Age of the configuration up to which keys count.
+    pub keys_proven_within: Option<Duration>,
 }
 
 impl Fleet {
@@ -68,6 +73,7 @@
             source: TestSource::default(),
             repeat_slack: 100_000.0,
             repeat_ratio: 1.0,
+            keys_proven_within: None,
         }
     }
 
@@ -140,6 +146,8 @@
                 repeat_ratio: self.repeat_ratio,
                 repeat_slack: self.repeat_slack,
                 repeat_window: Duration::from_secs(10),
+                keys_proven_within: self.keys_proven_within,
+                quota: olivegate_quota::Tolerance { window: Duration::from_secs(5), overshoot: 0.25, slack: 20.0 },
             },
             machine: self.machine_limits(),
         };
@@ -174,11 +182,12 @@
         target_latency: Millis(1_000),
         priority: 1,
         attempts: 2,
+        is_public: false,
     }
 }
 
 pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
-    Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default() }
+    Configuration { version: ConfigurationVersion(version), routes, limits: ClientLimits::default(), tenants: Vec::new() }
 }
 
 /// How the source fails.
@@ -282,6 +291,11 @@
         Err(SourceError::HistoryGone)
     }
 
+    async fn configuration(&self, limit: Duration) -> Result<Option<Configuration>, SourceError> {
+        self.call(limit).await?;
+        Ok(self.snapshot.borrow().configuration.clone())
+    }
+
     async fn probe(&self, limit: Duration) -> Result<(), SourceError> {
         self.call(limit).await
     }
@@ -486,6 +500,24 @@
     format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n\r\n")
 }
 
+/// A request with a key, by a client that names itself another tenant.
+pub fn keyed(path: &str, id: &str, key: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nx-key: {key}\r\nx-tenant: forged\r\n\r\n"
+    )
+}
+
+/// A tenant without a limit.
+pub fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        name: TenantName::new(name),
+        keys: keys.iter().map(|key| ApiKey::new(*key)).collect(),
+        priority: None,
+        rate_per_s: 0.0,
+        burst: 0.0,
+    }
+}
+
 /// A call with a limit of its own, in milliseconds.
 pub fn call(path: &str, id: &str, limit_ms: u64) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: {limit_ms}\r\n\r\n")
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -70,6 +70,10 @@
     /// Name of a group of callers.
     GroupName
 );
+name_type!(
+    /// Name of a tenant: callers that share keys and a quota.
+    TenantName
+);
 name_type!(
     /// Name of a kind of request.
     KindName
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -80,11 +80,13 @@
     NodeOverloaded,
     /// It would be a repeat, and the budget of repeats is used up.
     RepeatBudget,
+    /// Its key may have been withdrawn: the configuration is not proven to be young enough.
+    KeysUnproven,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 15] = [
+    pub const ALL: [RefusalReason; 16] = [
         RefusalReason::AdmissionLevel,
         RefusalReason::PredictedWait,
         RefusalReason::QueueTimeout,
@@ -100,6 +102,7 @@
         RefusalReason::NodeNotReady,
         RefusalReason::NodeOverloaded,
         RefusalReason::RepeatBudget,
+        RefusalReason::KeysUnproven,
     ];
 
     /// Text of the reason header and of log lines.
@@ -120,6 +123,7 @@
             RefusalReason::NodeNotReady => "node-not-ready",
             RefusalReason::NodeOverloaded => "node-overloaded",
             RefusalReason::RepeatBudget => "repeat-budget",
+            RefusalReason::KeysUnproven => "keys-unproven",
         }
     }
 
