--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -1,18 +1,26 @@
 //! What follows when an attempt did not give an answer.
 //!
 //! A gate's refusal means that the request never reached an instance: offering it
-//! elsewhere is free. Sending it to a second instance is a repeat, which that instance's gate
-//! may refuse, and is only done when the first did not run it or it may run twice.
+//! elsewhere is free. Sending it to an instance again, the same or another one, is a repeat, which
+//! that instance's gate may refuse, and is only done when it did not run or may run twice.
+//!
+//! A request goes to no more instances than its route allows. One that each of them refused unrun
+//! may go to one of them again: an instance that sheds a part of what arrives takes it by chance.
 
 use olivegate_types::{InstanceName, Refusal, RefusalReason};
 
 use crate::model::RepeatSafety;
-use crate::reply::Failure;
+use crate::reply::{Failure, FailureReason};
 
 /// Instances without room that a request is offered to at most. They are drawn among many and
 /// the least busy is taken, so further ones are full too, and offers cost the nodes work.
 const MOST_FULL: u32 = 4;
 
+/// Arrivals of a request at most, where instances refuse it unrun: of those that shed a half of
+/// what arrives, one in a hundred requests is refused by all. Two arrivals let one chain of four
+/// calls in three through, six let 19 in 20.
+const MOST_ARRIVALS: u32 = 6;
+
 /// Gates without a repeat left that a request is offered to at most.
 const MOST_DENIED: u32 = 2;
 
@@ -38,11 +46,15 @@
 #[derive(Debug)]
 pub struct Attempts {
     safety: RepeatSafety,
-    most_arrivals: u32,
+    most_instances: u32,
     arrivals: u32,
-    /// Those, and the ones that nobody can rule out: a gate that fell silent may still pass the
-    /// request on. They count against the route's attempts, but need no repeat.
-    possible_arrivals: u32,
+    /// Instances that got the request, and those of which nobody can rule it out: a gate that fell
+    /// silent may still pass it on. They count against the route's attempts, but need no repeat.
+    reached: Vec<InstanceName>,
+    /// Those that said that they did not run it, for want of room.
+    shed_by: Vec<InstanceName>,
+    /// Runs that nobody can rule out.
+    possible_runs: u32,
     may_have_run: bool,
     full: u32,
     /// Gates that had no repeat left for it.
@@ -54,13 +66,15 @@
 }
 
 impl Attempts {
-    /// No attempt yet. At most `most_arrivals` instances may get the request.
-    pub fn new(safety: RepeatSafety, most_arrivals: u32) -> Self {
+    /// No attempt yet. At most `most_instances` may get the request.
+    pub fn new(safety: RepeatSafety, most_instances: u32) -> Self {
         Attempts {
             safety,
-            most_arrivals: most_arrivals.max(1),
+            most_instances: most_instances.max(1),
             arrivals: 0,
-            possible_arrivals: 0,
+            reached: Vec::new(),
+            shed_by: Vec::new(),
+            possible_runs: 0,
             may_have_run: false,
             full: 0,
             denied: 0,
@@ -85,9 +99,21 @@
         self.trail.push_str(result);
     }
 
-    /// Instances that the request was offered to.
-    pub fn tried(&self) -> &[InstanceName] {
-        &self.tried
+    /// True when the request may be offered to `instance`: one that it was not offered to, while
+    /// its route allows another one; then one that refused it unrun.
+    pub fn may_go_to(&self, instance: &InstanceName) -> bool {
+        if self.reaches_no_more() { self.shed_by.contains(instance) } else { !self.tried.contains(instance) }
+    }
+
+    fn reaches_no_more(&self) -> bool {
+        self.reached.len() >= self.most_instances as usize
+    }
+
+    fn note_reached(&mut self) {
+        let instance = self.tried.last().cloned().unwrap_or_else(|| InstanceName::new("none"));
+        if !self.reached.contains(&instance) {
+            self.reached.push(instance);
+        }
     }
 
     /// True when an instance got the request already: the next arrival is a repeat.
@@ -126,25 +152,43 @@
     pub fn on_failed(&mut self, failure: Failure) -> Next {
         self.note(failure.reason.as_str());
         self.arrivals += u32::from(failure.arrived);
-        self.possible_arrivals += u32::from(failure.arrived || failure.may_have_run);
+        self.possible_runs += u32::from(failure.may_have_run);
         self.may_have_run |= failure.may_have_run;
+        if failure.arrived || failure.may_have_run {
+            self.note_reached();
+        }
         if self.may_have_run && self.safety == RepeatSafety::Unsafe {
             return Next::GiveUp(Verdict::Unknown);
         }
-        if self.possible_arrivals >= self.most_arrivals {
-            return self.give_up();
-        }
-        Next::TryAnother
+        self.note_shed(failure.reason == FailureReason::RefusedByInstance);
+        self.next()
     }
 
     /// The instance ran the request and failed it by itself.
     pub fn on_instance_failed(&mut self) -> Next {
         self.note("instance-failed");
         self.arrivals += 1;
-        self.possible_arrivals += 1;
+        self.possible_runs += 1;
         self.may_have_run = true;
-        let may_repeat = self.safety == RepeatSafety::Safe && self.possible_arrivals < self.most_arrivals;
-        if may_repeat { Next::TryAnother } else { self.give_up() }
+        self.note_reached();
+        self.note_shed(false);
+        if self.safety == RepeatSafety::Safe { self.next() } else { self.give_up() }
+    }
+
+    /// Notes whether the instance tried last refused the request unrun for want of room.
+    fn note_shed(&mut self, shed: bool) {
+        let Some(instance) = self.tried.last() else { return };
+        self.shed_by.retain(|other| other != instance);
+        if shed {
+            self.shed_by.push(instance.clone());
+        }
+    }
+
+    fn next(&self) -> Next {
+        let is_over = self.possible_runs >= self.most_instances
+            || self.arrivals >= MOST_ARRIVALS
+            || (self.reaches_no_more() && self.shed_by.is_empty());
+        if is_over { self.give_up() } else { Next::TryAnother }
     }
 
     /// There is no further instance to offer the request to.
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -265,7 +265,7 @@
         let settings = self.node.settings();
         let instances = self.node.knowledge.borrow().directory.ready_instances(&self.service);
         let untried: Vec<&Rc<Instance>> =
-            instances.iter().filter(|instance| !attempts.tried().contains(&instance.name)).collect();
+            instances.iter().filter(|instance| attempts.may_go_to(&instance.name)).collect();
         let candidates: Vec<Candidate> = untried
             .iter()
             .map(|instance| Candidate {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -7,6 +7,7 @@
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`admission`]: which requests of clients may go on to their calls.
 //! - [`exchange`]: one request and its answer on such a connection.
+//! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`confirmation`]: the second step of an offer that may run only once.
@@ -19,6 +20,7 @@
 pub mod repeats;
 pub mod rest_trust;
 pub mod serve;
+pub mod sheds;
 pub mod slots;
 
 use std::cell::RefCell;
@@ -96,12 +98,18 @@
         self.instances.borrow().get(name).is_some_and(|slots| slots.is_leaving())
     }
 
+    /// Repeats a second that calls to an instance which sheds may count on.
+    fn repeats_for(&self, node: &Node, slots: &InstanceSlots) -> f64 {
+        if slots.shed_part() > 0.0 { self.repeats.rate(node, clock::now()) } else { f64::MAX }
+    }
+
     /// Load of one instance, to be told to the edge of an offer made for `root` at `hop`: with the
     /// level of its class here and further down. A node that stops seems busy, so that it
     /// is chosen only where nothing else is left.
     pub fn load(&self, node: &Node, name: &InstanceName, root: &Root, hop: u8) -> Load {
         let class = root.class();
-        let mut load = self.instances.borrow().get(name).map(|slots| slots.load(&class)).unwrap_or_default();
+        let slots = self.instances.borrow().get(name).cloned();
+        let mut load = slots.map(|slots| slots.load(&class, self.repeats_for(node, &slots))).unwrap_or_default();
         let deeper = node.levels.borrow().room(&class, hop.saturating_add(1), clock::now());
         load.level = load.level.min(deeper as f32);
         if node.stop.is_stopping() {
@@ -180,6 +188,9 @@
         Err(failure) => {
             node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
             slot.note_failure(&offer, failure, used);
+            if failure.reason == FailureReason::RefusedByInstance {
+                node.gate.repeats.on_shed(node, &offer, clock::now());
+            }
             log_failure(node, &offer, failure, used);
             note_gone_instance(node, &offer, failure);
             GateReply::Failed(failure)
--- a/crates/sidecar/src/gate/repeats.rs
+++ b/crates/sidecar/src/gate/repeats.rs
@@ -59,6 +59,20 @@
         true
     }
 
+    /// Counts a first arrival that the instance refused unrun: it is a request of the service like
+    /// any other, and its repeats are refused as often.
+    pub fn on_shed(&self, node: &Node, offer: &Offer, now: Moment) {
+        if !offer.is_repeat {
+            let share = 1.0 - f64::from(offer.inherited);
+            self.budget.borrow_mut().on_answered(&policy(node), share, now);
+        }
+    }
+
+    /// Repeats a second that the gate may let through.
+    pub fn rate(&self, node: &Node, now: Moment) -> f64 {
+        self.budget.borrow().rate(&policy(node), now)
+    }
+
     /// Counts an answer. Only requests that were answered have made all their calls.
     pub fn on_answer(&self, node: &Node, offer: &Offer, fault: AnswerFault, now: Moment) {
         if !offer.is_repeat && fault != AnswerFault::Instance {
--- /dev/null
+++ b/crates/sidecar/src/gate/sheds.rs
@@ -0,0 +1,67 @@
+//! Which chains of calls may begin while an instance sheds a part of what arrives by chance.
+//!
+//! A call that is shed is sent again, and repeats are bounded over all nodes. A chain of calls
+//! whose repeats run out is work lost, so no more of them may begin than the repeats carry, the
+//! most important first: what is held back at the root has cost nothing. A request of a client
+//! that comes straight here needs no repeat to have its chance, and is not held back.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use olivegate_overload::{ClassKey, DemandLevels};
+use olivegate_types::Moment;
+
+use crate::hop::Offer;
+
+/// Weight of one arrival in the part that is shed.
+const SHED_WEIGHT: f64 = 0.03;
+/// A smaller part than this is no shedding: instances refuse single requests at any time.
+const LEAST_PART: f64 = 0.08;
+/// Part of the repeats that chains may count on; the others are left to clients' own requests.
+const CHAINS_PART: f64 = 0.8;
+
+/// What an instance sheds, and the repeats that calls to it need.
+#[derive(Debug)]
+pub struct Sheds {
+    part: Cell<f64>,
+    needed: RefCell<DemandLevels>,
+}
+
+impl Default for Sheds {
+    fn default() -> Self {
+        Sheds { part: Cell::new(0.0), needed: RefCell::new(DemandLevels::new(0.0)) }
+    }
+}
+
+impl Sheds {
+    /// Notes whether an arrival was shed.
+    pub fn note(&self, is_shed: bool) {
+        let part = self.part.get();
+        self.part.set(part + (f64::from(u8::from(is_shed)) - part) * SHED_WEIGHT);
+    }
+
+    /// Part of what arrives that is shed; 0 where it is minor.
+    pub fn part(&self) -> f64 {
+        if self.part.get() < LEAST_PART { 0.0 } else { self.part.get() }
+    }
+
+    /// Notes the repeats that a call will need.
+    pub fn note_demand(&self, offer: &Offer, now: Moment) {
+        let part = self.part();
+        if part == 0.0 || offer.hop == 0 || offer.is_repeat {
+            return;
+        }
+        // Sent until it is taken: one repeat for each time that it is shed.
+        let repeats = Duration::from_secs_f64(part / (1.0 - part).max(0.01));
+        self.needed.borrow_mut().note(&offer.root.class(), repeats, f64::from(offer.root.admitted), now);
+    }
+
+    /// Part of the requests of `class` that may begin where `repeats` a second are allowed; above 1
+    /// where there is room for more.
+    pub fn level(&self, class: &ClassKey, repeats: f64, now: Moment) -> f64 {
+        if self.part() == 0.0 {
+            return f64::MAX;
+        }
+        self.needed.borrow().level(class, repeats * CHAINS_PART, now)
+    }
+}
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::gate::instance_connection::InstanceConnections;
+use crate::gate::sheds::Sheds;
 use crate::hop::Offer;
 use crate::reply::{Answer, AnswerFault, Body, Failure, FailureReason, Load};
 use olivegate_clock as clock;
@@ -44,6 +45,7 @@
     failing: Cell<f64>,
     closes_in_a_row: Cell<u32>,
     demand: RefCell<DemandLevels>,
+    sheds: Sheds,
     connections: InstanceConnections,
 }
 
@@ -78,6 +80,7 @@
             failing: Cell::new(0.0),
             closes_in_a_row: Cell::new(0),
             demand: RefCell::new(DemandLevels::new(LEAST_SHARE)),
+            sheds: Sheds::default(),
             connections: InstanceConnections::default(),
         }
     }
@@ -118,14 +121,23 @@
         queue.in_flight() + queue.waiting() > 0
     }
 
-    /// How busy the instance is, to be told with the reply to an offer of `class`.
-    pub fn load(&self, class: &ClassKey) -> Load {
+    /// Part of what arrives that the instance refuses unrun although it has room.
+    pub fn shed_part(&self) -> f64 {
+        self.sheds.part()
+    }
+
+    /// How busy the instance is, to be told with the reply to an offer of `class`. `repeats` are
+    /// those a second that its gate may let through.
+    pub fn load(&self, class: &ClassKey, repeats: f64) -> Load {
         let slots = f64::from(self.limit()) * LEVEL_SLOTS;
+        let now = clock::now();
+        let by_slots = self.demand.borrow().level(class, slots, now);
+        let by_repeats = self.sheds.level(class, repeats, now);
         Load {
             occupancy: self.queue.borrow().occupancy() as f32,
             slowness: *self.slowness.borrow() as f32,
             failing: self.failing.get() as f32,
-            level: self.demand.borrow().level(class, slots, clock::now()) as f32,
+            level: by_slots.min(by_repeats) as f32,
         }
     }
 
@@ -146,6 +158,7 @@
     pub fn note_demand(&self, offer: &Offer, now: Moment) {
         let slot_time = self.expected(offer);
         self.demand.borrow_mut().note(&offer.root.class(), slot_time, f64::from(offer.root.admitted), now);
+        self.sheds.note_demand(offer, now);
     }
 
     /// Waits for a slot. Dropping the future gives the place up.
@@ -232,6 +245,7 @@
     /// Learns from an answer.
     pub fn note_answer(&mut self, offer: &Offer, fault: AnswerFault, used: Duration) {
         self.note_failing(fault == AnswerFault::Instance);
+        self.slots.sheds.note(false);
         self.note_time(offer, used);
         let mut queue = self.slots.queue.borrow_mut();
         let in_flight = queue.in_flight();
@@ -249,7 +263,7 @@
         match failure.reason {
             // The gate never gives it more than it has slots for: it refuses for a reason of its
             // own, and would refuse as many with fewer requests in it.
-            FailureReason::RefusedByInstance => {}
+            FailureReason::RefusedByInstance => self.slots.sheds.note(true),
             FailureReason::TimedOut => {
                 self.note_time(offer, used);
                 self.slots.queue.borrow_mut().limit_mut().on_failure(now);
