--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -69,12 +69,12 @@
     let answer = match result {
         Ok(answer) => {
             let result = if answer.head.status < 400 { "answered" } else { "instance-failed" };
-            node.metrics.on_answer(outcome.route_name(), result, elapsed);
+            outcome.count(node, result, elapsed);
             log_answer(node, &shown_id, &outcome, &answer, elapsed);
             answer
         }
         Err(own) => {
-            node.metrics.on_answer(outcome.route_name(), own.reason(), elapsed);
+            outcome.count(node, own.reason(), elapsed);
             log_own_answer(node, &shown_id, &outcome, own, elapsed);
             own.to_answer(&node.vocabulary, id.as_ref())
         }
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -40,6 +40,14 @@
         self.route.as_ref().map_or("none", |route| route.name.as_str())
     }
 
+    /// Counts its answer.
+    pub fn count(&self, node: &Node, result: &str, elapsed: Duration) {
+        node.metrics.on_answer(self.route_name(), result, elapsed);
+        if let Some(tenant) = &self.tenant {
+            node.metrics.on_tenant_answer(&tenant.name, result);
+        }
+    }
+
     /// Name of its tenant, for log lines.
     pub fn tenant_name(&self) -> &str {
         self.tenant.as_ref().map_or("none", |tenant| tenant.name.as_str())
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,17 +1,30 @@
 //! Counters and histograms, in the usual text format.
 
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::time::Duration;
 
+use olivegate_types::TenantName;
+
 use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
 
 /// Bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+/// Tenants that are counted by name: each makes a time series for every outcome and node.
+const MOST_TENANT_LABELS: usize = 128;
+/// Label of the tenants beyond them.
+const OTHER_TENANTS: &str = "(other)";
+
 /// All metrics of a sidecar. docs/OPERATIONS.md explains each.
 pub struct Metrics {
     registry: Registry,
     /// Answers to clients and to the instance, by route and outcome.
     pub answers: IntCounterVec,
+    /// Answers to tenants' requests, by tenant and outcome.
+    tenants: IntCounterVec,
+    /// Tenants that have a label of their own.
+    labelled: RefCell<HashSet<TenantName>>,
     /// Time from a request's arrival to its answer, by route.
     pub latency: HistogramVec,
     /// Attempts that gave no answer, by reason.
@@ -51,6 +64,13 @@
                 "Answers given",
                 &["route", "outcome"],
             ),
+            tenants: counters(
+                &registry,
+                "olivegate_sidecar_tenant_answers_total",
+                "Answers given to tenants",
+                &["tenant", "outcome"],
+            ),
+            labelled: RefCell::default(),
             latency,
             failed_attempts: counters(
                 &registry,
@@ -90,6 +110,24 @@
         self.latency.with_label_values(&[route]).observe(latency.as_secs_f64());
     }
 
+    /// Notes an answer to a tenant's request.
+    pub fn on_tenant_answer(&self, tenant: &TenantName, outcome: &str) {
+        self.tenants.with_label_values(&[self.label_of(tenant), outcome]).inc();
+    }
+
+    /// The tenant's name while there are few; the later ones are counted together.
+    fn label_of<'a>(&self, tenant: &'a TenantName) -> &'a str {
+        let mut labelled = self.labelled.borrow_mut();
+        if labelled.contains(tenant) {
+            return tenant.as_str();
+        }
+        if labelled.len() >= MOST_TENANT_LABELS {
+            return OTHER_TENANTS;
+        }
+        labelled.insert(tenant.clone());
+        tenant.as_str()
+    }
+
     /// Sets a value of the moment.
     pub fn set_state(&self, value: &str, number: u64) {
         self.state.with_label_values(&[value]).set(i64::try_from(number).unwrap_or(i64::MAX));
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod freshness;
 mod lineage;
+mod metrics;
 mod relay;
 mod rest_trust;
 mod routes;
--- a/crates/sidecar/tests/decisions/sheds.rs
+++ b/crates/sidecar/tests/decisions/sheds.rs
@@ -102,7 +102,11 @@
     assert!(shedding.repeats <= REPEATS * 1.2, "{shedding:?}");
     assert!(shedding.reservations >= 20.0 && shedding.browsing <= 10.0, "{shedding:?}");
     let after = (0..3).map(|index| second(&sheds, 0.0, 8_000 + index * 1_000, &mut random)).last().unwrap();
-    assert_eq!((after.reservations, after.browsing), (100.0, 100.0), "two seconds after its end nothing is held back");
+    assert_eq!(
+        (after.reservations, after.browsing),
+        (100.0, 100.0),
+        "two seconds after its end nothing is held back"
+    );
 }
 
 /// A request of a client has its chance without a repeat.
