--- a/crates/retry/src/window.rs
+++ b/crates/retry/src/window.rs
@@ -28,13 +28,6 @@
 /// How many parts earlier the windows end whose requests count.
 const EARLIER: [u64; 3] = [0, PARTS / 2, PARTS];
 
-/// Part of what a window has left that may be used in a tenth of it. When a service begins to shed,
-/// all that runs asks for repeats before its callers hold anything back, and the chains that begin
-/// afterwards would find none left.
-const AT_ONCE: f64 = 0.25;
-/// Repeats that may be used at once however few are left.
-const FEW_AT_ONCE: f64 = 8.0;
-
 /// What one gate may repeat.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RepeatPolicy {
@@ -93,33 +86,18 @@
         EARLIER.map(answered_in).into_iter().fold(0.0, f64::max)
     }
 
-    /// Repeats of the parts whose ages are in `ages`.
-    fn repeats(&self, current: u64, ages: std::ops::Range<u64>) -> f64 {
-        let in_range = |part: &&Part| ages.contains(&current.saturating_sub(part.number));
-        self.parts.iter().filter(in_range).map(|part| part.repeats).sum()
-    }
-
-    /// Repeats that the window has room for, beside those of the present part of it.
-    fn left(&self, policy: &RepeatPolicy, part: f64, current: u64) -> f64 {
-        let budget = (self.answered(current) * policy.ratio + policy.slack) * part;
-        budget - self.repeats(current, 1..REPEAT_PARTS)
-    }
-
-    /// True when one more repeat fits into `part` of the window's budget, and into what may be
-    /// used of it at once.
+    /// True when one more repeat fits into `part` of the window's budget.
     pub fn allows(&self, policy: &RepeatPolicy, part: f64, now: Moment) -> bool {
         let current = part_number(policy, now);
-        let left = self.left(policy, part, current);
-        let at_once = (left * AT_ONCE).max(FEW_AT_ONCE).min(left);
-        self.repeats(current, 0..1) + 1.0 <= at_once
+        let in_window = |part: &&Part| current.saturating_sub(part.number) < REPEAT_PARTS;
+        let repeats: f64 = self.parts.iter().filter(in_window).map(|part| part.repeats).sum();
+        repeats + 1.0 <= (self.answered(current) * policy.ratio + policy.slack) * part
     }
 
-    /// Repeats a second to plan with: those that are left, over half of a window. Where they are
-    /// needed for long this settles at two thirds of what the budget gives.
+    /// Repeats a second that the window's budget comes to.
     pub fn rate(&self, policy: &RepeatPolicy, now: Moment) -> f64 {
-        let current = part_number(policy, now);
-        let left = self.left(policy, 1.0, current) - self.repeats(current, 0..1);
-        left.max(0.0) / policy.window.as_secs_f64() * 2.0
+        let budget = self.answered(part_number(policy, now)) * policy.ratio + policy.slack;
+        budget / policy.window.as_secs_f64()
     }
 
     /// Takes one repeat from `part` of the window's budget; false when that is used up.
--- a/crates/retry/tests/window.rs
+++ b/crates/retry/tests/window.rs
@@ -253,21 +253,3 @@
         }
     }
 }
-
-#[rstest]
-fn a_window_keeps_repeats_for_its_later_parts() {
-    let mut budget = RepeatBudget::default();
-    for second in 10..20 {
-        for _ in 0..100 {
-            budget.on_answered(&POLICY, 1.0, Moment::from_millis(second * 1_000));
-        }
-    }
-    let granted = |budget: &mut RepeatBudget, at_ms: u64| {
-        (0..1_000).filter(|_| budget.try_repeat(&POLICY, 1.0, Moment::from_millis(at_ms))).count()
-    };
-    let by_second: Vec<usize> = (0..5).map(|second| granted(&mut budget, 20_000 + second * 1_000)).collect();
-    assert_eq!(by_second[0], 45, "a quarter of the 183 that nine parts of a window give");
-    assert!(by_second.windows(2).all(|pair| pair[1] <= pair[0]), "{by_second:?}");
-    assert!(by_second[4] >= 10, "{by_second:?}");
-    assert!(budget.rate(&POLICY, Moment::from_millis(24_500)) > 5.0);
-}
