Sheds are forgotten with time, not only by arrivals

The part that is shed was a mean over arrivals, and what is held back does not arrive: from 0.5, ten arrivals that pass leave 0.37. Change: counts that decay within 0.7 s, with five arrivals added that were not shed.

--- a/crates/sidecar/src/gate/sheds.rs
+++ b/crates/sidecar/src/gate/sheds.rs
@@ -14,41 +14,62 @@
 use crate::hop::Offer;
 use crate::importance::route_first;
 
-/// Weight of one arrival in the part that is shed.
-const SHED_WEIGHT: f64 = 0.03;
+/// Time constant of the counts: what is held back does not arrive to show that the shedding is
+/// over.
+const MEMORY: Duration = Duration::from_millis(700);
+/// Arrivals that are taken to be added to those counted, none of them shed: few say little.
+const FEW_ARRIVALS: f64 = 5.0;
 /// A smaller part than this is no shedding: instances refuse single requests at any time.
 const LEAST_PART: f64 = 0.08;
 /// Part of the repeats that chains may count on; the others are left to clients' own requests.
 const CHAINS_PART: f64 = 0.8;
 
+/// Arrivals and those that were shed, older ones with less weight.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    arrived: f64,
+    shed: f64,
+    at: Moment,
+}
+
+impl Counts {
+    fn decayed(self, now: Moment) -> Counts {
+        let weight = (-now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        Counts { arrived: self.arrived * weight, shed: self.shed * weight, at: now }
+    }
+}
+
 /// What an instance sheds, and the repeats that calls to it need.
 #[derive(Debug)]
 pub struct Sheds {
-    part: Cell<f64>,
+    counts: Cell<Counts>,
     needed: RefCell<DemandLevels>,
 }
 
 impl Default for Sheds {
     fn default() -> Self {
-        Sheds { part: Cell::new(0.0), needed: RefCell::new(DemandLevels::new(0.0)) }
+        Sheds { counts: Cell::default(), needed: RefCell::new(DemandLevels::new(0.0)) }
     }
 }
 
 impl Sheds {
     /// Notes whether an arrival was shed.
-    pub fn note(&self, is_shed: bool) {
-        let part = self.part.get();
-        self.part.set(part + (f64::from(u8::from(is_shed)) - part) * SHED_WEIGHT);
+    pub fn note(&self, is_shed: bool, now: Moment) {
+        let counts = self.counts.get().decayed(now);
+        let shed = counts.shed + f64::from(u8::from(is_shed));
+        self.counts.set(Counts { arrived: counts.arrived + 1.0, shed, at: now });
     }
 
     /// Part of what arrives that is shed; 0 where it is minor.
-    pub fn part(&self) -> f64 {
-        if self.part.get() < LEAST_PART { 0.0 } else { self.part.get() }
+    pub fn part(&self, now: Moment) -> f64 {
+        let counts = self.counts.get().decayed(now);
+        let part = counts.shed / (counts.arrived + FEW_ARRIVALS);
+        if part < LEAST_PART { 0.0 } else { part }
     }
 
     /// Notes the repeats that a call will need.
     pub fn note_demand(&self, offer: &Offer, now: Moment) {
-        let part = self.part();
+        let part = self.part(now);
         if part == 0.0 || offer.hop == 0 || offer.is_repeat {
             return;
         }
@@ -65,7 +86,7 @@
     /// Part of the requests of `class` that may begin where `repeats` a second are allowed; above 1
     /// where there is room for more.
     pub fn level(&self, class: &ClassKey, repeats: f64, now: Moment) -> f64 {
-        if self.part() == 0.0 {
+        if self.part(now) == 0.0 {
             return f64::MAX;
         }
         self.needed.borrow().level(&by_route(class), repeats * CHAINS_PART, now)
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -123,7 +123,7 @@
 
     /// Part of what arrives that the instance refuses unrun although it has room.
     pub fn shed_part(&self) -> f64 {
-        self.sheds.part()
+        self.sheds.part(clock::now())
     }
 
     /// How busy the instance is, to be told with the reply to an offer of `class`. `repeats` are
@@ -245,7 +245,7 @@
     /// Learns from an answer.
     pub fn note_answer(&mut self, offer: &Offer, fault: AnswerFault, used: Duration) {
         self.note_failing(fault == AnswerFault::Instance);
-        self.slots.sheds.note(false);
+        self.slots.sheds.note(false, clock::now());
         self.note_time(offer, used);
         let mut queue = self.slots.queue.borrow_mut();
         let in_flight = queue.in_flight();
@@ -263,7 +263,7 @@
         match failure.reason {
             // The gate never gives it more than it has slots for: it refuses for a reason of its
             // own, and would refuse as many with fewer requests in it.
-            FailureReason::RefusedByInstance => self.slots.sheds.note(true),
+            FailureReason::RefusedByInstance => self.slots.sheds.note(true, now),
             FailureReason::TimedOut => {
                 self.note_time(offer, used);
                 self.slots.queue.borrow_mut().limit_mut().on_failure(now);
--- a/crates/sidecar/tests/decisions/sheds.rs
+++ b/crates/sidecar/tests/decisions/sheds.rs
@@ -75,7 +75,7 @@
             *(if priority == 0 { &mut seen.reservations } else { &mut seen.browsing }) += 1.0;
             for _ in 0..6 {
                 let is_shed = random.random::<f64>() < shed;
-                sheds.note(is_shed);
+                sheds.note(is_shed, now);
                 if !is_shed {
                     break;
                 }
@@ -115,7 +115,7 @@
     let sheds = Sheds::default();
     let lookup = call(root("lookup", 2, 1.0), 0);
     for step in 0..200 {
-        sheds.note(true);
+        sheds.note(true, Moment::from_millis(step * 5));
         sheds.note_demand(&lookup, Moment::from_millis(step * 5));
     }
     let level = sheds.level(&lookup.root.class(), REPEATS, Moment::from_millis(1_000));
@@ -128,8 +128,29 @@
     let sheds = Sheds::default();
     let offer = call(root("reserve", 0, 1.0), 2);
     for step in 0..400_u64 {
-        sheds.note(step.is_multiple_of(40));
-        sheds.note_demand(&offer, Moment::START + Duration::from_millis(step * 5));
+        let now = Moment::START + Duration::from_millis(step * 5);
+        sheds.note(step.is_multiple_of(40), now);
+        sheds.note_demand(&offer, now);
     }
     assert!(sheds.level(&offer.root.class(), 0.0, Moment::from_millis(2_000)) >= 1.0);
 }
+
+/// What is held back does not arrive, so too few arrivals may be left to show that the shedding is
+/// over: it is forgotten with time.
+#[rstest]
+fn shedding_is_forgotten_where_hardly_anything_arrives() {
+    let sheds = Sheds::default();
+    let offer = call(root("reserve", 0, 1.0), 2);
+    for step in 0..100_u64 {
+        let now = Moment::from_millis(step * 10);
+        sheds.note(step % 2 == 0, now);
+        sheds.note_demand(&offer, now);
+    }
+    assert!(sheds.level(&offer.root.class(), 1.0, Moment::from_millis(1_000)) < 1.0, "it sheds");
+    for step in 0..10_u64 {
+        let now = Moment::from_millis(1_200 + step * 300);
+        sheds.note(false, now);
+        sheds.note_demand(&offer, now);
+    }
+    assert!(sheds.level(&offer.root.class(), 1.0, Moment::from_millis(4_200)) >= 1.0, "three seconds later");
+}
