--- a/crates/quota/tests/emulation/told.rs
+++ b/crates/quota/tests/emulation/told.rs
@@ -129,12 +129,12 @@
             self.deliver(scenario, message, at_ms);
         }
         for node in 0..scenario.nodes {
-            if (at_ms + node as u64 * 70 / 10 * 10) % INTERVAL_MS == 0 {
+            if (at_ms + node as u64 * 70).is_multiple_of(INTERVAL_MS) {
                 self.tell(scenario, node, at_ms);
             }
         }
         for zone in 0..ZONES {
-            if (at_ms + zone as u64 * 30) % COLLECTOR_INTERVAL_MS == 0 {
+            if (at_ms + zone as u64 * 30).is_multiple_of(COLLECTOR_INTERVAL_MS) {
                 self.tell_zones(scenario, zone, at_ms);
             }
         }
