--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -12,7 +12,7 @@
 pub mod exchange;
 pub mod instance;
 pub mod judge;
-mod judge_access;
+pub mod judge_access;
 pub mod plan;
 pub mod processes;
 pub mod proxy;
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -27,11 +27,13 @@
 /// Tokens and demand of one tenant.
 #[derive(Debug, Clone, Copy)]
 pub struct Bucket {
-    /// `None` until the limit is known.
+    /// Requests that may still be let in, below 0 when too many were; `None` until the first count.
     tokens: Option<f64>,
-    /// Used before the limit was known.
+    /// When tokens were last refilled.
     at: Moment,
+    /// Requests asked for, older ones with less weight.
     demand: f64,
+    /// When that was last noted.
     demand_at: Moment,
 }
 
--- a/crates/sidecar/tests/path/keys.rs
+++ b/crates/sidecar/tests/path/keys.rs
@@ -48,10 +48,10 @@
         let fleet = Fleet::new();
         let (_node, instance) = started(&fleet).await;
         assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "two")).await, 200);
-        assert_eq!(status(&fleet, 1, &get("/open/", "b").replace("x-id", "x-tenant: forged\r\nx-id")).await, 200);
+        assert_eq!(status(&fleet, 1, &get("/open/", "b").replace("x-id", "x-holder: forged\r\nx-id")).await, 200);
         let seen = instance.seen.borrow();
-        assert_eq!((seen[0].field("x-tenant").as_str(), seen[0].field("x-key").as_str()), ("right", ""));
-        assert_eq!(seen[1].field("x-tenant"), "", "a name that the client wrote itself");
+        assert_eq!((seen[0].field("x-holder").as_str(), seen[0].field("x-key").as_str()), ("right", ""));
+        assert_eq!(seen[1].field("x-holder"), "", "a name that the client wrote itself");
     });
 }
 
@@ -103,7 +103,7 @@
         eventually("the next version is in force", || node.known_state().configuration.0 == 2).await;
         assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "two")).await, 401);
         assert_eq!(status(&fleet, 1, &keyed("/safe/", "b", "one")).await, 200);
-        assert_eq!(instance.seen.borrow()[0].field("x-tenant"), "right");
+        assert_eq!(instance.seen.borrow()[0].field("x-holder"), "right");
     });
 }
 
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -33,7 +33,7 @@
     not_run: "x-not-run",
     caller_service: "x-caller",
     credential: "x-key",
-    tenant: "x-tenant",
+    tenant: "x-holder",
     signature: "x-signature",
     retry_after: "retry-after",
     readiness_path: "/ready",
@@ -508,7 +508,7 @@
 /// A request with a key, by a client that names itself another tenant.
 pub fn keyed(path: &str, id: &str, key: &str) -> String {
     format!(
-        "GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nx-key: {key}\r\nx-tenant: forged\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nx-key: {key}\r\nx-holder: forged\r\n\r\n"
     )
 }
 
