--- a/crates/sidecar/tests/decisions/lineage.rs
+++ b/crates/sidecar/tests/decisions/lineage.rs
@@ -292,3 +292,17 @@
     lineage.end(repeat, at(50));
     assert_eq!(lineage.repeat_part(Parent::Unknown), 0.25);
 }
+
+/// Calls carry no key, so one with a key is a client's, whatever its id and deadline look like.
+#[rstest]
+fn a_request_with_a_key_is_never_a_call() {
+    let mut lineage = Lineage::default();
+    lineage.begin(running("parent", "shop", 1_000, 0.0));
+    let connection = Cell::new(ConnectionEvidence::default());
+    for index in 0..20 {
+        let id = format!("parent.{index}");
+        assert!(matches!(lineage.classify(arriving(&id, "ping", 900), &connection, at(10)), Origin::Call(_)));
+    }
+    let keyed = Arriving { is_keyed: true, ..arriving("parent.21", "ping", 900) };
+    assert_eq!(lineage.classify(keyed, &connection, at(11)), Origin::Client);
+}
--- a/crates/sidecar/tests/decisions/settings.rs
+++ b/crates/sidecar/tests/decisions/settings.rs
@@ -51,6 +51,8 @@
 #[case::not_an_address("10.1.0.8:8304", "nowhere", "field=listen.outbound")]
 #[case::unknown_field("[machine]", "[machine]\nfoo = 1", "field=machine.foo")]
 #[case::out_of_range("repeat_ratio = 0.2", "repeat_ratio = -1", "field=bounds.repeat_ratio")]
+#[case::keys("repeat_ratio = 0.2", "keys_proven_within_ms = 1", "field=bounds.keys_proven_within_ms")]
+#[case::overshoot("repeat_ratio = 0.2", "quota_overshoot = -0.1", "field=bounds.quota_overshoot")]
 #[case::no_number("contact_ms = 3000", "contact_ms = \"soon\"", "field=bounds.contact_ms")]
 #[case::port("peers_port = 7620", "peers_port = 0", "field=listen.peers_port")]
 fn a_mistake_is_named(#[case] right: &str, #[case] wrong: &str, #[case] named: &str) {
