--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -17,8 +17,8 @@
 const MOST_FULL: u32 = 4;
 
 /// Arrivals of a request at most, where instances refuse it unrun: of those that shed a half of
-/// what arrives, one in a hundred requests is refused by all. Two arrivals let one chain of four
-/// calls in three through, six let 19 in 20.
+/// what arrives, one in 64 requests is refused by all. By arithmetic, two arrivals let one chain of
+/// four calls in three through, six let 19 in 20.
 const MOST_ARRIVALS: u32 = 6;
 
 /// Gates without a repeat left that a request is offered to at most.
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -23,8 +23,8 @@
 /// Wait for changes in one call, as parts of the shorter of the time for which a disturbance
 /// counts and the time within which no request goes to an instance that left. A source that drops
 /// its history tells waiting calls nothing for a second before; a call that begins at the end of
-/// it must end in time for both. With 0.3 to 0.5 of 2.5 s all zones' readers heard of a leaving
-/// after up to 2.1 s, and once of 2.5.
+/// it must end in time for both: a second, the longest wait and 0.3 s to pass it on are 1.98 s of
+/// 2 s and 2.15 s of 2.5 s, by arithmetic.
 const WAIT_PARTS: Range<f64> = 0.2..0.34;
 /// Interval of probes while a call waits.
 const PROBE_INTERVAL: Duration = Duration::from_millis(450);
