Sight: a broken exchange tells whether its instance ended, and with what content

Cause: log lines name ids, which are new in each try, so nobody can see that one content recurs under the instances that end. Change: when an exchange breaks, the gate looks once at the port of its instance (a process that has ended refuses) and logs instance_ended and a BLAKE3 digest of method, path, caller and body. Decides nothing yet. Ruled out as a sign of an end: a broken connection alone, since instances break off answers without ending.

--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -6,10 +6,12 @@
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`admission`]: which requests of clients may go on to their calls.
+//! - [`instance_end`]: whether the instance has ended.
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`rest_trust`]: how long a kept connection may have rested.
+//! - [`run_content`]: what makes the request that runs.
 //! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
 
@@ -17,8 +19,10 @@
 pub mod confirmation;
 pub mod exchange;
 pub mod instance_connection;
+pub mod instance_end;
 pub mod repeats;
 pub mod rest_trust;
+pub mod run_content;
 pub mod serve;
 pub mod sheds;
 pub mod slots;
@@ -42,6 +46,7 @@
 use confirmation::Confirmation;
 use olivegate_clock as clock;
 use repeats::GateRepeats;
+use run_content::RunContent;
 use slots::InstanceSlots;
 
 /// Slots assumed for an instance that the directory does not list yet.
@@ -170,6 +175,7 @@
     log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
     let parent = Running::begin(node, &offer, started + time_left);
+    let content = RunContent::of(node, &offer, &body);
     let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -191,7 +197,8 @@
             if failure.reason == FailureReason::RefusedByInstance {
                 node.gate.repeats.on_shed(node, &offer, clock::now());
             }
-            log_failure(node, &offer, failure, used);
+            let ended = failure.reason == FailureReason::Broken && has_ended(node, &slots).await;
+            log_failure(node, &offer, failure, used, ended.then_some(&content));
             note_gone_instance(node, &offer, failure);
             GateReply::Failed(failure)
         }
@@ -212,16 +219,27 @@
     }
 }
 
-fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration) {
+/// What an exchange that broke tells of the instance.
+async fn has_ended(node: &Node, slots: &InstanceSlots) -> bool {
+    let connections = slots.connections();
+    let keep = |connection| connections.keep(connection, None, slots.limit());
+    slots.end().look(connections, node.settings().instance, keep).await
+}
+
+/// `ended_with` is the request's content where the instance ended with it at work.
+fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration, ended_with: Option<&RunContent>) {
     if node.may_log(LineClass::Failure, &offer.request_id) {
         log::info!(
-            "event=exchange_failed request={} route={} instance={} reason={} may_have_run={} after_ms={}",
+            "event=exchange_failed request={} route={} instance={} reason={} may_have_run={} after_ms={} \
+             instance_ended={} content={}",
             shown(&offer.request_id),
             offer.route,
             offer.instance,
             failure.reason.as_str(),
             failure.may_have_run,
             used.as_millis(),
+            ended_with.is_some(),
+            ended_with.map_or("none".into(), RunContent::shown),
         );
     }
 }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::gate::instance_connection::InstanceConnections;
+use crate::gate::instance_end::InstanceEnd;
 use crate::gate::sheds::Sheds;
 use crate::hop::Offer;
 use crate::reply::{Answer, AnswerFault, Body, Failure, FailureReason, Load};
@@ -47,6 +48,7 @@
     demand: RefCell<DemandLevels>,
     sheds: Sheds,
     connections: InstanceConnections,
+    end: InstanceEnd,
 }
 
 /// A slot in use; dropped when the exchange has ended, whichever way.
@@ -82,6 +84,7 @@
             demand: RefCell::new(DemandLevels::new(LEAST_SHARE)),
             sheds: Sheds::default(),
             connections: InstanceConnections::default(),
+            end: InstanceEnd::default(),
         }
     }
 
@@ -105,6 +108,11 @@
         &self.connections
     }
 
+    /// What is known of its end.
+    pub fn end(&self) -> &InstanceEnd {
+        &self.end
+    }
+
     /// Notes whether an answer closes its connection.
     pub fn note_close(&self, closes: bool) {
         self.closes_in_a_row.set(if closes { self.closes_in_a_row.get() + 1 } else { 0 });
