Failing test: a content that ends its instances goes on being sent

Brought about on loopback: four instances that end under one request and start again, 40 tries of it by two nodes, others beside it.

--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod configuration;
 mod connections;
+mod crashing;
 mod failing;
 mod gates;
 mod keys;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -22,7 +22,8 @@
 use olivegate_types::{InstanceName, NodeName, ServiceName, TenantName, ZoneName};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, JoinSet, LocalSet, spawn_local};
 use tokio_util::codec::FramedRead;
 
 pub const VOCABULARY: Vocabulary = Vocabulary {
@@ -315,6 +316,8 @@
     Call(SocketAddr, String),
     Close,
     Reset,
+    /// Ends the whole instance, as a process that crashes: its port and all its connections.
+    Crash,
 }
 
 /// A request that an instance received.
@@ -344,6 +347,10 @@
     pub abandoned: Rc<Cell<u32>>,
     /// Connections that are open.
     pub open: Rc<Cell<u32>>,
+    /// The task that serves; connections end with it.
+    serving: Rc<RefCell<Option<AbortHandle>>>,
+    /// Told when it has crashed.
+    pub crashed: Rc<Notify>,
 }
 
 /// Counts a connection as long as it is open.
@@ -370,14 +377,25 @@
         let listener = TcpListener::bind(address).await.unwrap();
         let script = Rc::new(script);
         let serving = instance.clone();
-        spawn_local(async move {
+        let task = spawn_local(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serving.clone().connection(stream, script.clone()));
+                connections.spawn_local(serving.clone().connection(stream, script.clone()));
+                while connections.try_join_next().is_some() {}
             }
         });
+        *instance.serving.borrow_mut() = Some(task.abort_handle());
         instance
     }
 
+    /// Ends the instance: its port refuses, its connections break.
+    pub fn crash(&self) {
+        if let Some(serving) = self.serving.borrow_mut().take() {
+            serving.abort();
+            self.crashed.notify_one();
+        }
+    }
+
     async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
         let _open = Open::begin(&self.open);
         let (reading, mut writing) = stream.into_split();
@@ -416,6 +434,10 @@
                                 let _ = writing.write_all(answer(status, &seen.id(), "body").as_bytes()).await;
                             }
                             Action::Close => return,
+                            Action::Crash => {
+                                self.crash();
+                                return futures::future::pending().await;
+                            }
                             Action::Reset => {
                                 let stream = requests.into_inner().reunite(writing).unwrap();
                                 socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
