Contents that end their instances are remembered and held

Cause: every try of a request was judged by itself. What a node learnt of a failure hung on the id of one try, so a content that ends whatever runs it was let through under each new id, at every node. Change: the gate beside an instance sees that it ended (its port refuses) and marks the contents that were at work in it; the gates of a service tell each other. One mark: such a request runs only while no other suspect runs at that instance, so that the next end tells the guilty one from those beside it. Three: held while it keeps coming. A run that is answered clears its content everywhere. A gate that starts asks before it lets through. Ages are of a clock that counts suspension. Ruled out: holding by the edge's own memory (the same content comes by any machine); a veto from one mark (each end has up to all its slots at work, nearly all of them innocent); a fixed span in which ends count once (50 ms took two ends of one try, 30 ms apart, for one: three instances ended, not two).

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use olivegate_types::Moment;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 static START: OnceLock<Instant> = OnceLock::new();
@@ -14,6 +15,15 @@
     Moment::after_start(start.elapsed())
 }
 
+/// Now, by a clock that also counts while the machine is suspended, which [`now`] does not: for
+/// ages of what must not be believed for longer than it is true. The two don't mix.
+pub fn now_with_suspension() -> Moment {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Moment::after_start(Duration::new(seconds, nanoseconds))
+}
+
 /// The runtime's instant of `moment`, for timers.
 pub fn instant_of(moment: Moment) -> Instant {
     let start = START.get_or_init(Instant::now);
--- /dev/null
+++ b/crates/quarantine/src/suspects.rs
@@ -0,0 +1,156 @@
+//! The contents that are suspected, and what follows for a request.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use olivegate_types::{InstanceName, Moment};
+
+use crate::content::ContentDigest;
+use crate::policy::QuarantinePolicy;
+use crate::report::{FatalRun, SuspectReport};
+use crate::suspect::Suspect;
+
+/// What follows for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is held against it.
+    Free,
+    /// It may run while no other suspect runs at the same instance.
+    Alone,
+    /// It is held, but this one run of it may show that it is innocent; alone as well.
+    Probe,
+    /// It may not run.
+    Held {
+        /// When it may be let run again at the earliest, if nothing new is held against it.
+        retry_after: Duration,
+    },
+}
+
+/// The contents that a node suspects.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    contents: HashMap<ContentDigest, Suspect>,
+}
+
+/// A suspect as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// Ends that count against it.
+    pub ends: u32,
+    /// Time since the first of them.
+    pub age: Duration,
+    /// True when it is held.
+    pub is_held: bool,
+}
+
+impl Suspects {
+    /// True when nothing is remembered: requests need not be looked at.
+    pub fn is_empty(&self) -> bool {
+        self.contents.is_empty()
+    }
+
+    /// Contents that something is held against, and those of them that are held.
+    pub fn counts(&self, policy: &QuarantinePolicy) -> (usize, usize) {
+        let ends = self.contents.values().map(Suspect::counted_ends).filter(|ends| *ends > 0);
+        ends.fold((0, 0), |(all, held), ends| (all + 1, held + usize::from(ends >= policy.held_after)))
+    }
+
+    /// How a content stands; `None` when nothing is held against it.
+    pub fn standing(&self, policy: &QuarantinePolicy, content: &ContentDigest, now: Moment) -> Option<Standing> {
+        let suspect = self.contents.get(content)?;
+        let first = suspect.first_end()?;
+        let ends = suspect.counted_ends();
+        Some(Standing { ends, age: now.since(first), is_held: ends >= policy.held_after })
+    }
+
+    /// What follows for a request of `content` that has come. `may_probe` is true on the one node that
+    /// lets a held content run to see whether it clears itself; such a run is noted.
+    pub fn judge(
+        &mut self,
+        policy: &QuarantinePolicy,
+        content: &ContentDigest,
+        may_probe: bool,
+        now: Moment,
+    ) -> Verdict {
+        let Some(suspect) = self.contents.get_mut(content) else { return Verdict::Free };
+        let ends = suspect.counted_ends();
+        if ends == 0 {
+            return Verdict::Free;
+        }
+        suspect.note_seen(now);
+        if ends < policy.held_after {
+            return Verdict::Alone;
+        }
+        if ends >= policy.refused_after {
+            return Verdict::Held { retry_after: policy.memory };
+        }
+        let next_probe = suspect.next_probe(policy);
+        if may_probe && now >= next_probe {
+            suspect.note_probed(now);
+            return Verdict::Probe;
+        }
+        Verdict::Held { retry_after: next_probe.since(now).max(Duration::from_secs(1)) }
+    }
+
+    /// Notes that `instance` ended with a run of `content`. True when that is news.
+    pub fn note_end(
+        &mut self,
+        policy: &QuarantinePolicy,
+        content: ContentDigest,
+        instance: &InstanceName,
+        run: FatalRun,
+    ) -> bool {
+        let suspect = self.contents.entry(content).or_insert_with(|| Suspect::new(run.ended));
+        let is_news = suspect.note_end(instance, run);
+        self.make_room(policy);
+        is_news
+    }
+
+    /// Notes that an instance answered a request of `content`. True when that clears it.
+    pub fn note_answered(&mut self, content: &ContentDigest, now: Moment) -> bool {
+        self.contents.get_mut(content).is_some_and(|suspect| suspect.note_answered(now))
+    }
+
+    /// Takes over what another node knows. True when that is news which changes what follows.
+    pub fn merge(&mut self, policy: &QuarantinePolicy, report: &SuspectReport, now: Moment) -> bool {
+        let known = self.contents.get_mut(&report.content);
+        let is_news = match known {
+            Some(suspect) => suspect.merge(report, now),
+            None => {
+                let mut suspect = Suspect::new(report.seen.before(now));
+                let is_news = suspect.merge(report, now);
+                if !suspect.is_over(policy, now) {
+                    self.contents.insert(report.content, suspect);
+                }
+                is_news
+            }
+        };
+        self.make_room(policy);
+        is_news
+    }
+
+    /// What is known of `content`, to be told.
+    pub fn report(&self, content: &ContentDigest, now: Moment) -> Option<SuspectReport> {
+        self.contents.get(content).map(|suspect| suspect.report(*content, now))
+    }
+
+    /// All contents that are remembered, in a fixed order.
+    pub fn contents(&self) -> Vec<ContentDigest> {
+        let mut contents: Vec<ContentDigest> = self.contents.keys().copied().collect();
+        contents.sort_unstable();
+        contents
+    }
+
+    /// Forgets what is over.
+    pub fn expire(&mut self, policy: &QuarantinePolicy, now: Moment) {
+        self.contents.retain(|_, suspect| !suspect.is_over(policy, now));
+    }
+
+    fn make_room(&mut self, policy: &QuarantinePolicy) {
+        while self.contents.len() > policy.most_contents {
+            let least = self.contents.iter().min_by_key(|(content, suspect)| (suspect.weight(), **content));
+            let Some(least) = least.map(|(content, _)| *content) else { return };
+            self.contents.remove(&least);
+        }
+    }
+}
--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -189,5 +189,6 @@
     loop {
         interval.tick().await;
         node.update_directory("expiry", |directory| directory.expire(clock::now()));
+        node.gate.quarantine.expire(&node);
     }
 }
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -24,6 +24,9 @@
 /// Gates without a repeat left that a request is offered to at most.
 const MOST_DENIED: u32 = 2;
 
+/// Instances that may end with one request at work: what runs it next would, too.
+const MOST_ENDED: usize = 2;
+
 /// What the client is told when no instance gave an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
@@ -53,6 +56,8 @@
     reached: Vec<InstanceName>,
     /// Those that said that they did not run it, for want of room.
     shed_by: Vec<InstanceName>,
+    /// Those that ended with it at work.
+    ended: Vec<InstanceName>,
     /// Runs that nobody can rule out.
     possible_runs: u32,
     may_have_run: bool,
@@ -74,6 +79,7 @@
             arrivals: 0,
             reached: Vec::new(),
             shed_by: Vec::new(),
+            ended: Vec::new(),
             possible_runs: 0,
             may_have_run: false,
             full: 0,
@@ -121,6 +127,11 @@
         self.arrivals > 0
     }
 
+    /// Instances that ended with the request at work.
+    pub fn ended(&self) -> &[InstanceName] {
+        &self.ended
+    }
+
     /// True when the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -139,9 +150,10 @@
             self.refusal = Some(refusal);
         }
         self.full += u32::from(refusal.reason.is_for_want_of_capacity());
-        self.denied += u32::from(refusal.reason == RefusalReason::RepeatBudget);
-        if refusal.reason == RefusalReason::AdmissionLevel {
-            // Its rank is the same everywhere.
+        let is_denied = matches!(refusal.reason, RefusalReason::RepeatBudget | RefusalReason::SuspectWaits);
+        self.denied += u32::from(is_denied);
+        if matches!(refusal.reason, RefusalReason::AdmissionLevel | RefusalReason::Quarantined) {
+            // Its rank, and what is held against its content, are the same everywhere.
             return self.give_up();
         }
         let goes_on = self.full < MOST_FULL && self.denied < MOST_DENIED;
@@ -160,6 +172,9 @@
         if self.may_have_run && self.safety == RepeatSafety::Unsafe {
             return Next::GiveUp(Verdict::Unknown);
         }
+        if failure.reason == FailureReason::InstanceEnded {
+            self.ended.extend(self.tried.last().cloned());
+        }
         self.note_shed(failure.reason == FailureReason::RefusedByInstance);
         self.next()
     }
@@ -187,6 +202,7 @@
     fn next(&self) -> Next {
         let is_over = self.possible_runs >= self.most_instances
             || self.arrivals >= MOST_ARRIVALS
+            || self.ended.len() >= MOST_ENDED
             || (self.reaches_no_more() && self.shed_by.is_empty());
         if is_over { self.give_up() } else { Next::TryAnother }
     }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -226,7 +226,7 @@
                 return Err(attempts.on_no_candidate().into());
             };
             attempts.on_offer(&instance.name);
-            let reply = self.offer(&instance, attempts.has_arrived()).await;
+            let reply = self.offer(&instance, attempts).await;
             let next = match reply {
                 GateReply::Answered(answer) => match self.after_answer(attempts, answer) {
                     Some(answer) => return Ok(answer),
@@ -282,10 +282,10 @@
     }
 
     /// Offers the request to the gate of `instance`.
-    async fn offer(&mut self, instance: &Instance, is_repeat: bool) -> GateReply {
+    async fn offer(&mut self, instance: &Instance, attempts: &Attempts) -> GateReply {
         let settings = self.node.settings();
         let is_remote = instance.address.ip() != settings.ip();
-        let offer = self.offer_message(instance, is_remote, is_repeat);
+        let offer = self.offer_message(instance, is_remote, attempts);
         let name = instance.name.clone();
         let mut sent = SentGuard { node: self.node, name: &name, observation: Observation::Neutral };
         self.node.balancer.borrow_mut().on_send(&name);
@@ -320,7 +320,7 @@
         stream
     }
 
-    fn offer_message(&self, instance: &Instance, is_remote: bool, is_repeat: bool) -> Offer {
+    fn offer_message(&self, instance: &Instance, is_remote: bool, attempts: &Attempts) -> Offer {
         let now = clock::now();
         let time_left = self.deadline.since(now);
         let route = &self.request.route;
@@ -340,7 +340,8 @@
             root: self.lineage.root.clone(),
             hop: self.lineage.hop,
             safety: route.safety,
-            is_repeat,
+            is_repeat: attempts.has_arrived(),
+            ended: attempts.ended().to_vec(),
             inherited: self.lineage.inherited,
             needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -10,6 +10,7 @@
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
+//! - [`quarantine`]: requests with which instances end.
 //! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`run_content`]: what makes the request that runs.
 //! - [`confirmation`]: the second step of an offer that may run only once.
@@ -20,6 +21,7 @@
 pub mod exchange;
 pub mod instance_connection;
 pub mod instance_end;
+pub mod quarantine;
 pub mod repeats;
 pub mod rest_trust;
 pub mod run_content;
@@ -45,6 +47,7 @@
 use crate::state::Node;
 use confirmation::Confirmation;
 use olivegate_clock as clock;
+use quarantine::GateQuarantine;
 use repeats::GateRepeats;
 use run_content::RunContent;
 use slots::InstanceSlots;
@@ -63,6 +66,8 @@
 pub struct Gate {
     instances: RefCell<HashMap<InstanceName, Rc<InstanceSlots>>>,
     repeats: GateRepeats,
+    /// Requests with which instances end.
+    pub quarantine: GateQuarantine,
 }
 
 impl Gate {
@@ -141,6 +146,11 @@
     if let Err(refusal) = admission::admit_root(node, &mut offer, arrived) {
         return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None });
     }
+    let content = RunContent::of(node, &offer, &body);
+    let entry = match node.gate.quarantine.admit(node, &offer, &content).await {
+        Ok(entry) => entry,
+        Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
+    };
     let slots = node.gate.slots_of(node, &offer.instance);
     slots.note_demand(&offer, arrived);
     let demand = demand_of(&offer, &slots, deadline);
@@ -154,17 +164,22 @@
     if let Some(reason) = obstacle(node, &offer.instance) {
         return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
     }
-    run_in_slot(node, offer, body, slot, deadline).await
+    if let Err(refusal) = node.gate.quarantine.still_admits(node, &content, &entry) {
+        return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None });
+    }
+    run_in_slot(node, offer, body, content, slot, deadline).await
 }
 
 async fn run_in_slot(
     node: &Rc<Node>,
     offer: Offer,
     body: Body,
+    content: RunContent,
     mut slot: slots::Slot,
     deadline: Moment,
 ) -> GateReply {
     let started = clock::now();
+    let began = clock::now_with_suspension();
     let time_left = deadline.since(started).saturating_sub(ANSWER_TRAVEL);
     if time_left.is_zero() {
         return count_refusal(node, &offer, refused(RefusalReason::DeadlineExceeded, SHORT_RETRY_AFTER));
@@ -175,7 +190,6 @@
     log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
     let parent = Running::begin(node, &offer, started + time_left);
-    let content = RunContent::of(node, &offer, &body);
     let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -189,16 +203,20 @@
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_answer(&offer, answer.fault, used);
             node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
+            node.gate.quarantine.on_answer(node, content, &answer);
             GateReply::Answered(slots::holding(answer, slot))
         }
-        Err(failure) => {
+        Err(mut failure) => {
+            if failure.reason == FailureReason::Broken && has_ended(node, &slots).await {
+                failure.reason = FailureReason::InstanceEnded;
+                node.gate.quarantine.on_end(node, &offer, &content, began);
+            }
             node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
             slot.note_failure(&offer, failure, used);
             if failure.reason == FailureReason::RefusedByInstance {
                 node.gate.repeats.on_shed(node, &offer, clock::now());
             }
-            let ended = failure.reason == FailureReason::Broken && has_ended(node, &slots).await;
-            log_failure(node, &offer, failure, used, ended.then_some(&content));
+            log_failure(node, &offer, failure, used, &content);
             note_gone_instance(node, &offer, failure);
             GateReply::Failed(failure)
         }
@@ -226,20 +244,18 @@
     slots.end().look(connections, node.settings().instance, keep).await
 }
 
-/// `ended_with` is the request's content where the instance ended with it at work.
-fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration, ended_with: Option<&RunContent>) {
+fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration, content: &RunContent) {
+    let content = if failure.reason == FailureReason::InstanceEnded { content.shown() } else { "none".into() };
     if node.may_log(LineClass::Failure, &offer.request_id) {
         log::info!(
             "event=exchange_failed request={} route={} instance={} reason={} may_have_run={} after_ms={} \
-             instance_ended={} content={}",
+             content={content}",
             shown(&offer.request_id),
             offer.route,
             offer.instance,
             failure.reason.as_str(),
             failure.may_have_run,
             used.as_millis(),
-            ended_with.is_some(),
-            ended_with.map_or("none".into(), RunContent::shown),
         );
     }
 }
--- /dev/null
+++ b/crates/sidecar/src/gate/quarantine.rs
@@ -0,0 +1,280 @@
+//! Requests with which instances end: kept from the instance beside this node.
+//!
+//! Judged here and not at the edge: each request reaches an instance through its gate, whichever
+//! edge it came by.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use olivegate_quarantine::{ContentDigest, FatalRun, SuspectReport, Suspects, Verdict};
+use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+
+use crate::directory::Standing;
+use crate::gate::run_content::RunContent;
+use crate::hop::Offer;
+use crate::reply::{Answer, Body};
+use crate::state::Node;
+use olivegate_clock as clock;
+
+/// Answered contents that are remembered: one that is answered all the time has no part in an end.
+const RECENT_ANSWERS: usize = 64;
+/// When to come back for a suspect that found another one at work.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest wait of a request at a node that has just started and has not heard yet what others
+/// suspect. A peer answers within some round trips.
+const HEARING_LIMIT: Duration = Duration::from_millis(400);
+
+/// How a request was let in.
+pub enum Entry<'a> {
+    /// Nothing was held against it.
+    Free,
+    /// No other suspect runs meanwhile.
+    Alone(SemaphorePermit<'a>),
+    /// As a held content that may clear itself; no other suspect runs meanwhile.
+    Probe(SemaphorePermit<'a>),
+}
+
+/// The quarantine of one gate.
+pub struct GateQuarantine {
+    suspects: RefCell<Suspects>,
+    /// The place of the one suspect that may run.
+    alone: Semaphore,
+    answered: RefCell<VecDeque<RunContent>>,
+    /// Contents of which there is news to tell.
+    news: RefCell<Vec<ContentDigest>>,
+    /// Told when there is such.
+    pub news_changed: Notify,
+    has_heard: Cell<bool>,
+    heard: Notify,
+}
+
+impl Default for GateQuarantine {
+    fn default() -> Self {
+        GateQuarantine {
+            suspects: RefCell::default(),
+            alone: Semaphore::new(1),
+            answered: RefCell::default(),
+            news: RefCell::default(),
+            news_changed: Notify::new(),
+            has_heard: Cell::new(false),
+            heard: Notify::new(),
+        }
+    }
+}
+
+fn held(retry_after: Duration) -> Refusal {
+    Refusal::new(RefusalReason::Quarantined, retry_after)
+}
+
+fn waits() -> Refusal {
+    Refusal::new(RefusalReason::SuspectWaits, SUSPECT_RETRY_AFTER)
+}
+
+impl GateQuarantine {
+    /// Lets a request in that may run; waits while another suspect runs.
+    pub async fn admit(&self, node: &Node, offer: &Offer, content: &RunContent) -> Result<Entry<'_>, Refusal> {
+        self.wait_until_heard().await;
+        if !offer.ended.is_empty() {
+            self.take_word_of_edge(node, offer, content);
+        }
+        let Some(suspected) = self.suspected(content) else { return Ok(Entry::Free) };
+        match self.judge(node, &suspected) {
+            Verdict::Free => Ok(Entry::Free),
+            Verdict::Held { retry_after } => Err(held(retry_after)),
+            Verdict::Probe => self.alone.try_acquire().map(Entry::Probe).map_err(|_| waits()),
+            Verdict::Alone => {
+                let longest = Duration::from_millis(u64::from(offer.longest_wait_ms));
+                let place = tokio::time::timeout(longest, self.alone.acquire()).await;
+                let Ok(Ok(place)) = place else { return Err(waits()) };
+                Ok(Entry::Alone(place))
+            }
+        }
+    }
+
+    /// Looks again right before the run: news may have come while it waited.
+    pub fn still_admits(&self, node: &Node, content: &RunContent, entry: &Entry<'_>) -> Result<(), Refusal> {
+        if matches!(entry, Entry::Probe(_)) {
+            return Ok(());
+        }
+        let Some(suspected) = self.suspected(content) else { return Ok(()) };
+        match (self.judge(node, &suspected), entry) {
+            (Verdict::Held { retry_after }, _) => Err(held(retry_after)),
+            (Verdict::Alone | Verdict::Probe, Entry::Free) => Err(waits()),
+            _ => Ok(()),
+        }
+    }
+
+    /// The digest of a content that has to be judged; nothing is hashed while nothing is suspected.
+    fn suspected(&self, content: &RunContent) -> Option<ContentDigest> {
+        if self.suspects.borrow().is_empty() {
+            return None;
+        }
+        content.digest()
+    }
+
+    fn judge(&self, node: &Node, content: &ContentDigest) -> Verdict {
+        let policy = node.settings().quarantine;
+        let now = clock::now_with_suspension();
+        let may_probe = is_prober(node, content);
+        self.suspects.borrow_mut().judge(&policy, content, may_probe, now)
+    }
+
+    /// The edge saw instances end with this very request: their gates' word may still be on its way.
+    fn take_word_of_edge(&self, node: &Node, offer: &Offer, content: &RunContent) {
+        let Some(digest) = content.digest() else { return };
+        for instance in &offer.ended {
+            let now = clock::now_with_suspension();
+            self.note_end(node, digest, instance, FatalRun { ended: now, began: now });
+        }
+    }
+
+    /// The instance beside this node ended with this request at work. One that was about to leave was
+    /// not ended by it, nor one that ended with what is answered all the time.
+    pub fn on_end(&self, node: &Node, offer: &Offer, content: &RunContent, began: Moment) {
+        let standing = node.knowledge.borrow().directory.standing(&offer.instance);
+        let was_leaving = matches!(standing, Standing::Draining | Standing::Gone);
+        if was_leaving || self.answered.borrow().contains(content) {
+            return;
+        }
+        let Some(digest) = content.digest() else { return };
+        let run = FatalRun { ended: clock::now_with_suspension(), began };
+        self.note_end(node, digest, &offer.instance, run);
+        log::info!(
+            "event=content_suspected content={digest} route={} caller={} instance={} {}",
+            offer.route,
+            content.caller(),
+            offer.instance,
+            self.standing(node, &digest),
+        );
+    }
+
+    fn note_end(&self, node: &Node, content: ContentDigest, instance: &InstanceName, run: FatalRun) {
+        let policy = node.settings().quarantine;
+        if self.suspects.borrow_mut().note_end(&policy, content, instance, run) {
+            self.tell(node, content);
+        }
+    }
+
+    /// The instance answered this request: its content does not end what runs it.
+    pub fn on_answer(&self, node: &Node, content: RunContent, answer: &Answer) {
+        let is_whole = matches!(answer.body, Body::Whole(_));
+        if answer.head.status >= 500 || !is_whole {
+            return;
+        }
+        if let Some(suspected) = self.suspected(&content) {
+            let now = clock::now_with_suspension();
+            if self.suspects.borrow_mut().note_answered(&suspected, now) {
+                log::info!("event=content_cleared content={suspected}");
+                self.tell(node, suspected);
+            }
+        }
+        if content.is_small() {
+            let mut answered = self.answered.borrow_mut();
+            answered.truncate(RECENT_ANSWERS - 1);
+            answered.push_front(content);
+        }
+    }
+
+    /// Ends, age and consequence, for log lines.
+    fn standing(&self, node: &Node, content: &ContentDigest) -> String {
+        let policy = node.settings().quarantine;
+        let now = clock::now_with_suspension();
+        match self.suspects.borrow().standing(&policy, content, now) {
+            Some(standing) => {
+                let age = standing.age.as_millis();
+                format!("ends={} age_ms={age} held={}", standing.ends, standing.is_held)
+            }
+            None => "ends=0 age_ms=0 held=false".into(),
+        }
+    }
+
+    fn tell(&self, node: &Node, content: ContentDigest) {
+        self.news.borrow_mut().push(content);
+        self.news_changed.notify_one();
+        self.show(node);
+    }
+
+    fn show(&self, node: &Node) {
+        let (suspected, held) = self.suspects.borrow().counts(&node.settings().quarantine);
+        node.metrics.set_state("suspected_contents", suspected as u64);
+        node.metrics.set_state("held_contents", held as u64);
+    }
+
+    /// Takes over what another gate of the service knows.
+    pub fn merge(&self, node: &Node, reports: &[SuspectReport]) {
+        let policy = node.settings().quarantine;
+        let now = clock::now_with_suspension();
+        for report in reports {
+            if !self.suspects.borrow_mut().merge(&policy, report, now) {
+                continue;
+            }
+            let content = report.content;
+            log::info!("event=content_told content={content} {}", self.standing(node, &content));
+            self.tell(node, content);
+        }
+    }
+
+    /// What there is news of.
+    pub fn take_news(&self) -> Vec<SuspectReport> {
+        let mut contents = self.news.take();
+        contents.sort_unstable();
+        contents.dedup();
+        self.reports(&contents)
+    }
+
+    /// All contents that are remembered.
+    pub fn contents(&self) -> Vec<ContentDigest> {
+        self.suspects.borrow().contents()
+    }
+
+    /// What is known of these.
+    pub fn reports(&self, contents: &[ContentDigest]) -> Vec<SuspectReport> {
+        let now = clock::now_with_suspension();
+        let suspects = self.suspects.borrow();
+        contents.iter().filter_map(|content| suspects.report(content, now)).collect()
+    }
+
+    /// Forgets what is over.
+    pub fn expire(&self, node: &Node) {
+        if self.suspects.borrow().is_empty() {
+            return;
+        }
+        self.suspects.borrow_mut().expire(&node.settings().quarantine, clock::now_with_suspension());
+        self.show(node);
+    }
+
+    /// True once this node has heard what others suspect.
+    pub fn has_heard(&self) -> bool {
+        self.has_heard.get()
+    }
+
+    /// Others have told, or there is nobody who could.
+    pub fn note_heard(&self) {
+        self.has_heard.set(true);
+        self.heard.notify_waiters();
+    }
+
+    async fn wait_until_heard(&self) {
+        let heard = self.heard.notified();
+        if !self.has_heard.get() {
+            // After the limit it goes by what it has seen itself.
+            let _ = tokio::time::timeout(HEARING_LIMIT, heard).await;
+        }
+    }
+}
+
+/// True on the one gate of the service that lets a held content run once in a while: the same on
+/// all nodes that know the same instances.
+fn is_prober(node: &Node, content: &ContentDigest) -> bool {
+    let settings = node.settings();
+    let instances = node.knowledge.borrow().directory.ready_instances(&settings.service);
+    let first = instances.iter().max_by_key(|instance| place(content, &instance.name));
+    first.is_some_and(|instance| instance.address == settings.instance)
+}
+
+/// Place of an instance in the order drawn for a content (rendezvous hashing).
+fn place(content: &ContentDigest, instance: &InstanceName) -> ContentDigest {
+    ContentDigest::of(&content.0, instance.as_str().as_bytes(), &[], &[])
+}
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -97,6 +97,8 @@
     pub safety: RepeatSafety,
     /// True when it has arrived at an instance before.
     pub is_repeat: bool,
+    /// Instances that ended with it at work.
+    pub ended: Vec<InstanceName>,
     /// Probability that the run which makes this call is a repeat; 0 for a client's request.
     pub inherited: f32,
     /// True when it may run only once the edge has confirmed it.
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -10,6 +10,7 @@
 pub mod attestation;
 pub mod freshness;
 pub mod relay;
+pub mod suspects;
 
 use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
@@ -56,6 +57,8 @@
     Told(access::Told),
     /// What a collector has counted in its zone.
     ZoneUsage(UsageReport),
+    /// Requests with which instances end.
+    Suspects(suspects::SuspectNews),
 }
 
 /// How much a node knows, and how recent that is.
@@ -109,6 +112,7 @@
     tokio::task::spawn_local(announce_changes(node.clone(), socket.clone()));
     tokio::task::spawn_local(announce_readings(node.clone(), socket.clone()));
     tokio::task::spawn_local(attestation::pass_on(node.clone(), socket.clone()));
+    tokio::task::spawn_local(suspects::run(node.clone(), socket.clone()));
     let asking: Rc<access::Asking> = Rc::default();
     tokio::task::spawn_local(access::run(node.clone(), socket.clone(), asking.clone()));
     let mut buffer = [0; MAX_DATAGRAM];
@@ -121,6 +125,7 @@
             Ok(PeerMessage::Attestations(attestations)) => attestation::take(&node, attestations),
             Ok(PeerMessage::Question(question)) => access::answer(&node, &socket, &question, sender).await,
             Ok(PeerMessage::Told(told)) => access::on_told(&node, &asking, &told, sender),
+            Ok(PeerMessage::Suspects(news)) => suspects::take(&node, &socket, news, sender.ip()).await,
             Ok(PeerMessage::ZoneUsage(usage)) => access::on_zone_usage(&node, &usage, sender),
             Ok(PeerMessage::Announcement(announcement)) => {
                 if on_reading(&node, &announcement) {
--- /dev/null
+++ b/crates/sidecar/src/peers/suspects.rs
@@ -0,0 +1,186 @@
+//! What the gates of a service tell each other of requests with which instances end.
+//!
+//! Only they need it: each request reaches an instance through one of them. What a gate has seen or
+//! learnt goes to others at once; while something is remembered, each also repeats a part of it to
+//! another one now and then, which makes up for lost datagrams, cuts and restarts. A gate that has just
+//! started asks before it lets requests through.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use olivegate_quarantine::SuspectReport;
+use olivegate_types::{Moment, ServiceName};
+use rand::seq::IteratorRandom;
+use tokio::net::UdpSocket;
+
+use super::{PeerMessage, send_to};
+use crate::state::Node;
+use olivegate_clock as clock;
+
+/// News that comes within this time goes out together: the requests that were in one instance.
+const GATHER: Duration = Duration::from_millis(3);
+/// Gates that news is told to at once. Each tells some others.
+const FAN_OUT: usize = 16;
+/// Reports in a datagram, at most: some 110 bytes each.
+const MOST_IN_DATAGRAM: usize = 24;
+/// Pause between two repeats of a part of what is remembered.
+const REPEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Gates that a node asks when it starts, and how often.
+const ASKED: usize = 4;
+const ASK_ROUNDS: u32 = 3;
+/// Time that they have to answer.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// Pause until a node that has just started looks again whether it knows its peers.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// Time for which a machine counts as one of the service after an instance was listed there.
+const MACHINE_MEMORY: Duration = Duration::from_secs(600);
+/// Machines of the service that are remembered, at most.
+const MOST_MACHINES: usize = 1_024;
+
+/// What a gate tells another one of its service.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct SuspectNews {
+    /// The service.
+    pub service: ServiceName,
+    /// What it knows, or a part of it.
+    pub reports: Vec<SuspectReport>,
+    /// Why it tells.
+    pub purpose: Purpose,
+}
+
+/// Why a gate tells another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Purpose {
+    /// So that the other one knows.
+    Tell,
+    /// It has just started and asks.
+    Ask,
+    /// It was asked.
+    Answer {
+        /// False when it has just started itself.
+        has_heard: bool,
+    },
+}
+
+/// The machines beside instances of this node's service, with the time when one was last listed there.
+#[derive(Debug, Default)]
+pub struct ServiceMachines(HashMap<IpAddr, Moment>);
+
+impl ServiceMachines {
+    /// Notes the machines that are listed now.
+    pub fn note(&mut self, listed: impl Iterator<Item = IpAddr>, now: Moment) {
+        self.0.retain(|_, seen| now.since(*seen) < MACHINE_MEMORY);
+        for machine in listed {
+            if self.0.len() < MOST_MACHINES || self.0.contains_key(&machine) {
+                self.0.insert(machine, now);
+            }
+        }
+    }
+
+    fn others(&self, own: IpAddr) -> impl Iterator<Item = IpAddr> {
+        self.0.keys().copied().filter(move |machine| *machine != own)
+    }
+}
+
+/// The other gates of this service; instances that have ended lately count, since their gates live.
+fn other_gates(node: &Node, most: usize) -> Vec<IpAddr> {
+    let own = node.settings().ip();
+    let machines = node.service_machines.borrow();
+    node.random(|random| machines.others(own).sample(random, most))
+}
+
+async fn send(node: &Node, socket: &UdpSocket, machine: IpAddr, reports: &[SuspectReport], purpose: Purpose) {
+    let service = node.settings().service.clone();
+    let news = SuspectNews { service, reports: reports.to_vec(), purpose };
+    send_to(node, socket, machine, &PeerMessage::Suspects(news)).await;
+}
+
+/// Tells and repeats until the process ends.
+pub async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    tokio::task::spawn_local(repeat(node.clone(), socket.clone()));
+    tokio::task::spawn_local(ask_when_started(node.clone(), socket.clone()));
+    loop {
+        node.gate.quarantine.news_changed.notified().await;
+        tokio::time::sleep(GATHER).await;
+        let news = node.gate.quarantine.take_news();
+        let gates = other_gates(&node, FAN_OUT);
+        for part in news.chunks(MOST_IN_DATAGRAM) {
+            for gate in &gates {
+                send(&node, &socket, *gate, part, Purpose::Tell).await;
+            }
+        }
+    }
+}
+
+/// Tells one other gate a part of what is remembered, by turns.
+async fn repeat(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut next = 0;
+    loop {
+        tokio::time::sleep(REPEAT_PAUSE).await;
+        let contents = node.gate.quarantine.contents();
+        if contents.is_empty() {
+            continue;
+        }
+        next = if next < contents.len() { next } else { 0 };
+        let end = contents.len().min(next + MOST_IN_DATAGRAM);
+        let reports = node.gate.quarantine.reports(&contents[next..end]);
+        next = end;
+        for gate in other_gates(&node, 1) {
+            send(&node, &socket, gate, &reports, Purpose::Tell).await;
+        }
+    }
+}
+
+/// Asks other gates of the service what they know, as soon as any are known.
+async fn ask_when_started(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    while node.routes().is_none() {
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+    for _ in 0..ASK_ROUNDS {
+        let gates = other_gates(&node, ASKED);
+        if gates.is_empty() || node.gate.quarantine.has_heard() {
+            break;
+        }
+        node.unheard_gates.borrow_mut().extend(&gates);
+        for gate in gates {
+            send(&node, &socket, gate, &[], Purpose::Ask).await;
+        }
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+    node.gate.quarantine.note_heard();
+}
+
+/// Takes what another gate tells, and answers what it asks.
+pub async fn take(node: &Node, socket: &UdpSocket, news: SuspectNews, sender: IpAddr) {
+    if news.service != node.settings().service {
+        return;
+    }
+    node.service_machines.borrow_mut().note(std::iter::once(sender), clock::now());
+    node.gate.quarantine.merge(node, &news.reports);
+    match news.purpose {
+        Purpose::Tell => {}
+        Purpose::Ask => answer(node, socket, sender).await,
+        Purpose::Answer { has_heard } => {
+            let mut unheard = node.unheard_gates.borrow_mut();
+            unheard.remove(&sender);
+            if has_heard || unheard.is_empty() {
+                node.gate.quarantine.note_heard();
+            }
+        }
+    }
+}
+
+async fn answer(node: &Node, socket: &UdpSocket, sender: IpAddr) {
+    let reports = node.gate.quarantine.reports(&node.gate.quarantine.contents());
+    let has_heard = node.gate.quarantine.has_heard();
+    let mut parts: Vec<&[SuspectReport]> = reports.chunks(MOST_IN_DATAGRAM).collect();
+    // The last part says that it is all.
+    let last = parts.pop().unwrap_or_default();
+    for part in parts {
+        send(node, socket, sender, part, Purpose::Tell).await;
+    }
+    send(node, socket, sender, last, Purpose::Answer { has_heard }).await;
+}
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -63,6 +63,8 @@
     Connect,
     /// The connection ended or was reset.
     Broken,
+    /// The connection ended, and the instance with it.
+    InstanceEnded,
     /// What came back is no answer.
     Malformed,
     /// No answer in time.
@@ -85,6 +87,7 @@
         match self {
             FailureReason::Connect => "connect",
             FailureReason::Broken => "broken",
+            FailureReason::InstanceEnded => "instance-ended",
             FailureReason::Malformed => "malformed",
             FailureReason::TimedOut => "timed-out",
             FailureReason::RefusedByInstance => "refused-by-instance",
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use olivegate_checked::{Mistakes, Reader};
+use olivegate_quarantine::QuarantinePolicy;
 use olivegate_quota::Tolerance;
 use olivegate_types::{NodeName, ServiceName, ZoneName};
 
@@ -110,6 +111,8 @@
     pub bounds: Bounds,
     /// Limits of the machine.
     pub machine: MachineLimits,
+    /// What follows for requests with which instances end.
+    pub quarantine: QuarantinePolicy,
 }
 
 const ADDRESS: &str = "an address such as 127.0.0.1:8080";
@@ -151,6 +154,7 @@
         memory_mb: machine.number_or("memory_mb", 256.0, 16.0..=1_048_576.0) as u64,
         max_descriptors: machine.number_or("max_descriptors", 4_096.0, 256.0..=10_000_000.0) as u64,
     });
+    let quarantine = reader.section("quarantine", read_quarantine);
     let (source, heartbeat) = source?;
     Some(SidecarSettings {
         node,
@@ -162,6 +166,7 @@
         heartbeat,
         bounds,
         machine,
+        quarantine,
     })
 }
 
@@ -194,6 +199,24 @@
     Duration::from_secs_f64(reader.number_or(field, default, 0.001..=3_600.0))
 }
 
+/// Ends of instances that a limit may ask for at most.
+const MOST_ENDS: u64 = 8;
+
+fn read_quarantine(reader: &mut Reader) -> QuarantinePolicy {
+    let default = QuarantinePolicy::default();
+    let held_after = reader.integer_or("held_after_ends", u64::from(default.held_after), 1..=MOST_ENDS);
+    let least = held_after.min(MOST_ENDS);
+    let refused_after =
+        reader.integer_or("refused_after_ends", u64::from(default.refused_after).max(least), least..=MOST_ENDS);
+    QuarantinePolicy {
+        held_after: held_after as u32,
+        refused_after: refused_after as u32,
+        probe_after: read_seconds(reader, "probe_after_s", default.probe_after.as_secs_f64()),
+        memory: read_seconds(reader, "memory_s", default.memory.as_secs_f64()),
+        most_contents: reader.integer_or("most_contents", default.most_contents as u64, 16..=65_536) as usize,
+    }
+}
+
 fn read_bounds(reader: &mut Reader) -> Bounds {
     Bounds {
         contact: read_millis(reader, "contact_ms", 3_000.0),
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -1,6 +1,8 @@
 //! What all parts of a node share. A node runs on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +26,7 @@
 use crate::model::Configuration;
 use crate::peers::attestation::Attestation;
 use crate::peers::freshness::Freshness;
+use crate::peers::suspects::ServiceMachines;
 use crate::routes::{RouteTable, WeightedDealer};
 use crate::settings::SidecarSettings;
 use crate::stop::StopState;
@@ -83,6 +86,10 @@
     pub hops: HopPool,
     /// The instance beside this node.
     pub gate: Gate,
+    /// Machines beside instances of this node's service.
+    pub service_machines: RefCell<ServiceMachines>,
+    /// Gates that were asked what they suspect and have not answered.
+    pub unheard_gates: RefCell<HashSet<IpAddr>>,
     /// How recent the knowledge is, and who reads the source.
     pub freshness: RefCell<Freshness>,
     /// Since when the source can't be read from here.
@@ -126,6 +133,8 @@
             lineage: RefCell::default(),
             hops: HopPool::default(),
             gate: Gate::default(),
+            service_machines: RefCell::default(),
+            unheard_gates: RefCell::default(),
             freshness: RefCell::new(freshness),
             source_away_since: Cell::new(None),
             request_bytes: Cell::new(LARGEST_PIECES as f64),
@@ -207,12 +216,19 @@
         log::info!("event=directory_changed revision={revision} ready={ready} from={from}");
         self.metrics.set_state("ready_instances", ready as u64);
         self.gate.follow_directory(self);
+        self.note_service_machines();
         let knowledge = self.knowledge.borrow();
         self.balancer.borrow_mut().retain(|name| knowledge.directory.instance(name).is_some());
         drop(knowledge);
         self.knowledge_changed.notify_waiters();
     }
 
+    fn note_service_machines(&self) {
+        let instances = self.knowledge.borrow().directory.ready_instances(&self.settings().service);
+        let machines = instances.iter().map(|instance| instance.address.ip());
+        self.service_machines.borrow_mut().note(machines, clock::now());
+    }
+
     /// True when the node can serve: it knows routes and instances and does not stop.
     pub fn is_ready(&self) -> bool {
         let knowledge = self.knowledge.borrow();
--- a/crates/sidecar/tests/decisions/sheds.rs
+++ b/crates/sidecar/tests/decisions/sheds.rs
@@ -43,6 +43,7 @@
         hop,
         safety: RepeatSafety::Safe,
         is_repeat: false,
+        ended: Vec::new(),
         inherited: 0.0,
         needs_confirmation: false,
     }
--- a/crates/sidecar/tests/path/crashing.rs
+++ b/crates/sidecar/tests/path/crashing.rs
@@ -18,7 +18,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::support::{Action, Client, Fleet, TestInstance, answer, configuration, get, post, route, run};
 
 /// Machines with an instance of the service.
 const INSTANCES: u8 = 4;
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -175,6 +175,7 @@
         hop: 0,
         safety: Unsafe,
         is_repeat: false,
+        ended: Vec::new(),
         inherited: 0.0,
         needs_confirmation: true,
     }
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -11,6 +11,7 @@
 use futures::StreamExt;
 use olivegate_authentication::{ApiKey, Tenant};
 use olivegate_http1::{Frame, RequestDecoder, RequestHead, ResponseDecoder, ResponseHead};
+use olivegate_quarantine::QuarantinePolicy;
 use olivegate_sidecar::model::{
     ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Revision,
     Route, WeightedPart,
@@ -65,6 +66,8 @@
     pub repeat_ratio: f64,
     /// Age of the configuration up to which keys count.
     pub keys_proven_within: Option<Duration>,
+    /// What follows for requests with which instances end.
+    pub quarantine: QuarantinePolicy,
 }
 
 impl Fleet {
@@ -75,6 +78,7 @@
             repeat_slack: 100_000.0,
             repeat_ratio: 1.0,
             keys_proven_within: None,
+            quarantine: QuarantinePolicy::default(),
         }
     }
 
@@ -151,6 +155,7 @@
                 quota: olivegate_quota::Tolerance { window: Duration::from_secs(5), overshoot: 0.25, slack: 20.0 },
             },
             machine: self.machine_limits(),
+            quarantine: self.quarantine,
         };
         olivegate_sidecar::app::start(settings, VOCABULARY, source).await.unwrap()
     }
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -82,11 +82,15 @@
     RepeatBudget,
     /// Its key may have been withdrawn: the configuration is not proven to be young enough.
     KeysUnproven,
+    /// Instances ended with the same content at work, and it may run only alone.
+    SuspectWaits,
+    /// Instances ended with the same content at work: it is not run.
+    Quarantined,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [RefusalReason; 16] = [
+    pub const ALL: [RefusalReason; 18] = [
         RefusalReason::AdmissionLevel,
         RefusalReason::PredictedWait,
         RefusalReason::QueueTimeout,
@@ -103,6 +107,8 @@
         RefusalReason::NodeOverloaded,
         RefusalReason::RepeatBudget,
         RefusalReason::KeysUnproven,
+        RefusalReason::SuspectWaits,
+        RefusalReason::Quarantined,
     ];
 
     /// Text of the reason header and of log lines.
@@ -124,6 +130,8 @@
             RefusalReason::NodeOverloaded => "node-overloaded",
             RefusalReason::RepeatBudget => "repeat-budget",
             RefusalReason::KeysUnproven => "keys-unproven",
+            RefusalReason::SuspectWaits => "suspect-waits",
+            RefusalReason::Quarantined => "quarantined",
         }
     }
 
