--- /dev/null
+++ b/crates/quarantine/tests/suspects.rs
@@ -0,0 +1,280 @@
+//! What follows for a request, against a simple oracle: all that ever happened to a content, looked
+//! through anew for each question.
+
+use std::time::Duration;
+
+use olivegate_quarantine::{Age, ContentDigest, FatalRun, QuarantinePolicy, Suspects, Verdict};
+use olivegate_types::{InstanceName, Moment};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const POLICY: QuarantinePolicy = QuarantinePolicy {
+    held_after: 2,
+    refused_after: 3,
+    probe_after: Duration::from_secs(30),
+    memory: Duration::from_secs(600),
+    most_contents: 1_024,
+};
+const START: u64 = 1_000_000;
+
+fn content(number: u8) -> ContentDigest {
+    ContentDigest::of(b"GET", &[b'/', number], b"desk", b"")
+}
+
+fn instance(number: usize) -> InstanceName {
+    InstanceName::new(format!("instance-{number}"))
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(START + millis)
+}
+
+/// A run of 40 ms that ended its instance at `ended`.
+fn fatal(ended: u64) -> FatalRun {
+    FatalRun { ended: at(ended), began: at(ended.saturating_sub(40)) }
+}
+
+fn after_ends(ends: &[u64]) -> Suspects {
+    let mut suspects = Suspects::default();
+    for (number, ended) in ends.iter().enumerate() {
+        suspects.note_end(&POLICY, content(0), &instance(number), fatal(*ended));
+    }
+    suspects
+}
+
+fn judge(suspects: &mut Suspects, may_probe: bool, millis: u64) -> Verdict {
+    suspects.judge(&POLICY, &content(0), may_probe, at(millis))
+}
+
+#[rstest]
+#[case::nothing(&[], Verdict::Free)]
+#[case::one_end(&[100], Verdict::Alone)]
+#[case::two(&[100, 200], Verdict::Held { retry_after: Duration::from_millis(29_200) })]
+#[case::three(&[100, 200, 300], Verdict::Held { retry_after: Duration::from_secs(600) })]
+#[case::all_struck_at_once(&[100, 100, 101, 103], Verdict::Alone)]
+#[case::begun_before_the_first_end(&[100, 120, 125], Verdict::Alone)]
+fn ends_lead_to_what_follows(#[case] ends: &[u64], #[case] expected: Verdict) {
+    assert_eq!(judge(&mut after_ends(ends), true, 1_000), expected);
+}
+
+#[rstest]
+fn a_run_that_is_answered_clears_its_content() {
+    let mut suspects = after_ends(&[100, 200]);
+    assert!(suspects.note_answered(&content(0), at(300)));
+    assert_eq!(judge(&mut suspects, false, 400), Verdict::Free);
+    assert!(!suspects.note_end(&POLICY, content(0), &instance(7), fatal(250)), "told late of an earlier end");
+    assert!(suspects.note_end(&POLICY, content(0), &instance(8), fatal(500)));
+    assert_eq!(judge(&mut suspects, false, 600), Verdict::Alone);
+}
+
+#[rstest]
+fn one_node_lets_a_held_content_run_once_in_a_while() {
+    let mut suspects = after_ends(&[100, 200]);
+    assert!(matches!(judge(&mut suspects, true, 30_100), Verdict::Held { .. }));
+    assert!(matches!(judge(&mut suspects, false, 30_300), Verdict::Held { .. }));
+    assert_eq!(judge(&mut suspects, true, 30_300), Verdict::Probe);
+    assert!(matches!(judge(&mut suspects, true, 30_400), Verdict::Held { .. }));
+    assert_eq!(judge(&mut suspects, true, 60_400), Verdict::Probe);
+    suspects.note_end(&POLICY, content(0), &instance(9), fatal(60_500));
+    assert!(matches!(judge(&mut suspects, true, 500_000), Verdict::Held { .. }), "held for good");
+}
+
+#[rstest]
+fn what_keeps_coming_is_not_forgotten_and_what_does_not_is() {
+    let mut suspects = after_ends(&[100, 200, 300]);
+    for second in (0..1_800).step_by(300) {
+        suspects.expire(&POLICY, at(second * 1_000));
+        assert!(matches!(judge(&mut suspects, false, second * 1_000), Verdict::Held { .. }), "after {second} s");
+    }
+    suspects.expire(&POLICY, at((1_500 + 600) * 1_000));
+    assert!(suspects.is_empty());
+}
+
+#[rstest]
+fn those_with_the_most_ends_stay_when_room_is_short() {
+    let policy = QuarantinePolicy { most_contents: 3, ..POLICY };
+    let mut suspects = Suspects::default();
+    suspects.note_end(&policy, content(0), &instance(0), fatal(100));
+    suspects.note_end(&policy, content(0), &instance(1), fatal(200));
+    for number in 1..=50 {
+        suspects.note_end(&policy, content(number), &instance(2), fatal(300 + u64::from(number)));
+    }
+    assert_eq!(suspects.contents().len(), 3);
+    assert!(matches!(judge(&mut suspects, false, 1_000), Verdict::Held { .. }));
+}
+
+#[rstest]
+#[case::method(b"PUT", b"/a?b", b"desk", b"body")]
+#[case::path(b"POST", b"/a?c", b"desk", b"body")]
+#[case::caller(b"POST", b"/a?b", b"shop", b"body")]
+#[case::body(b"POST", b"/a?b", b"desk", b"bodz")]
+#[case::moved_from_one_part_to_the_next(b"POST", b"/a?bd", b"esk", b"body")]
+#[case::moved_into_the_body(b"POST", b"/a?b", b"des", b"kbody")]
+fn another_request_has_another_digest(
+    #[case] method: &[u8],
+    #[case] target: &[u8],
+    #[case] caller: &[u8],
+    #[case] body: &[u8],
+) {
+    let known = ContentDigest::of(b"POST", b"/a?b", b"desk", b"body");
+    assert_eq!(ContentDigest::of(b"POST", b"/a?b", b"desk", b"body"), known);
+    assert_ne!(ContentDigest::of(method, target, caller, body), known);
+}
+
+/// What happens to one content at one node; times rise.
+#[derive(Debug, Clone)]
+enum Event {
+    Pause(u64),
+    Ended { instance: usize, ran: u64 },
+    Answered,
+    Asked { may_probe: bool },
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        3 => prop_oneof![0u64..60, 0u64..50_000].prop_map(Event::Pause),
+        3 => (0usize..6, 0u64..200).prop_map(|(instance, ran)| Event::Ended { instance, ran }),
+        1 => Just(Event::Answered),
+        4 => any::<bool>().prop_map(|may_probe| Event::Asked { may_probe }),
+    ];
+    prop::collection::vec(event, 1..60)
+}
+
+/// All that happened; answers each question from the whole of it.
+#[derive(Default)]
+struct Oracle {
+    ends: Vec<(u64, u64, usize)>,
+    answers: Vec<u64>,
+    probes: Vec<u64>,
+}
+
+impl Oracle {
+    fn counted(&self) -> (u32, u64) {
+        let cleared = self.answers.iter().max().copied();
+        let mut seen = Vec::new();
+        let mut ends = Vec::new();
+        for (ended, began, instance) in &self.ends {
+            let is_cleared = cleared.is_some_and(|cleared| *ended <= cleared);
+            if !is_cleared && !seen.contains(instance) {
+                seen.push(*instance);
+                ends.push((*ended, *began));
+            }
+        }
+        ends.sort_unstable();
+        let (mut counted, mut last) = (0, None);
+        for (ended, began) in &ends {
+            if last.is_none_or(|last| began + 10 >= last) {
+                counted += 1;
+                last = Some(*ended);
+            }
+        }
+        (counted, ends.last().map_or(0, |(ended, _)| *ended))
+    }
+
+    fn ask(&mut self, may_probe: bool, now: u64) -> &'static str {
+        let (counted, last_end) = self.counted();
+        let next = last_end.max(self.probes.iter().max().copied().unwrap_or(0)) + 30_000;
+        match counted {
+            0 => "free",
+            1 => "alone",
+            2 if may_probe && now >= next => {
+                self.probes.push(now);
+                "probe"
+            }
+            _ => "held",
+        }
+    }
+}
+
+fn name_of(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Free => "free",
+        Verdict::Alone => "alone",
+        Verdict::Probe => "probe",
+        Verdict::Held { .. } => "held",
+    }
+}
+
+proptest! {
+    /// At one node, whatever happens in whatever order.
+    #[test]
+    fn one_node_follows_the_oracle(events in events()) {
+        let mut suspects = Suspects::default();
+        let mut oracle = Oracle::default();
+        let mut now = START;
+        for event in events {
+            match event {
+                Event::Pause(millis) => now += millis,
+                Event::Ended { instance: number, ran } => {
+                    let run = FatalRun { ended: Moment::from_millis(now), began: Moment::from_millis(now - ran) };
+                    suspects.note_end(&POLICY, content(0), &instance(number), run);
+                    oracle.ends.push((now, now - ran, number));
+                }
+                Event::Answered => {
+                    suspects.note_answered(&content(0), Moment::from_millis(now));
+                    // Who knows of no suspect remembers no answer.
+                    if !oracle.ends.is_empty() {
+                        oracle.answers.push(now);
+                    }
+                }
+                Event::Asked { may_probe } => {
+                    let verdict = suspects.judge(&POLICY, &content(0), may_probe, Moment::from_millis(now));
+                    prop_assert_eq!(name_of(verdict), oracle.ask(may_probe, now), "at {}", now - START);
+                }
+            }
+        }
+    }
+
+    /// Nodes that hear the same reports, in any order and some twice, come to the same end, whatever
+    /// their clocks say; and no report makes a content guilty that no end was told of.
+    #[test]
+    fn nodes_that_heard_the_same_agree(
+        marks in prop::collection::vec((0u8..3, 0usize..5, 0u64..2_000, 0u64..150), 1..12),
+        answers in prop::collection::vec((0u8..3, 0u64..2_000), 0..3),
+        order in any::<u64>(),
+        skew in 0u64..1_000_000,
+    ) {
+        let mut reports = Vec::new();
+        for (number, ended_on, ended, ran) in &marks {
+            let mut witness = Suspects::default();
+            let run = FatalRun { ended: at(*ended), began: at(ended.saturating_sub(*ran)) };
+            witness.note_end(&POLICY, content(*number), &instance(*ended_on), run);
+            reports.push(witness.report(&content(*number), at(3_000)).unwrap());
+        }
+        for (number, answered) in &answers {
+            let mut report = reports[0].clone();
+            report.content = content(*number);
+            report.ends.clear();
+            report.answered = Some(Age::of(at(*answered), at(3_000)));
+            reports.push(report);
+        }
+        // An instance ends once: later words of the same end are no other one.
+        let mut first_words = Vec::new();
+        reports.retain(|report| {
+            let word = report.ends.first().map(|end| (report.content, end.instance.clone()));
+            let is_new = word.as_ref().is_none_or(|word| !first_words.contains(word));
+            first_words.extend(word);
+            is_new
+        });
+        let mut shuffled = reports.clone();
+        for index in 0..shuffled.len() {
+            let other = (order.rotate_left(index as u32 * 7) as usize) % shuffled.len();
+            shuffled.swap(index, other);
+        }
+        let (mut left, mut right) = (Suspects::default(), Suspects::default());
+        let there = Moment::from_millis(START + 3_000 + skew);
+        for report in &reports {
+            left.merge(&POLICY, report, at(3_000));
+        }
+        for report in shuffled.iter().chain(&reports) {
+            right.merge(&POLICY, report, there);
+        }
+        for number in 0..3 {
+            let left = left.judge(&POLICY, &content(number), false, at(3_000));
+            let right = right.judge(&POLICY, &content(number), false, there);
+            prop_assert_eq!(left, right);
+            let is_told = marks.iter().any(|(marked, ..)| *marked == number);
+            prop_assert!(is_told || left == Verdict::Free);
+        }
+    }
+}
