Quarantine: ends told by an edge carry their times, runs of one content in one instance count as one

Offers now carry when the run began and ended; of several runs of one content in one instance the earliest counts; an end counts only when it is later, too. (2) A streamed body that was read to its end before it was judged was polled again (the gate's task panicked).

--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -43,6 +43,18 @@
     pub began: Age,
 }
 
+impl ReportedEnd {
+    /// What is told at `now` of the end of `instance`.
+    pub fn of(instance: &InstanceName, run: FatalRun, now: Moment) -> Self {
+        ReportedEnd { instance: instance.clone(), ended: Age::of(run.ended, now), began: Age::of(run.began, now) }
+    }
+
+    /// The run, for a node whose clock says `now`.
+    pub fn run(&self, now: Moment) -> FatalRun {
+        FatalRun { ended: self.ended.before(now), began: self.began.before(now) }
+    }
+}
+
 /// What a node knows of a content.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct SuspectReport {
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -38,13 +38,15 @@
         self.ends.is_empty()
     }
 
-    /// Ends that count: each of a run that began after the end that counted before it. A cause from
-    /// outside strikes many instances at once, and what all of them were running has no part in it.
+    /// Ends that count: each of a run that began after the end that counted before it, and ended
+    /// later. A cause from outside strikes many instances at once, and what all of them were running
+    /// has no part in it.
     pub(crate) fn counted_ends(&self) -> u32 {
         let mut counted = 0;
         let mut last: Option<Moment> = None;
         for (run, _) in &self.ends {
-            if last.is_none_or(|last| run.began + TOLD_LATE >= last) {
+            let is_later = |last: Moment| run.began + TOLD_LATE >= last && run.ended >= last + TOLD_LATE;
+            if last.is_none_or(is_later) {
                 counted += 1;
                 last = Some(run.ended);
             }
@@ -64,8 +66,12 @@
 
     /// Notes that an instance ended with it. True when that is news.
     pub(crate) fn note_end(&mut self, instance: &InstanceName, run: FatalRun) -> bool {
-        let is_cleared = self.answered.is_some_and(|answered| answered >= run.ended);
-        if is_cleared || self.ends.iter().any(|(_, known)| known == instance) {
+        if self.answered.is_some_and(|answered| answered >= run.ended) {
+            return false;
+        }
+        if let Some((known, _)) = self.ends.iter_mut().find(|(_, known)| known == instance) {
+            // Several requests of one content were in it: the first of them shows the least.
+            known.began = known.began.min(run.began);
             return false;
         }
         let place = self.ends.partition_point(|(earlier, _)| *earlier <= run);
@@ -109,11 +115,7 @@
     }
 
     pub(crate) fn report(&self, digest: ContentDigest, now: Moment) -> SuspectReport {
-        let ends = self.ends.iter().map(|(run, instance)| ReportedEnd {
-            instance: instance.clone(),
-            ended: Age::of(run.ended, now),
-            began: Age::of(run.began, now),
-        });
+        let ends = self.ends.iter().map(|(run, instance)| ReportedEnd::of(instance, *run, now));
         SuspectReport {
             content: SuspectedContent { digest, beginning: self.beginning },
             ends: ends.collect(),
@@ -135,8 +137,7 @@
             is_news |= self.note_answered(answered.before(now));
         }
         for end in report.ends.iter().take(MOST_ENDS) {
-            let run = FatalRun { ended: end.ended.before(now), began: end.began.before(now) };
-            is_news |= self.note_end(&end.instance, run);
+            is_news |= self.note_end(&end.instance, end.run(now));
         }
         is_news
     }
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -57,7 +57,7 @@
     /// Those that said that they did not run it, for want of room.
     shed_by: Vec<InstanceName>,
     /// Those that ended with it at work.
-    ended: Vec<InstanceName>,
+    ended: usize,
     /// Runs that nobody can rule out.
     possible_runs: u32,
     may_have_run: bool,
@@ -79,7 +79,7 @@
             arrivals: 0,
             reached: Vec::new(),
             shed_by: Vec::new(),
-            ended: Vec::new(),
+            ended: 0,
             possible_runs: 0,
             may_have_run: false,
             full: 0,
@@ -127,11 +127,6 @@
         self.arrivals > 0
     }
 
-    /// Instances that ended with the request at work.
-    pub fn ended(&self) -> &[InstanceName] {
-        &self.ended
-    }
-
     /// True when the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -172,9 +167,7 @@
         if self.may_have_run && self.safety == RepeatSafety::Unsafe {
             return Next::GiveUp(Verdict::Unknown);
         }
-        if failure.reason == FailureReason::InstanceEnded {
-            self.ended.extend(self.tried.last().cloned());
-        }
+        self.ended += usize::from(failure.reason == FailureReason::InstanceEnded);
         self.note_shed(failure.reason == FailureReason::RefusedByInstance);
         self.next()
     }
@@ -202,7 +195,7 @@
     fn next(&self) -> Next {
         let is_over = self.possible_runs >= self.most_instances
             || self.arrivals >= MOST_ARRIVALS
-            || self.ended.len() >= MOST_ENDED
+            || self.ended >= MOST_ENDED
             || (self.reaches_no_more() && self.shed_by.is_empty());
         if is_over { self.give_up() } else { Next::TryAnother }
     }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use olivegate_authentication::Tenant;
 use olivegate_http1::RequestHead;
+use olivegate_quarantine::{FatalRun, ReportedEnd};
 use olivegate_routing::balance::{Candidate, Health, Observation};
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
@@ -51,6 +52,8 @@
     body_is_spent: bool,
     /// The failure of an instance, while others are tried. It is better than no answer.
     failed_answer: Option<Answer>,
+    /// Runs of it with which their instance ended.
+    fatal_runs: Vec<(InstanceName, FatalRun)>,
     arrived: Moment,
     deadline: Moment,
 }
@@ -173,6 +176,7 @@
         streamed,
         body_is_spent: false,
         failed_answer: None,
+        fatal_runs: Vec::new(),
         arrived,
         deadline,
     };
@@ -226,6 +230,7 @@
                 return Err(attempts.on_no_candidate().into());
             };
             attempts.on_offer(&instance.name);
+            let offered = clock::now_with_suspension();
             let reply = self.offer(&instance, attempts).await;
             let next = match reply {
                 GateReply::Answered(answer) => match self.after_answer(attempts, answer) {
@@ -241,6 +246,10 @@
                 }
                 GateReply::Failed(failure) => {
                     self.note_failure(&instance, failure);
+                    if failure.reason == FailureReason::InstanceEnded {
+                        let ended = clock::now_with_suspension();
+                        self.fatal_runs.push((instance.name.clone(), FatalRun { ended, began: offered }));
+                    }
                     if failure.reason == FailureReason::GateLost {
                         self.drop_held(&instance);
                     }
@@ -307,6 +316,12 @@
         reply
     }
 
+    /// The fatal runs, as the next gate is told of them: its node may not have heard yet.
+    fn reported_ends(&self) -> Vec<ReportedEnd> {
+        let now = clock::now_with_suspension();
+        self.fatal_runs.iter().map(|(instance, run)| ReportedEnd::of(instance, *run, now)).collect()
+    }
+
     fn take_body(&mut self) -> Body {
         match self.take_stream() {
             Some((pieces, length)) => Body::Stream(pieces, length),
@@ -341,7 +356,7 @@
             hop: self.lineage.hop,
             safety: route.safety,
             is_repeat: attempts.has_arrived(),
-            ended: attempts.ended().to_vec(),
+            ended: self.reported_ends(),
             inherited: self.lineage.inherited,
             needs_confirmation: is_remote && route.safety == RepeatSafety::Unsafe,
         }
--- a/crates/sidecar/src/gate/quarantine/mod.rs
+++ b/crates/sidecar/src/gate/quarantine/mod.rs
@@ -125,10 +125,11 @@
     /// Reads a streamed body on where it begins like that of a suspect: it can't be judged before it
     /// is whole. Nothing is read while no such body is suspected.
     pub async fn read_suspected(&self, content: &RunContent, body: Body) -> Body {
-        let Body::Stream(mut stream, length) = body else { return body };
+        let Body::Stream(stream, length) = body else { return body };
         if !self.suspects.borrow().has_streamed() {
             return Body::Stream(stream, length);
         }
+        let mut stream = stream.fuse();
         let mut read: Vec<Result<Bytes, BodyBroken>> = Vec::new();
         let mut bytes = 0;
         while bytes <= MOST_READ {
@@ -167,9 +168,9 @@
     /// The edge saw instances end with this very request: their gates' word may still be on its way.
     fn take_word_of_edge(&self, node: &Node, offer: &Offer, content: &RunContent) {
         let Some(suspected) = content.suspected() else { return };
-        for instance in &offer.ended {
-            let now = clock::now_with_suspension();
-            self.note_end(node, suspected, instance, FatalRun { ended: now, began: now });
+        let now = clock::now_with_suspension();
+        for end in &offer.ended {
+            self.note_end(node, suspected, &end.instance, end.run(now));
         }
     }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use olivegate_http1::{RequestHead, ResponseHead};
 use olivegate_overload::ClassKey;
+use olivegate_quarantine::ReportedEnd;
 use olivegate_types::{GroupName, Importance, InstanceName, KindName, RefusalReason, SheddingRank};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -98,7 +99,7 @@
     /// True when it has arrived at an instance before.
     pub is_repeat: bool,
     /// Instances that ended with it at work.
-    pub ended: Vec<InstanceName>,
+    pub ended: Vec<ReportedEnd>,
     /// Probability that the run which makes this call is a repeat; 0 for a client's request.
     pub inherited: f32,
     /// True when it may run only once the edge has confirmed it.
