--- a/crates/olivegate/src/logs_command.rs
+++ b/crates/olivegate/src/logs_command.rs
@@ -1,7 +1,7 @@
 //! `logs explain` and `logs summary`: the story of a request, and causes over time, from the
 //! log lines of many nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
 use crate::error::CommandError;
@@ -11,6 +11,11 @@
 /// Events of attempts and exchanges that failed, and of refused offers.
 const SUMMARIZED: [&str; 4] = [OWN_ANSWER, "attempt_failed", "exchange_failed", "offer_refused"];
 
+/// Values of the field `content` that name none.
+const NO_CONTENT: [&str; 2] = ["none", "streamed"];
+/// Beginning of the events that tell what is held against a content.
+const CONTENT_EVENTS: &str = "content_";
+
 /// One log line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLine {
@@ -59,9 +64,21 @@
     }
 }
 
-/// The lines about `request`, in order.
-pub fn story(lines: &[LogLine], request: &str) -> Vec<LogLine> {
-    lines.iter().filter(|line| line.field("request") == Some(request)).cloned().collect()
+/// The lines about the request with this id, or about the content with this digest, in order. With
+/// a request come the lines that tell what is held against its content.
+pub fn story(lines: &[LogLine], subject: &str) -> Vec<LogLine> {
+    let is_subject = |line: &&LogLine| [line.field("request"), line.field("content")].contains(&Some(subject));
+    let contents: BTreeSet<&str> = lines
+        .iter()
+        .filter(|line| line.field("request") == Some(subject))
+        .filter_map(|line| line.field("content"))
+        .filter(|content| !NO_CONTENT.contains(content))
+        .collect();
+    let is_of_content = |line: &LogLine| {
+        let is_event = line.field("event").is_some_and(|event| event.starts_with(CONTENT_EVENTS));
+        is_event && line.field("content").is_some_and(|content| contents.contains(content))
+    };
+    lines.iter().filter(|line| is_subject(line) || is_of_content(line)).cloned().collect()
 }
 
 /// Counts of refusals and failures by second, event, route and reason.
--- a/crates/olivegate/tests/logs.rs
+++ b/crates/olivegate/tests/logs.rs
@@ -27,6 +27,26 @@
     assert!(story(&lines, "r9").is_empty());
 }
 
+const HELD: &str = "\
+2026-01-01T10:00:01.000Z [INFO] event=content_suspected content=ab12 route=books caller=desk instance=i-1 ends=1 age_ms=0 held=false
+2026-01-01T10:00:01.100Z [INFO] event=content_suspected content=cd34 route=books caller=desk instance=i-1 ends=1 age_ms=0 held=false
+2026-01-01T10:00:02.000Z [INFO] event=content_told content=ab12 ends=2 age_ms=1000 held=true
+2026-01-01T10:00:03.000Z [INFO] event=request_held request=r7 route=books caller=desk content=ab12 ends=2 age_ms=2000 held=true
+2026-01-01T10:00:03.100Z [INFO] event=request_held request=r8 route=books caller=desk content=ab12 ends=2 age_ms=2100 held=true
+2026-01-01T10:00:03.200Z [INFO] event=exchange_failed request=r9 route=books instance=i-2 reason=broken content=none
+";
+
+#[rstest]
+#[case::a_request_and_what_is_held_against_it("r7", &["content_suspected", "content_told", "request_held"])]
+#[case::a_content("ab12", &["content_suspected", "content_told", "request_held", "request_held"])]
+#[case::nothing_is_held("r9", &["exchange_failed"])]
+fn a_story_names_what_is_held_against_a_request(#[case] subject: &str, #[case] expected: &[&str]) {
+    let lines = parse("gate", HELD);
+    let found = story(&lines, subject);
+    let events: Vec<&str> = found.iter().filter_map(|line| line.field("event")).collect();
+    assert_eq!(events, expected);
+}
+
 #[rstest]
 fn a_summary_counts_causes_by_second() {
     let counts = summary(&merge(vec![parse("edge", EDGE), parse("gate", GATE)]));
--- a/crates/sidecar/src/gate/quarantine/mod.rs
+++ b/crates/sidecar/src/gate/quarantine/mod.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 use crate::directory::Standing;
+use crate::event::{LineClass, shown};
 use crate::hop::Offer;
 use crate::reply::{Answer, Body, BodyBroken};
 use crate::state::Node;
@@ -92,7 +93,10 @@
         }
         match self.judge(node, content) {
             Verdict::Free => Ok(Entry::Free),
-            Verdict::Held { retry_after } => Err(held(retry_after)),
+            Verdict::Held { retry_after } => {
+                self.log_held(node, offer, content);
+                Err(held(retry_after))
+            }
             Verdict::Probe => self.alone.try_acquire().map(Entry::Probe).map_err(|_| waits()),
             Verdict::Alone => {
                 let longest = Duration::from_millis(u64::from(offer.longest_wait_ms));
@@ -103,6 +107,19 @@
         }
     }
 
+    fn log_held(&self, node: &Node, offer: &Offer, content: &RunContent) {
+        let Some(digest) = content.digest() else { return };
+        if node.may_log(LineClass::Refusal, &offer.request_id) {
+            log::info!(
+                "event=request_held request={} route={} caller={} content={digest} {}",
+                shown(&offer.request_id),
+                offer.route,
+                content.caller(),
+                self.standing(node, &digest),
+            );
+        }
+    }
+
     /// Looks again right before the run: news may have come while it waited, and a streamed body
     /// is known only now.
     pub fn admit_to_run<'a>(
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -42,7 +42,7 @@
 /// Time limit of a fetch.
 const FETCH_LIMIT: Duration = Duration::from_millis(600);
 /// Largest datagram in bytes.
-const MAX_DATAGRAM: usize = 4_096;
+pub const MAX_DATAGRAM: usize = 4_096;
 
 /// What a node tells others by UDP.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
--- a/crates/sidecar/src/peers/suspects.rs
+++ b/crates/sidecar/src/peers/suspects.rs
@@ -16,7 +16,8 @@
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use super::{PeerMessage, send_to};
+use super::{MAX_DATAGRAM, PeerMessage, send_to};
+use crate::hop;
 use crate::state::Node;
 use olivegate_clock as clock;
 
@@ -24,8 +25,11 @@
 const GATHER: Duration = Duration::from_millis(3);
 /// Gates that news is told to at once. Each tells some others.
 const FAN_OUT: usize = 16;
-/// Reports in a datagram, at most: some 110 bytes each.
-const MOST_IN_DATAGRAM: usize = 24;
+/// Bytes of reports in a datagram, at most: with what goes around them they stay below
+/// [`MAX_DATAGRAM`].
+const MOST_REPORT_BYTES: usize = MAX_DATAGRAM - 512;
+/// Contents that one repeat tells of, at most.
+const MOST_REPEATED: usize = 24;
 /// Pause between two repeats of a part of what is remembered.
 const REPEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Gates that a node asks when it starts, and how often.
@@ -92,6 +96,22 @@
     node.random(|random| machines.others(own).sample(random, most))
 }
 
+/// The reports in parts that fit into a datagram each.
+pub fn datagrams(reports: Vec<SuspectReport>) -> Vec<Vec<SuspectReport>> {
+    let mut parts: Vec<Vec<SuspectReport>> = Vec::new();
+    let mut bytes = MOST_REPORT_BYTES;
+    for report in reports {
+        let size = hop::encode(&report).len();
+        if bytes + size > MOST_REPORT_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        parts.last_mut().into_iter().for_each(|part| part.push(report.clone()));
+    }
+    parts
+}
+
 async fn send(node: &Node, socket: &UdpSocket, machine: IpAddr, reports: &[SuspectReport], purpose: Purpose) {
     let service = node.settings().service.clone();
     let news = SuspectNews { service, reports: reports.to_vec(), purpose };
@@ -107,9 +127,9 @@
         tokio::time::sleep(GATHER).await;
         let news = node.gate.quarantine.take_news();
         let gates = other_gates(&node, FAN_OUT);
-        for part in news.chunks(MOST_IN_DATAGRAM) {
+        for part in datagrams(news) {
             for gate in &gates {
-                send(&node, &socket, *gate, part, Purpose::Tell).await;
+                send(&node, &socket, *gate, &part, Purpose::Tell).await;
             }
         }
     }
@@ -125,11 +145,13 @@
             continue;
         }
         next = if next < contents.len() { next } else { 0 };
-        let end = contents.len().min(next + MOST_IN_DATAGRAM);
-        let reports = node.gate.quarantine.reports(&contents[next..end]);
+        let end = contents.len().min(next + MOST_REPEATED);
+        let parts = datagrams(node.gate.quarantine.reports(&contents[next..end]));
         next = end;
         for gate in other_gates(&node, 1) {
-            send(&node, &socket, gate, &reports, Purpose::Tell).await;
+            for part in &parts {
+                send(&node, &socket, gate, part, Purpose::Tell).await;
+            }
         }
     }
 }
@@ -176,11 +198,11 @@
 async fn answer(node: &Node, socket: &UdpSocket, sender: IpAddr) {
     let reports = node.gate.quarantine.reports(&node.gate.quarantine.contents());
     let has_heard = node.gate.quarantine.has_heard();
-    let mut parts: Vec<&[SuspectReport]> = reports.chunks(MOST_IN_DATAGRAM).collect();
+    let mut parts = datagrams(reports);
     // The last part says that it is all.
     let last = parts.pop().unwrap_or_default();
     for part in parts {
-        send(node, socket, sender, part, Purpose::Tell).await;
+        send(node, socket, sender, &part, Purpose::Tell).await;
     }
-    send(node, socket, sender, last, Purpose::Answer { has_heard }).await;
+    send(node, socket, sender, &last, Purpose::Answer { has_heard }).await;
 }
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -11,4 +11,5 @@
 mod routes;
 mod settings;
 mod sheds;
+mod suspects;
 mod waits;
--- a/crates/sidecar/tests/decisions/settings.rs
+++ b/crates/sidecar/tests/decisions/settings.rs
@@ -54,6 +54,12 @@
 #[case::keys("repeat_ratio = 0.2", "keys_proven_within_ms = 1", "field=bounds.keys_proven_within_ms")]
 #[case::overshoot("repeat_ratio = 0.2", "quota_overshoot = -0.1", "field=bounds.quota_overshoot")]
 #[case::no_number("contact_ms = 3000", "contact_ms = \"soon\"", "field=bounds.contact_ms")]
+#[case::held_later_than_refused(
+    "[machine]",
+    "[quarantine]\nheld_after_ends = 3\nrefused_after_ends = 2\n[machine]",
+    "field=quarantine.refused_after_ends"
+)]
+#[case::memory("[machine]", "[quarantine]\nmemory_s = 0\n[machine]", "field=quarantine.memory_s")]
 #[case::port("peers_port = 7620", "peers_port = 0", "field=listen.peers_port")]
 fn a_mistake_is_named(#[case] right: &str, #[case] wrong: &str, #[case] named: &str) {
     let mistakes = SidecarSettings::from_toml(&SETTINGS.replace(right, wrong)).unwrap_err().to_string();
