Quarantine: what is held is repeated often, the rest seldom; told on to four

Before, each gate with anything remembered sent up to 24 reports (some 2.5 KB) each 0.4 s for ten minutes, 6 KB/s by arithmetic of the 11 KB/s that a node has for control, and passed what it was told on to sixteen. Now held contents (a few) each 0.4 s, all others each 2 s: some 1.7 KB/s by arithmetic.

--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -162,7 +162,17 @@
 
     /// All contents that are remembered, in a fixed order.
     pub fn contents(&self) -> Vec<ContentDigest> {
-        let mut contents: Vec<ContentDigest> = self.contents.keys().copied().collect();
+        self.contents_where(|_| true)
+    }
+
+    /// Those that are held.
+    pub fn held_contents(&self, policy: &QuarantinePolicy) -> Vec<ContentDigest> {
+        self.contents_where(|suspect| suspect.counted_ends() >= policy.held_after)
+    }
+
+    fn contents_where(&self, is_wanted: impl Fn(&Suspect) -> bool) -> Vec<ContentDigest> {
+        let wanted = self.contents.iter().filter(|(_, suspect)| is_wanted(suspect));
+        let mut contents: Vec<ContentDigest> = wanted.map(|(content, _)| *content).collect();
         contents.sort_unstable();
         contents
     }
--- a/crates/sidecar/src/gate/quarantine/mod.rs
+++ b/crates/sidecar/src/gate/quarantine/mod.rs
@@ -35,6 +35,15 @@
 /// Bytes that are read at most of a streamed body which begins like that of a suspect.
 const MOST_READ: usize = 1 << 20;
 
+/// Where news comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// This gate saw it.
+    Seen,
+    /// Another gate told it.
+    Told,
+}
+
 /// How a request was let in.
 pub enum Entry<'a> {
     /// Nothing was held against it.
@@ -53,7 +62,7 @@
     answered: RecentAnswers,
     left: LeftRuns,
     /// Contents of which there is news to tell.
-    news: RefCell<Vec<ContentDigest>>,
+    news: RefCell<Vec<(Origin, ContentDigest)>>,
     /// Told when there is such.
     pub news_changed: Notify,
     has_heard: Cell<bool>,
@@ -242,7 +251,7 @@
     fn note_end(&self, node: &Node, content: SuspectedContent, instance: &InstanceName, run: FatalRun) {
         let policy = node.settings().quarantine;
         if self.suspects.borrow_mut().note_end(&policy, content, instance, run) {
-            self.tell(node, content.digest);
+            self.tell(node, Origin::Seen, content.digest);
         }
     }
 
@@ -263,7 +272,7 @@
         let now = clock::now_with_suspension();
         if self.suspects.borrow_mut().note_answered(&digest, now) {
             log::info!("event=content_cleared content={digest}");
-            self.tell(node, digest);
+            self.tell(node, Origin::Seen, digest);
         }
     }
 }
@@ -283,8 +292,8 @@
         }
     }
 
-    fn tell(&self, node: &Node, content: ContentDigest) {
-        self.news.borrow_mut().push(content);
+    fn tell(&self, node: &Node, origin: Origin, content: ContentDigest) {
+        self.news.borrow_mut().push((origin, content));
         self.news_changed.notify_one();
         self.show(node);
     }
@@ -305,13 +314,17 @@
             }
             let content = report.content.digest;
             log::info!("event=content_told content={content} {}", self.standing(node, &content));
-            self.tell(node, content);
+            self.tell(node, Origin::Told, content);
         }
     }
 
-    /// What there is news of.
-    pub fn take_news(&self) -> Vec<SuspectReport> {
-        let mut contents = self.news.take();
+    /// What there is news of that came this way.
+    pub fn take_news(&self, origin: Origin) -> Vec<SuspectReport> {
+        let is_wanted = |news: &mut (Origin, ContentDigest)| news.0 == origin;
+        let mut news = self.news.borrow_mut();
+        let mut contents: Vec<ContentDigest> =
+            news.extract_if(.., is_wanted).map(|(_, content)| content).collect();
+        drop(news);
         contents.sort_unstable();
         contents.dedup();
         self.reports(&contents)
@@ -322,6 +335,11 @@
         self.suspects.borrow().contents()
     }
 
+    /// Those that are held.
+    pub fn held_contents(&self, node: &Node) -> Vec<ContentDigest> {
+        self.suspects.borrow().held_contents(&node.settings().quarantine)
+    }
+
     /// What is known of these.
     pub fn reports(&self, contents: &[ContentDigest]) -> Vec<SuspectReport> {
         let now = clock::now_with_suspension();
--- a/crates/sidecar/src/peers/suspects.rs
+++ b/crates/sidecar/src/peers/suspects.rs
@@ -17,21 +17,28 @@
 use tokio::net::UdpSocket;
 
 use super::{MAX_DATAGRAM, PeerMessage, send_to};
+use crate::gate::quarantine::Origin;
 use crate::hop;
 use crate::state::Node;
 use olivegate_clock as clock;
 
 /// News that comes within this time goes out together: the requests that were in one instance.
 const GATHER: Duration = Duration::from_millis(3);
-/// Gates that news is told to at once. Each tells some others.
-const FAN_OUT: usize = 16;
+/// Gates that are told at once what this one has seen: all of most services.
+const TOLD_OF_SEEN: usize = 16;
+/// Gates that each gate passes on to what it was told.
+const TOLD_ON: usize = 4;
 /// Bytes of reports in a datagram, at most: with what goes around them they stay below
 /// [`MAX_DATAGRAM`].
 const MOST_REPORT_BYTES: usize = MAX_DATAGRAM - 512;
 /// Contents that one repeat tells of, at most.
 const MOST_REPEATED: usize = 24;
-/// Pause between two repeats of a part of what is remembered.
+/// Pause between two repeats of what is held: a gate that was cut off hears of it from one of ten others
+/// within some 100 ms.
 const REPEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Of so many repeats one tells of everything that is remembered: mostly requests that were beside
+/// a guilty one, some 100 bytes each.
+const REPEATS_OF_ALL: u32 = 5;
 /// Gates that a node asks when it starts, and how often.
 const ASKED: usize = 4;
 const ASK_ROUNDS: u32 = 3;
@@ -125,29 +132,49 @@
     loop {
         node.gate.quarantine.news_changed.notified().await;
         tokio::time::sleep(GATHER).await;
-        let news = node.gate.quarantine.take_news();
-        let gates = other_gates(&node, FAN_OUT);
-        for part in datagrams(news) {
-            for gate in &gates {
-                send(&node, &socket, *gate, &part, Purpose::Tell).await;
-            }
+        tell_news(&node, &socket, Origin::Seen, TOLD_OF_SEEN).await;
+        tell_news(&node, &socket, Origin::Told, TOLD_ON).await;
+    }
+}
+
+async fn tell_news(node: &Node, socket: &UdpSocket, origin: Origin, most: usize) {
+    let gates = other_gates(node, most);
+    for part in datagrams(node.gate.quarantine.take_news(origin)) {
+        for gate in &gates {
+            send(node, socket, *gate, &part, Purpose::Tell).await;
         }
     }
 }
 
-/// Tells one other gate a part of what is remembered, by turns.
+/// Goes through a list that changes, a part at a time.
+#[derive(Debug, Default)]
+struct Turns(usize);
+
+impl Turns {
+    fn next<'a, Item>(&mut self, items: &'a [Item], most: usize) -> &'a [Item] {
+        let begin = if self.0 < items.len() { self.0 } else { 0 };
+        self.0 = items.len().min(begin + most);
+        &items[begin..self.0]
+    }
+}
+
+/// Tells one other gate a part of what is remembered, by turns; what is held more often.
 async fn repeat(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut next = 0;
+    let (mut turns_of_held, mut turns_of_all) = (Turns::default(), Turns::default());
+    let mut repeats: u32 = 0;
     loop {
         tokio::time::sleep(REPEAT_PAUSE).await;
-        let contents = node.gate.quarantine.contents();
+        repeats = repeats.wrapping_add(1);
+        let quarantine = &node.gate.quarantine;
+        let contents = if repeats.is_multiple_of(REPEATS_OF_ALL) {
+            turns_of_all.next(&quarantine.contents(), MOST_REPEATED).to_vec()
+        } else {
+            turns_of_held.next(&quarantine.held_contents(&node), MOST_REPEATED).to_vec()
+        };
         if contents.is_empty() {
             continue;
         }
-        next = if next < contents.len() { next } else { 0 };
-        let end = contents.len().min(next + MOST_REPEATED);
-        let parts = datagrams(node.gate.quarantine.reports(&contents[next..end]));
-        next = end;
+        let parts = datagrams(quarantine.reports(&contents));
         for gate in other_gates(&node, 1) {
             for part in &parts {
                 send(&node, &socket, gate, part, Purpose::Tell).await;
