Quarantine: answers passed on as they come clear their content; known contents take more ends

A large answer is passed on as it comes and was never counted as an answer: a page that everybody asks for was marked when its instance was restarted, never cleared, ran one at a time (suspect-waits) and was held at the next restart, 16 s later. And what everybody asks for rode two ends 113 ms apart and was held for 30 s. Change: the run is watched to the end of its answer; it keeps its place as the only suspect as long. A content that instances are known to have answered (keyed hashes of the last 2,048 to 4,096 contents at each gate, told with the marks) is held after four ends in place of two. Tests: suspects with large answers one at a time until they are cleared; ends of known contents; oracle of decisions with them.

--- a/crates/quarantine/src/content.rs
+++ b/crates/quarantine/src/content.rs
@@ -43,6 +43,8 @@
     /// Digest of its beginning, where the body came as a stream: what begins otherwise need not be
     /// read whole to be told apart.
     pub beginning: Option<ContentDigest>,
+    /// True when a gate knows that instances have answered it before.
+    pub was_answered: bool,
 }
 
 /// A digest whose body comes in pieces.
--- a/crates/quarantine/src/policy.rs
+++ b/crates/quarantine/src/policy.rs
@@ -9,6 +9,9 @@
     pub held_after: u32,
     /// Ends after which it is held without such a run.
     pub refused_after: u32,
+    /// Ends beyond these that are borne of a content which instances have answered before: it has to
+    /// have changed its nature, which is rare, while many such contents run beside a guilty one.
+    pub answered_before: u32,
     /// Time from the last end, or the last such run, until the next such run.
     pub probe_after: Duration,
     /// Time without a request of a content after which it is forgotten.
@@ -22,6 +25,7 @@
         QuarantinePolicy {
             held_after: 2,
             refused_after: 3,
+            answered_before: 2,
             probe_after: Duration::from_secs(30),
             memory: Duration::from_secs(600),
             most_contents: 1_024,
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -16,6 +16,19 @@
 /// be on their way.
 const ANSWERED_MEMORY: Duration = Duration::from_secs(60);
 
+/// What follows from the ends of a content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Consequence {
+    /// Nothing.
+    None,
+    /// It runs alone.
+    Alone,
+    /// It is held, but for a run once in a while.
+    Held,
+    /// It is held.
+    HeldForGood,
+}
+
 /// One content under suspicion, or lately cleared.
 #[derive(Debug, Clone)]
 pub(crate) struct Suspect {
@@ -23,6 +36,8 @@
     ends: Vec<(FatalRun, InstanceName)>,
     /// Digest of its beginning, where its body came as a stream.
     pub(crate) beginning: Option<ContentDigest>,
+    /// Instances are known to have answered it.
+    was_answered: bool,
     answered: Option<Moment>,
     probed: Option<Moment>,
     seen: Moment,
@@ -30,7 +45,7 @@
 
 impl Suspect {
     pub(crate) fn new(now: Moment) -> Self {
-        Suspect { ends: Vec::new(), beginning: None, answered: None, probed: None, seen: now }
+        Suspect { ends: Vec::new(), beginning: None, was_answered: false, answered: None, probed: None, seen: now }
     }
 
     /// True when nothing is held against it.
@@ -54,6 +69,32 @@
         counted
     }
 
+    /// Ends that it takes to hold it.
+    pub(crate) fn held_after(&self, policy: &QuarantinePolicy) -> u32 {
+        policy.held_after + if self.was_answered { policy.answered_before } else { 0 }
+    }
+
+    /// Ends that it takes to hold it for good.
+    fn refused_after(&self, policy: &QuarantinePolicy) -> u32 {
+        policy.refused_after + if self.was_answered { policy.answered_before } else { 0 }
+    }
+
+    /// What follows from its ends.
+    pub(crate) fn consequence(&self, policy: &QuarantinePolicy) -> Consequence {
+        match self.counted_ends() {
+            0 => Consequence::None,
+            ends if ends < self.held_after(policy) => Consequence::Alone,
+            ends if ends < self.refused_after(policy) => Consequence::Held,
+            _ => Consequence::HeldForGood,
+        }
+    }
+
+    /// Takes over what is known of its content.
+    pub(crate) fn note_content(&mut self, content: &SuspectedContent) {
+        self.beginning = self.beginning.or(content.beginning);
+        self.was_answered |= content.was_answered;
+    }
+
     /// When the first of the ends was.
     pub(crate) fn first_end(&self) -> Option<Moment> {
         self.ends.first().map(|(run, _)| run.ended)
@@ -85,6 +126,7 @@
     /// Notes that an instance answered it. True when that clears it of something.
     pub(crate) fn note_answered(&mut self, at: Moment) -> bool {
         let before = self.ends.len();
+        self.was_answered = true;
         self.answered = self.answered.max(Some(at));
         self.ends.retain(|(run, _)| run.ended > at);
         self.ends.len() < before
@@ -117,7 +159,7 @@
     pub(crate) fn report(&self, digest: ContentDigest, now: Moment) -> SuspectReport {
         let ends = self.ends.iter().map(|(run, instance)| ReportedEnd::of(instance, *run, now));
         SuspectReport {
-            content: SuspectedContent { digest, beginning: self.beginning },
+            content: SuspectedContent { digest, beginning: self.beginning, was_answered: self.was_answered },
             ends: ends.collect(),
             answered: self.answered.map(|at| Age::of(at, now)),
             probed: self.probed.map(|at| Age::of(at, now)),
@@ -128,7 +170,7 @@
     /// Takes over what another node knows. True when that changes what follows for a request.
     pub(crate) fn merge(&mut self, report: &SuspectReport, now: Moment) -> bool {
         self.note_seen(report.seen.before(now));
-        self.beginning = self.beginning.or(report.content.beginning);
+        self.note_content(&report.content);
         if let Some(probed) = report.probed {
             self.note_probed(probed.before(now));
         }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -8,7 +8,7 @@
 use crate::content::{ContentDigest, SuspectedContent};
 use crate::policy::QuarantinePolicy;
 use crate::report::{FatalRun, SuspectReport};
-use crate::suspect::Suspect;
+use crate::suspect::{Consequence, Suspect};
 
 /// What follows for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,16 +51,17 @@
 
     /// Contents that something is held against, and those of them that are held.
     pub fn counts(&self, policy: &QuarantinePolicy) -> (usize, usize) {
-        let ends = self.contents.values().map(Suspect::counted_ends).filter(|ends| *ends > 0);
-        ends.fold((0, 0), |(all, held), ends| (all + 1, held + usize::from(ends >= policy.held_after)))
+        let found = self.contents.values().map(|suspect| suspect.consequence(policy));
+        let suspected = found.filter(|found| *found > Consequence::None);
+        suspected.fold((0, 0), |(all, held), found| (all + 1, held + usize::from(found >= Consequence::Held)))
     }
 
     /// How a content stands; `None` when nothing is held against it.
     pub fn standing(&self, policy: &QuarantinePolicy, content: &ContentDigest, now: Moment) -> Option<Standing> {
         let suspect = self.contents.get(content)?;
         let first = suspect.first_end()?;
-        let ends = suspect.counted_ends();
-        Some(Standing { ends, age: now.since(first), is_held: ends >= policy.held_after })
+        let is_held = suspect.consequence(policy) >= Consequence::Held;
+        Some(Standing { ends: suspect.counted_ends(), age: now.since(first), is_held })
     }
 
     /// What follows for a request of `content` that has come. `may_probe` is true on the one node that
@@ -73,16 +74,17 @@
         now: Moment,
     ) -> Verdict {
         let Some(suspect) = self.contents.get_mut(content) else { return Verdict::Free };
-        let ends = suspect.counted_ends();
-        if ends == 0 {
-            return Verdict::Free;
-        }
-        suspect.note_seen(now);
-        if ends < policy.held_after {
-            return Verdict::Alone;
-        }
-        if ends >= policy.refused_after {
-            return Verdict::Held { retry_after: policy.memory };
+        match suspect.consequence(policy) {
+            Consequence::None => return Verdict::Free,
+            Consequence::Alone => {
+                suspect.note_seen(now);
+                return Verdict::Alone;
+            }
+            Consequence::HeldForGood => {
+                suspect.note_seen(now);
+                return Verdict::Held { retry_after: policy.memory };
+            }
+            Consequence::Held => suspect.note_seen(now),
         }
         let next_probe = suspect.next_probe(policy);
         if may_probe && now >= next_probe {
@@ -104,11 +106,11 @@
 
     /// What follows for a request of which only the beginning is known.
     pub fn judge_beginning(&self, policy: &QuarantinePolicy, beginning: &ContentDigest) -> Verdict {
-        let most_ends = self.beginning_with(beginning).map(Suspect::counted_ends).max().unwrap_or(0);
-        match most_ends {
-            0 => Verdict::Free,
-            ends if ends < policy.held_after => Verdict::Alone,
-            _ => Verdict::Held { retry_after: policy.probe_after },
+        let found = self.beginning_with(beginning).map(|suspect| suspect.consequence(policy)).max();
+        match found.unwrap_or(Consequence::None) {
+            Consequence::None => Verdict::Free,
+            Consequence::Alone => Verdict::Alone,
+            Consequence::Held | Consequence::HeldForGood => Verdict::Held { retry_after: policy.probe_after },
         }
     }
 
@@ -126,7 +128,7 @@
         run: FatalRun,
     ) -> bool {
         let suspect = self.contents.entry(content.digest).or_insert_with(|| Suspect::new(run.ended));
-        suspect.beginning = suspect.beginning.or(content.beginning);
+        suspect.note_content(&content);
         let is_news = suspect.note_end(instance, run);
         self.make_room(policy);
         is_news
@@ -167,7 +169,7 @@
 
     /// Those that are held.
     pub fn held_contents(&self, policy: &QuarantinePolicy) -> Vec<ContentDigest> {
-        self.contents_where(|suspect| suspect.counted_ends() >= policy.held_after)
+        self.contents_where(|suspect| suspect.consequence(policy) >= Consequence::Held)
     }
 
     fn contents_where(&self, is_wanted: impl Fn(&Suspect) -> bool) -> Vec<ContentDigest> {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -27,7 +27,7 @@
 pub mod sheds;
 pub mod slots;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,13 +41,13 @@
 use crate::lateness;
 use crate::lineage::{RunningKey, RunningRequest};
 use crate::model::{Instance, InstanceState};
-use crate::reply::{Answer, Body, Failure, FailureReason, GateReply, Load, refused};
+use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use confirmation::Confirmation;
 use olivegate_clock as clock;
-use quarantine::GateQuarantine;
 use quarantine::run_content::RunContent;
-use quarantine::witnesses::Run;
+use quarantine::watched_run::WatchedRun;
+use quarantine::{Entry, GateQuarantine};
 use repeats::GateRepeats;
 use slots::InstanceSlots;
 
@@ -164,18 +164,18 @@
         return count_refusal(node, &offer, refused(reason, SHORT_RETRY_AFTER));
     }
     let body = node.gate.quarantine.read_suspected(&content, body).await;
-    let _entry = match node.gate.quarantine.admit_to_run(node, &content, entry) {
+    let entry = match node.gate.quarantine.admit_to_run(node, &content, entry) {
         Ok(entry) => entry,
         Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
     };
-    run_in_slot(node, offer, body, content, slot, deadline).await
+    run_in_slot(node, offer, body, (content, entry), slot, deadline).await
 }
 
 async fn run_in_slot(
     node: &Rc<Node>,
     offer: Offer,
     body: Body,
-    content: RunContent,
+    (content, entry): (RunContent, Entry),
     mut slot: slots::Slot,
     deadline: Moment,
 ) -> GateReply {
@@ -190,7 +190,7 @@
     log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
     let parent = Running::begin(node, &offer, started + time_left);
-    let watched = WatchedRun::begin(node, &offer, content);
+    let mut watched = WatchedRun::begin(node, &offer, content, entry, slots.clone());
     let running = exchange::run(node, &slots, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
@@ -204,17 +204,16 @@
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_answer(&offer, answer.fault, used);
             node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
-            watched.on_answer(&answer);
-            GateReply::Answered(slots::holding(answer, slot))
+            GateReply::Answered(slots::holding(watched.on_answer(answer), slot))
         }
         Err(mut failure) => {
-            failure.reason = watched.on_failure(failure.reason, &slots).await;
+            failure.reason = watched.on_failure(failure.reason).await;
             node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
             slot.note_failure(&offer, failure, used);
             if failure.reason == FailureReason::RefusedByInstance {
                 node.gate.repeats.on_shed(node, &offer, clock::now());
             }
-            log_failure(node, &offer, failure, used, &watched.run.content);
+            log_failure(node, &offer, failure, used, watched.content());
             note_gone_instance(node, &offer, failure);
             GateReply::Failed(failure)
         }
@@ -235,65 +234,6 @@
     }
 }
 
-/// A run that is watched for the end of its instance.
-struct WatchedRun<'a> {
-    node: &'a Node,
-    run: Run,
-    /// True when the instance is done with it, whichever way.
-    is_over: Cell<bool>,
-}
-
-impl<'a> WatchedRun<'a> {
-    fn begin(node: &'a Node, offer: &Offer, content: RunContent) -> Self {
-        let run = Run {
-            instance: offer.instance.clone(),
-            route: offer.route.clone(),
-            content,
-            began: clock::now_with_suspension(),
-        };
-        WatchedRun { node, run, is_over: Cell::new(false) }
-    }
-
-    fn on_answer(&self, answer: &Answer) {
-        self.is_over.set(true);
-        self.node.gate.quarantine.on_answer(self.node, &self.run.content, answer);
-    }
-
-    /// What the failure tells of the instance, and the failure's reason as that makes it.
-    async fn on_failure(&self, reason: FailureReason, slots: &InstanceSlots) -> FailureReason {
-        let quarantine = &self.node.gate.quarantine;
-        self.is_over.set(reason != FailureReason::TimedOut);
-        match reason {
-            FailureReason::Broken => {
-                let Some(ended) = self.end_of_instance(slots).await else { return reason };
-                quarantine.on_end(self.node, &self.run, ended);
-                FailureReason::InstanceEnded
-            }
-            FailureReason::Connect if quarantine.is_watched(&self.run.instance) => {
-                if let Some(ended) = self.end_of_instance(slots).await {
-                    quarantine.on_end_unseen(self.node, &self.run.instance, ended);
-                }
-                reason
-            }
-            _ => reason,
-        }
-    }
-
-    async fn end_of_instance(&self, slots: &InstanceSlots) -> Option<Moment> {
-        let connections = slots.connections();
-        let keep = |connection| connections.keep(connection, None, slots.limit());
-        slots.end().look(connections, self.node.settings().instance, keep).await
-    }
-}
-
-impl Drop for WatchedRun<'_> {
-    fn drop(&mut self) {
-        if !self.is_over.get() {
-            self.node.gate.quarantine.on_left(self.run.clone());
-        }
-    }
-}
-
 fn log_failure(node: &Node, offer: &Offer, failure: Failure, used: Duration, content: &RunContent) {
     let content = if failure.reason == FailureReason::InstanceEnded { content.shown() } else { "none".into() };
     if node.may_log(LineClass::Failure, &offer.request_id) {
--- a/crates/sidecar/src/gate/quarantine/mod.rs
+++ b/crates/sidecar/src/gate/quarantine/mod.rs
@@ -4,28 +4,31 @@
 //! edge it came by.
 //!
 //! - [`run_content`]: what makes the request that runs.
+//! - [`watched_run`]: a run that is watched for the end of its instance.
 //! - [`witnesses`]: what is remembered of runs that are over.
 
 pub mod run_content;
+pub mod watched_run;
 pub mod witnesses;
 
 use std::cell::{Cell, RefCell};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
 use olivegate_quarantine::{ContentDigest, FatalRun, SuspectReport, SuspectedContent, Suspects, Verdict};
 use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
-use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 use crate::directory::Standing;
 use crate::event::{LineClass, shown};
 use crate::hop::Offer;
-use crate::reply::{Answer, Body, BodyBroken};
+use crate::reply::{Body, BodyBroken};
 use crate::state::Node;
 use olivegate_clock as clock;
 use run_content::RunContent;
-use witnesses::{LeftRuns, RecentAnswers, Run};
+use witnesses::{AnsweredContents, LeftRuns, Run};
 
 /// When to come back for a suspect that found another one at work.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -45,21 +48,21 @@
 }
 
 /// How a request was let in.
-pub enum Entry<'a> {
+pub enum Entry {
     /// Nothing was held against it.
     Free,
     /// No other suspect runs meanwhile.
-    Alone(SemaphorePermit<'a>),
+    Alone(OwnedSemaphorePermit),
     /// As a held content that may clear itself; no other suspect runs meanwhile.
-    Probe(SemaphorePermit<'a>),
+    Probe(OwnedSemaphorePermit),
 }
 
 /// The quarantine of one gate.
 pub struct GateQuarantine {
     suspects: RefCell<Suspects>,
     /// The place of the one suspect that may run.
-    alone: Semaphore,
-    answered: RecentAnswers,
+    alone: Arc<Semaphore>,
+    answered: AnsweredContents,
     left: LeftRuns,
     /// Contents of which there is news to tell.
     news: RefCell<Vec<(Origin, ContentDigest)>>,
@@ -73,8 +76,8 @@
     fn default() -> Self {
         GateQuarantine {
             suspects: RefCell::default(),
-            alone: Semaphore::new(1),
-            answered: RecentAnswers::default(),
+            alone: Arc::new(Semaphore::new(1)),
+            answered: AnsweredContents::default(),
             left: LeftRuns::default(),
             news: RefCell::default(),
             news_changed: Notify::new(),
@@ -95,7 +98,7 @@
 /// Letting in.
 impl GateQuarantine {
     /// Lets a request in that may run; waits while another suspect runs.
-    pub async fn admit(&self, node: &Node, offer: &Offer, content: &RunContent) -> Result<Entry<'_>, Refusal> {
+    pub async fn admit(&self, node: &Node, offer: &Offer, content: &RunContent) -> Result<Entry, Refusal> {
         self.wait_until_heard().await;
         if !offer.ended.is_empty() {
             self.take_word_of_edge(node, offer, content);
@@ -106,10 +109,10 @@
                 self.log_held(node, offer, content);
                 Err(held(retry_after))
             }
-            Verdict::Probe => self.alone.try_acquire().map(Entry::Probe).map_err(|_| waits()),
+            Verdict::Probe => self.place().map(Entry::Probe),
             Verdict::Alone => {
                 let longest = Duration::from_millis(u64::from(offer.longest_wait_ms));
-                let place = tokio::time::timeout(longest, self.alone.acquire()).await;
+                let place = tokio::time::timeout(longest, self.alone.clone().acquire_owned()).await;
                 let Ok(Ok(place)) = place else { return Err(waits()) };
                 Ok(Entry::Alone(place))
             }
@@ -131,23 +134,23 @@
 
     /// Looks again right before the run: news may have come while it waited, and a streamed body
     /// is known only now.
-    pub fn admit_to_run<'a>(
-        &'a self,
-        node: &Node,
-        content: &RunContent,
-        entry: Entry<'a>,
-    ) -> Result<Entry<'a>, Refusal> {
+    pub fn admit_to_run(&self, node: &Node, content: &RunContent, entry: Entry) -> Result<Entry, Refusal> {
         if matches!(entry, Entry::Probe(_)) {
             return Ok(entry);
         }
         match (self.judge(node, content), entry) {
             (Verdict::Held { retry_after }, _) => Err(held(retry_after)),
-            (Verdict::Alone, Entry::Free) => self.alone.try_acquire().map(Entry::Alone).map_err(|_| waits()),
-            (Verdict::Probe, Entry::Free) => self.alone.try_acquire().map(Entry::Probe).map_err(|_| waits()),
+            (Verdict::Alone, Entry::Free) => self.place().map(Entry::Alone),
+            (Verdict::Probe, Entry::Free) => self.place().map(Entry::Probe),
             (_, entry) => Ok(entry),
         }
     }
 
+    /// The place of the one suspect that may run, where it is free.
+    fn place(&self) -> Result<OwnedSemaphorePermit, Refusal> {
+        self.alone.clone().try_acquire_owned().map_err(|_| waits())
+    }
+
     /// Reads a streamed body on where it begins like that of a suspect: it can't be judged before it
     /// is whole. Nothing is read while no such body is suspected.
     pub async fn read_suspected(&self, content: &RunContent, body: Body) -> Body {
@@ -193,7 +196,7 @@
 
     /// The edge saw instances end with this very request: their gates' word may still be on its way.
     fn take_word_of_edge(&self, node: &Node, offer: &Offer, content: &RunContent) {
-        let Some(suspected) = content.suspected() else { return };
+        let Some(suspected) = content.suspected(self.answered.contain(content)) else { return };
         let now = clock::now_with_suspension();
         for end in &offer.ended {
             self.note_end(node, suspected, &end.instance, end.run(now));
@@ -203,8 +206,7 @@
 
 /// Evidence.
 impl GateQuarantine {
-    /// The instance ended at `ended` with this run. One that was about to leave was not ended by it,
-    /// nor one that ended with what is answered all the time.
+    /// The instance ended at `ended` with this run. One that was about to leave was not ended by it.
     pub fn on_end(&self, node: &Node, run: &Run, ended: Moment) {
         self.mark(node, run, ended);
         for left in self.left.take_of(&run.instance, ended) {
@@ -233,10 +235,11 @@
         let standing = node.knowledge.borrow().directory.standing(&run.instance);
         let was_leaving = matches!(standing, Standing::Draining | Standing::Gone);
         let began_later = run.began > ended;
-        if was_leaving || began_later || self.answered.contain(&run.content) {
+        if was_leaving || began_later {
             return;
         }
-        let Some(suspected) = run.content.suspected() else { return };
+        let was_answered = self.answered.contain(&run.content);
+        let Some(suspected) = run.content.suspected(was_answered) else { return };
         self.note_end(node, suspected, &run.instance, FatalRun { ended, began: run.began });
         log::info!(
             "event=content_suspected content={} route={} caller={} instance={} {}",
@@ -255,16 +258,16 @@
         }
     }
 
-    /// The instance answered this request: its content does not end what runs it.
-    pub fn on_answer(&self, node: &Node, content: &RunContent, answer: &Answer) {
-        let is_whole = matches!(answer.body, Body::Whole(_));
-        if answer.head.status >= 500 || !is_whole {
+    /// The instance answered this request whole: its content does not end what runs it. A failure
+    /// shows less: it may have come before the point at which the content would have ended it.
+    pub fn on_answered(&self, node: &Node, content: &RunContent, status: u16) {
+        if status >= 500 {
             return;
         }
         if !self.suspects.borrow().is_empty() {
             self.clear(node, content);
         }
-        self.answered.note(content.clone());
+        self.answered.note(content);
     }
 
     fn clear(&self, node: &Node, content: &RunContent) {
--- a/crates/sidecar/src/gate/quarantine/run_content.rs
+++ b/crates/sidecar/src/gate/quarantine/run_content.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -13,7 +14,7 @@
 use crate::reply::{Body, BodyStream};
 use crate::state::Node;
 
-/// Bytes of a body up to which a content is small.
+/// Bytes of a body up to which hashing it costs little.
 const SMALL_BODY: usize = 1_024;
 /// Bytes at the beginning of a streamed body that tell most contents apart before all of it is
 /// there: as much as is read of any longer body before it is passed on.
@@ -118,20 +119,18 @@
     }
 
     /// As it is marked when an instance ends with it.
-    pub fn suspected(&self) -> Option<SuspectedContent> {
-        Some(SuspectedContent { digest: self.digest()?, beginning: self.beginning() })
+    pub fn suspected(&self, was_answered: bool) -> Option<SuspectedContent> {
+        Some(SuspectedContent { digest: self.digest()?, beginning: self.beginning(), was_answered })
     }
 
-    /// True when the other one is whole and the same.
-    pub fn is_same(&self, other: &RunContent) -> bool {
-        let (RunBody::Whole(body), RunBody::Whole(other_body)) = (&self.body, &other.body) else { return false };
-        (&self.method, &self.target, &self.caller, body)
-            == (&other.method, &other.target, &other.caller, other_body)
-    }
-
-    /// True when keeping some of these costs little memory.
-    pub fn is_small(&self) -> bool {
-        matches!(&self.body, RunBody::Whole(body) if body.len() <= SMALL_BODY)
+    /// A hash that is good for telling contents apart within this process, where the body is small.
+    pub fn quick_hash(&self, hasher: &RandomState) -> Option<u64> {
+        match &self.body {
+            RunBody::Whole(body) if body.len() <= SMALL_BODY => {
+                Some(hasher.hash_one((&self.method, &self.target, &self.caller, body)))
+            }
+            _ => None,
+        }
     }
 
     /// The service that makes the request, for log lines.
--- a/crates/sidecar/src/gate/quarantine/witnesses.rs
+++ b/crates/sidecar/src/gate/quarantine/witnesses.rs
@@ -1,38 +1,51 @@
 //! What a gate remembers of runs that are over, to judge the end of an instance by.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
+use std::hash::RandomState;
 use std::time::Duration;
 
 use olivegate_types::{InstanceName, Moment};
 
 use super::run_content::RunContent;
 
-/// Answered contents that are remembered: one that is answered all the time has no part in an end.
-/// Each may hold the buffer that it was read into.
-const RECENT_ANSWERS: usize = 16;
+/// Answered contents that each of two generations remembers.
+const GENERATION: usize = 2_048;
 /// Runs that nobody waits for any more which are remembered.
 const MOST_LEFT: usize = 64;
 /// Time for which an instance may still be at work on a run that nobody waits for any more.
 const LEFT_MEMORY: Duration = Duration::from_secs(1);
 
-/// Contents that were answered lately.
+/// Contents that were answered lately: the last 2,048 at least, as keyed hashes. A collision makes
+/// one content in 10^16 pass for answered, and it then takes two ends more to hold it.
 #[derive(Debug, Default)]
-pub struct RecentAnswers(RefCell<VecDeque<RunContent>>);
+pub struct AnsweredContents {
+    hasher: RandomState,
+    generations: RefCell<Generations>,
+}
+
+#[derive(Debug, Default)]
+struct Generations {
+    present: HashSet<u64>,
+    last: HashSet<u64>,
+}
 
-impl RecentAnswers {
-    /// Notes an answered content; only small ones are kept.
-    pub fn note(&self, content: RunContent) {
-        if content.is_small() {
-            let mut answered = self.0.borrow_mut();
-            answered.truncate(RECENT_ANSWERS - 1);
-            answered.push_front(content);
+impl AnsweredContents {
+    /// Notes an answered content; only those with a small body are kept.
+    pub fn note(&self, content: &RunContent) {
+        let Some(hash) = content.quick_hash(&self.hasher) else { return };
+        let mut generations = self.generations.borrow_mut();
+        if generations.present.len() >= GENERATION {
+            generations.last = std::mem::take(&mut generations.present);
         }
+        generations.present.insert(hash);
     }
 
     /// True when this content was answered lately.
     pub fn contain(&self, content: &RunContent) -> bool {
-        self.0.borrow().iter().any(|answered| answered.is_same(content))
+        let generations = self.generations.borrow();
+        let is_known = |hash| generations.present.contains(&hash) || generations.last.contains(&hash);
+        content.quick_hash(&self.hasher).is_some_and(is_known)
     }
 }
 
