--- a/crates/sidecar/src/gate/quarantine/run_content.rs
+++ b/crates/sidecar/src/gate/quarantine/run_content.rs
@@ -88,6 +88,11 @@
 }
 
 impl RunContent {
+    /// The content of a request whose body is whole.
+    pub fn whole(method: Bytes, target: Bytes, caller: Bytes, body: Bytes) -> Self {
+        RunContent { method, target, caller, body: RunBody::Whole(body) }
+    }
+
     /// The content of `offer` with this body, and the body as it is to be passed on.
     pub fn of(node: &Node, offer: &Offer, body: Body) -> (Self, Body) {
         let head = &offer.head;
