--- a/crates/sidecar/tests/path/crashing.rs
+++ b/crates/sidecar/tests/path/crashing.rs
@@ -345,8 +345,9 @@
         let fleet = Fleet::new();
         fleet.source.configure(configuration(1, routes()));
         let breaks = Rc::new(Cell::new(true));
+        fleet.list(1, "books-1", "books");
+        fleet.list(2, "books-2", "books");
         for machine in [1, 2] {
-            fleet.list(machine, &format!("books-{machine}"), "books");
             let breaks = breaks.clone();
             let breaking = move |seen: &Seen, _| match breaks.get() {
                 true => vec![Action::Sleep(5), Action::Close],
