--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -21,7 +21,7 @@
 use tokio_util::codec::FramedRead;
 
 use crate::connection_limit::Place;
-use crate::edge::dispatch;
+use crate::edge::answering;
 use crate::edge::intake::{Intake, TakenRequest};
 use crate::edge::own_answer::OwnAnswer;
 use crate::lineage::ConnectionEvidence;
@@ -185,7 +185,7 @@
         let evidence = self.evidence.clone();
         let in_flight = node.stop.enter();
         self.pending.push_back(Box::pin(async move {
-            let answer = dispatch::answer(&node, taken, &evidence).await;
+            let answer = answering::answer(&node, taken, &evidence).await;
             Ready { answer, client_keeps, is_head, _in_flight: in_flight }
         }));
     }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -1,37 +1,28 @@
-//! From a request to its answer: route, instance, attempts.
+//! From a request that may begin to its answer: instance, attempts.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use olivegate_authentication::Tenant;
 use olivegate_http1::RequestHead;
 use olivegate_quarantine::{FatalRun, ReportedEnd};
 use olivegate_routing::balance::{Candidate, Health, Observation};
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
-use crate::edge::admission;
 use crate::edge::attempts::{Attempts, Next};
-use crate::edge::entrance;
-use crate::edge::intake::TakenRequest;
-use crate::edge::outcome::{CancelLog, Outcome, log_answer, log_failed_attempt, log_offer, log_own_answer};
+use crate::edge::outcome::{log_failed_attempt, log_offer};
 use crate::edge::own_answer::OwnAnswer;
 use crate::edge::remote;
-use crate::edge::request::{self, CheckedRequest};
+use crate::edge::request::CheckedRequest;
 use crate::edge::request_lineage::RequestLineage;
 use crate::gate;
 use crate::gate::confirmation::Confirmation;
 use crate::hop::{Offer, OfferedBody};
-use crate::lateness;
-use crate::lineage::{Arriving, ConnectionEvidence, Origin};
 use crate::model::{Instance, RepeatSafety};
 use crate::reply::{Answer, AnswerFault, Body, BodyStream, Failure, FailureReason, GateReply, Load};
 use crate::state::Node;
 use olivegate_clock as clock;
 
-/// When to come back to a node that knows no configuration yet.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Part of the target latency that a request may wait for a slot: a refusal after that comes
 /// too late for a second try.
 const WAIT_PART: u32 = 4;
@@ -58,98 +49,8 @@
     deadline: Moment,
 }
 
-/// Answers a request.
-pub async fn answer(node: &Rc<Node>, taken: TakenRequest, connection: &Cell<ConnectionEvidence>) -> Answer {
-    let arrived = clock::now();
-    lateness::sample(node, arrived);
-    let id = taken.head.fields.get(node.vocabulary.request_id).cloned();
-    let shown_id = id.clone().unwrap_or_default();
-    let mut outcome = Outcome::begin(arrived);
-    let cancelling = CancelLog::begin(node, &shown_id, arrived);
-    let result = run(node, taken, connection, arrived, &mut outcome).await;
-    cancelling.answered();
-    let elapsed = clock::now().since(arrived);
-    let answer = match result {
-        Ok(answer) => {
-            let result = if answer.head.status < 400 { "answered" } else { "instance-failed" };
-            outcome.count(node, result, elapsed);
-            log_answer(node, &shown_id, &outcome, &answer, elapsed);
-            answer
-        }
-        Err(own) => {
-            outcome.count(node, own.reason(), elapsed);
-            log_own_answer(node, &shown_id, &outcome, own, elapsed);
-            own.to_answer(&node.vocabulary, id.as_ref())
-        }
-    };
-    note_failed_call(node, &outcome, &answer);
-    answer
-}
-
-/// A call that failed makes its parent fail.
-fn note_failed_call(node: &Node, outcome: &Outcome, answer: &Answer) {
-    let Origin::Call(parent) = outcome.origin else { return };
-    if answer.head.status < 400 {
-        return;
-    }
-    let fault = if answer.fault == AnswerFault::Capacity { AnswerFault::Capacity } else { AnswerFault::Callee };
-    node.lineage.borrow_mut().on_call_failed(parent, outcome.deadline, fault, clock::now());
-}
-
-async fn run(
-    node: &Rc<Node>,
-    taken: TakenRequest,
-    connection: &Cell<ConnectionEvidence>,
-    arrived: Moment,
-    outcome: &mut Outcome,
-) -> Result<Answer, OwnAnswer> {
-    let Some(routes) = node.routes() else {
-        let reason = RefusalReason::NodeNotReady;
-        return Err(OwnAnswer::NotRun { reason, retry_after: UNCONFIGURED_RETRY_AFTER });
-    };
-    let request = request::check(&taken.head, &routes, &node.vocabulary)?;
-    let route = request.route.clone();
-    outcome.route = Some(route.clone());
-    outcome.deadline = arrived + request.sender_time;
-    let key = taken.head.fields.get(node.vocabulary.credential).cloned();
-    let arriving = Arriving {
-        id: &request.id,
-        route: &route.name,
-        deadline: outcome.deadline,
-        is_keyed: key.is_some() && node.access.has_tenants(),
-    };
-    outcome.origin = node.lineage.borrow_mut().classify(arriving, connection, arrived);
-    outcome.tenant = entrance::tenant_of(node, key.as_deref(), &route, arrived)?;
-    let place = entrance::take_place(node, outcome.tenant.as_deref(), arrived)?;
-    let result = begin(node, taken, request, arrived, outcome).await;
-    if let (Some(place), Err(OwnAnswer::NotRun { .. })) = (place, &result) {
-        node.access.give_back(place, clock::now());
-    }
-    result
-}
-
-/// Lets a request begin and carries it through.
-async fn begin(
-    node: &Rc<Node>,
-    taken: TakenRequest,
-    request: CheckedRequest,
-    arrived: Moment,
-    outcome: &mut Outcome,
-) -> Result<Answer, OwnAnswer> {
-    let route = request.route.clone();
-    let tenant = outcome.tenant.as_deref();
-    let lineage = match outcome.origin {
-        Origin::Client => {
-            let priority = tenant.and_then(|tenant| tenant.priority);
-            RequestLineage::of_client(admission::admit(node, &route, priority, arrived)?)
-        }
-        Origin::Call(parent) => RequestLineage::of_call(node, &route, parent),
-    };
-    let head = forwarded_head(node, taken.head, tenant);
-    dispatch(node, head, taken.body, request, lineage, arrived, &mut outcome.trail).await
-}
-
-async fn dispatch(
+/// Carries a request that may begin to its answer.
+pub async fn dispatch(
     node: &Rc<Node>,
     head: RequestHead,
     body: Body,
@@ -194,23 +95,6 @@
     result
 }
 
-/// The head as every instance is to get it: without the client's key, and with the name of the
-/// tenant that holds it, whatever the client wrote there.
-fn forwarded_head(node: &Node, mut head: RequestHead, tenant: Option<&Tenant>) -> RequestHead {
-    head.fields.remove_connection_fields();
-    head.fields.remove("expect");
-    let caller = node.settings().service.clone();
-    head.fields.set(node.vocabulary.caller_service, Bytes::copy_from_slice(caller.as_str().as_bytes()));
-    head.fields.remove(node.vocabulary.expected_instance);
-    head.fields.remove(node.vocabulary.time_left_ms);
-    head.fields.remove(node.vocabulary.credential);
-    head.fields.remove(node.vocabulary.tenant);
-    if let Some(tenant) = tenant {
-        head.fields.set(node.vocabulary.tenant, Bytes::copy_from_slice(tenant.name.as_str().as_bytes()));
-    }
-    head
-}
-
 impl Dispatch<'_> {
     /// The answer when it is final; `None` when another instance is to be tried, since this one
     /// failed the request by itself and it may run again.
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -6,13 +6,15 @@
 //! - [`request_lineage`]: what a request hands down to its calls.
 //! - [`entrance`]: whose a request is, and whether its tenant has room for it.
 //! - [`admission`]: which requests may begin.
-//! - [`dispatch`]: route, instance, attempts, answer.
+//! - [`answering`]: a request's way to its one answer.
+//! - [`dispatch`]: instance and attempts.
 //! - [`attempts`]: what follows an attempt without an answer.
 //! - [`remote`] and [`hop_pool`]: offers to gates on other machines.
 //! - [`outcome`]: how a request fared, and the log lines that tell it.
 //! - [`own_answer`]: answers that the node gives itself.
 
 pub mod admission;
+pub mod answering;
 pub mod attempts;
 pub mod connection;
 pub mod dispatch;
--- /dev/null
+++ b/crates/sidecar/src/gate/quarantine/evidence.rs
@@ -0,0 +1,87 @@
+//! What the end of an instance, and the answers of one, say of the requests that it ran.
+
+use olivegate_quarantine::{FatalRun, SuspectedContent};
+use olivegate_types::{InstanceName, Moment};
+
+use super::run_content::RunContent;
+use super::witnesses::Run;
+use super::{GateQuarantine, Origin};
+use crate::directory::Standing;
+use crate::state::Node;
+use olivegate_clock as clock;
+
+impl GateQuarantine {
+    /// The instance ended at `ended` with this run. One that was about to leave was not ended by it.
+    pub fn on_end(&self, node: &Node, run: &Run, ended: Moment) {
+        self.mark(node, run, ended);
+        for left in self.left.take_of(&run.instance, ended) {
+            self.mark(node, &left, ended);
+        }
+    }
+
+    /// True when the instance may have ended with a run that nobody waited for any more.
+    pub fn is_watched(&self, instance: &InstanceName) -> bool {
+        self.left.any_of(instance, clock::now_with_suspension())
+    }
+
+    /// The instance ended, and nobody waited for what it ran.
+    pub fn on_end_unseen(&self, node: &Node, instance: &InstanceName, ended: Moment) {
+        for left in self.left.take_of(instance, ended) {
+            self.mark(node, &left, ended);
+        }
+    }
+
+    /// Nobody waits for this run any more; the instance may still be at work on it.
+    pub fn on_left(&self, run: Run) {
+        self.left.note(run, clock::now_with_suspension());
+    }
+
+    fn mark(&self, node: &Node, run: &Run, ended: Moment) {
+        let standing = node.knowledge.borrow().directory.standing(&run.instance);
+        let was_leaving = matches!(standing, Standing::Draining | Standing::Gone);
+        let began_later = run.began > ended;
+        if was_leaving || began_later {
+            return;
+        }
+        let was_answered = self.answered.contain(&run.content);
+        let Some(suspected) = run.content.suspected(was_answered) else { return };
+        self.note_end(node, suspected, &run.instance, FatalRun { ended, began: run.began });
+        log::info!(
+            "event=content_suspected content={} route={} caller={} instance={} {}",
+            suspected.digest,
+            run.route,
+            run.content.caller(),
+            run.instance,
+            self.standing(node, &suspected.digest),
+        );
+    }
+
+    /// Notes that `instance` ended with a run of `content`.
+    pub(super) fn note_end(&self, node: &Node, content: SuspectedContent, instance: &InstanceName, run: FatalRun) {
+        let policy = node.settings().quarantine;
+        if self.suspects.borrow_mut().note_end(&policy, content, instance, run) {
+            self.tell(node, Origin::Seen, content.digest);
+        }
+    }
+
+    /// The instance answered this request whole: its content does not end what runs it. A failure
+    /// shows less: it may have come before the point at which the content would have ended it.
+    pub fn on_answered(&self, node: &Node, content: &RunContent, status: u16) {
+        if status >= 500 {
+            return;
+        }
+        if !self.suspects.borrow().is_empty() {
+            self.clear(node, content);
+        }
+        self.answered.note(content);
+    }
+
+    fn clear(&self, node: &Node, content: &RunContent) {
+        let Some(digest) = content.digest() else { return };
+        let now = clock::now_with_suspension();
+        if self.suspects.borrow_mut().note_answered(&digest, now) {
+            log::info!("event=content_cleared content={digest}");
+            self.tell(node, Origin::Seen, digest);
+        }
+    }
+}
