--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -7,7 +7,9 @@
 use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
 use rstest::rstest;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// Two machines, an instance on the second, a client's way in on the first.
 async fn two_machines(script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> (Fleet, TestInstance) {
--- a/crates/sidecar/tests/path/calls.rs
+++ b/crates/sidecar/tests/path/calls.rs
@@ -10,7 +10,9 @@
 use olivegate_types::ServiceName;
 use rstest::rstest;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, call, configuration, get, route, run};
+use crate::client::{Client, call, get};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// Limit of the calls by themselves: shorter than what their parents have left.
 const CALL_LIMIT_MS: u64 = 700;
--- a/crates/sidecar/tests/path/configuration.rs
+++ b/crates/sidecar/tests/path/configuration.rs
@@ -6,10 +6,12 @@
 use olivegate_sidecar::model::RepeatSafety::Safe;
 use rstest::rstest;
 
-use crate::support::{Action, Client, Fleet, TestInstance, answer, configuration, eventually, get, route, run};
+use crate::client::{Client, get};
+use crate::instance::{Action, TestInstance, answer};
+use crate::support::{Fleet, configuration, eventually, route, run};
 
 async fn instance_on(fleet: &Fleet, machine: u8) -> TestInstance {
-    let script = |seen: &crate::support::Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+    let script = |seen: &crate::instance::Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
     TestInstance::start(fleet.instance_address(machine), script).await
 }
 
--- a/crates/sidecar/tests/path/connections.rs
+++ b/crates/sidecar/tests/path/connections.rs
@@ -7,7 +7,9 @@
 use rstest::rstest;
 use tokio::net::TcpStream;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, route, run};
+use crate::client::{Client, get};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 fn plain(seen: &Seen, _before: usize) -> Vec<Action> {
     vec![Action::Send(answer(200, &seen.id(), "body"))]
--- a/crates/sidecar/tests/path/crashing.rs
+++ b/crates/sidecar/tests/path/crashing.rs
@@ -20,7 +20,9 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// Machines with an instance of the service.
 const INSTANCES: u8 = 4;
--- a/crates/sidecar/tests/path/failing.rs
+++ b/crates/sidecar/tests/path/failing.rs
@@ -7,7 +7,9 @@
 use olivegate_types::InstanceName;
 use rstest::rstest;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// Requests that are asked one after the other.
 const REQUESTS: usize = 120;
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -11,7 +11,9 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// What a gate that is no node of ours does with an offer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/sidecar/tests/path/instance.rs
@@ -0,0 +1,184 @@
+//! Scripted instances.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use olivegate_http1::{Frame, RequestDecoder, RequestHead};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
+use tokio_util::codec::FramedRead;
+
+use crate::client::Client;
+use crate::support::VOCABULARY;
+
+/// What a test instance does with a request.
+#[derive(Clone)]
+pub enum Action {
+    Send(String),
+    Sleep(u64),
+    /// Makes a call by the node at this address and answers 200 when that succeeds, else 500.
+    Call(SocketAddr, String),
+    /// Tells the test that the work is done.
+    Note(Rc<dyn Fn()>),
+    Close,
+    Reset,
+    /// Ends the whole instance after so many milliseconds, as a process that crashes: its port and
+    /// all its connections; also when nobody waits for the answer any more.
+    Crash(u64),
+}
+
+/// A request that an instance received.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: RequestHead,
+    pub body: Bytes,
+    /// How long its connection had rested; none for the first request of a connection.
+    pub rested: Option<Duration>,
+}
+
+impl Seen {
+    pub fn field(&self, name: &str) -> String {
+        self.head.fields.text(name).unwrap_or_default().to_string()
+    }
+
+    pub fn id(&self) -> String {
+        self.field(VOCABULARY.request_id)
+    }
+}
+
+/// A scripted instance.
+#[derive(Clone, Default)]
+pub struct TestInstance {
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    /// Connections that ended while a request was being worked on.
+    pub abandoned: Rc<Cell<u32>>,
+    /// Connections that are open.
+    pub open: Rc<Cell<u32>>,
+    /// The task that serves; connections end with it.
+    serving: Rc<RefCell<Option<AbortHandle>>>,
+    /// Told when it has crashed.
+    pub crashed: Rc<Notify>,
+}
+
+/// Counts a connection as long as it is open.
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn begin(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Open(open.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl TestInstance {
+    /// Serves `address`; `script` says what to do with each request, given how many came
+    /// before it.
+    pub async fn start(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
+        let instance = TestInstance::default();
+        let listener = TcpListener::bind(address).await.unwrap();
+        let script = Rc::new(script);
+        let serving = instance.clone();
+        let task = spawn_local(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.spawn_local(serving.clone().connection(stream, script.clone()));
+                while connections.try_join_next().is_some() {}
+            }
+        });
+        *instance.serving.borrow_mut() = Some(task.abort_handle());
+        instance
+    }
+
+    /// Ends the instance: its port refuses, its connections break.
+    pub fn crash(&self) {
+        if let Some(serving) = self.serving.borrow_mut().take() {
+            serving.abort();
+            self.crashed.notify_one();
+        }
+    }
+
+    async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
+        let _open = Open::begin(&self.open);
+        let (reading, mut writing) = stream.into_split();
+        let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
+        let mut current: Option<(RequestHead, BytesMut)> = None;
+        let mut rests_since: Option<tokio::time::Instant> = None;
+        while let Some(Ok(frame)) = requests.next().await {
+            match (frame, current.take()) {
+                (Frame::Head(head, _), _) => current = Some((head, BytesMut::new())),
+                (Frame::Data(data), Some((head, mut body))) => {
+                    body.extend_from_slice(&data);
+                    current = Some((head, body));
+                }
+                (Frame::End, Some((head, body))) => {
+                    let rested = rests_since.map(|since| since.elapsed());
+                    let seen = Seen { head, body: body.freeze(), rested };
+                    let before = self.seen.borrow().len();
+                    self.seen.borrow_mut().push(seen.clone());
+                    for action in script(&seen, before) {
+                        match action {
+                            Action::Send(text) => {
+                                let _ = writing.write_all(text.as_bytes()).await;
+                            }
+                            Action::Sleep(millis) => tokio::select! {
+                                () = tokio::time::sleep(Duration::from_millis(millis)) => {}
+                                frame = requests.next() => {
+                                    if !matches!(frame, Some(Ok(_))) {
+                                        self.abandoned.set(self.abandoned.get() + 1);
+                                        return;
+                                    }
+                                }
+                            },
+                            Action::Call(outbound, request) => {
+                                let called = Client::connect(outbound).await.ask(&request).await;
+                                let status = if called.head.status == 200 { 200 } else { 500 };
+                                let _ = writing.write_all(answer(status, &seen.id(), "body").as_bytes()).await;
+                            }
+                            Action::Note(note) => note(),
+                            Action::Close => return,
+                            Action::Crash(millis) => {
+                                let instance = self.clone();
+                                spawn_local(async move {
+                                    tokio::time::sleep(Duration::from_millis(millis)).await;
+                                    instance.crash();
+                                });
+                                return futures::future::pending().await;
+                            }
+                            Action::Reset => {
+                                let stream = requests.into_inner().reunite(writing).unwrap();
+                                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                                return;
+                            }
+                        }
+                    }
+                    rests_since = Some(tokio::time::Instant::now());
+                }
+                _ => return,
+            }
+        }
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+/// An instance's answer.
+pub fn answer(status: u16, id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-signature: s-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- a/crates/sidecar/tests/path/keys.rs
+++ b/crates/sidecar/tests/path/keys.rs
@@ -9,10 +9,9 @@
 use olivegate_sidecar::state::Node;
 use rstest::rstest;
 
-use crate::support::{
-    Action, Client, Fault, Fleet, Seen, TestInstance, answer, call, configuration, eventually, get, keyed, route,
-    run, tenant,
-};
+use crate::client::{Client, call, get, keyed};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fault, Fleet, configuration, eventually, route, run, tenant};
 
 const PROVEN_WITHIN: Duration = Duration::from_millis(3_000);
 
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -2,11 +2,13 @@
 
 mod answers;
 mod calls;
+mod client;
 mod configuration;
 mod connections;
 mod crashing;
 mod failing;
 mod gates;
+mod instance;
 mod keys;
 mod quotas;
 mod requests;
--- a/crates/sidecar/tests/path/quotas.rs
+++ b/crates/sidecar/tests/path/quotas.rs
@@ -7,9 +7,9 @@
 use olivegate_sidecar::model::RepeatSafety::Safe;
 use rstest::rstest;
 
-use crate::support::{
-    Action, Client, Fleet, Seen, TestInstance, answer, configuration, eventually, keyed, route, run, tenant,
-};
+use crate::client::{Client, keyed};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, eventually, route, run, tenant};
 
 const MACHINES: u8 = 4;
 
--- a/crates/sidecar/tests/path/requests.rs
+++ b/crates/sidecar/tests/path/requests.rs
@@ -6,9 +6,9 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
-use crate::support::{
-    Action, Client, Fleet, Seen, TestInstance, answer, configuration, eventually, get, post, route, run,
-};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, eventually, route, run};
 
 async fn one_machine(script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> (Fleet, TestInstance) {
     let fleet = Fleet::new();
--- a/crates/sidecar/tests/path/resting.rs
+++ b/crates/sidecar/tests/path/resting.rs
@@ -5,7 +5,9 @@
 use olivegate_sidecar::model::RepeatSafety::{Safe, Unsafe};
 use rstest::rstest;
 
-use crate::support::{Action, Client, Fleet, Seen, TestInstance, answer, configuration, get, post, route, run};
+use crate::client::{Client, get, post};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
 
 /// Rest after which the instance has forgotten a connection.
 const FORGETS_AFTER: Duration = Duration::from_millis(150);
--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -9,10 +9,9 @@
 use olivegate_types::ServiceName;
 use rstest::rstest;
 
-use crate::support::{
-    Action, Client, Fault, Fleet, Seen, TestInstance, TestSource, answer, configuration, eventually, get, route,
-    run,
-};
+use crate::client::{Client, get};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fault, Fleet, TestSource, configuration, eventually, route, run};
 
 const BOOKS: &str = "books";
 
--- a/crates/sidecar/tests/path/stopping.rs
+++ b/crates/sidecar/tests/path/stopping.rs
@@ -10,9 +10,9 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use crate::support::{
-    Action, Client, Fleet, Seen, TestInstance, answer, configuration, eventually, get, route, run,
-};
+use crate::client::{Client, get};
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, eventually, route, run};
 
 async fn ask_readiness(fleet: &Fleet) -> u16 {
     let mut client = Client::connect(fleet.readiness(1)).await;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -1,4 +1,4 @@
-//! Nodes, instances, a source and clients on loopback addresses, all in one thread.
+//! Nodes and a source on loopback addresses, all in one thread; instances and clients are beside it.
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -7,10 +7,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
 use olivegate_authentication::{ApiKey, Tenant};
-use olivegate_http1::{Frame, RequestDecoder, RequestHead, ResponseDecoder, ResponseHead};
 use olivegate_quarantine::QuarantinePolicy;
 use olivegate_sidecar::model::{
     ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Revision,
@@ -21,11 +18,7 @@
 use olivegate_sidecar::state::Node;
 use olivegate_sidecar::{SidecarSettings, Vocabulary};
 use olivegate_types::{InstanceName, NodeName, ServiceName, TenantName, ZoneName};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
-use tokio::task::{AbortHandle, JoinSet, LocalSet, spawn_local};
-use tokio_util::codec::FramedRead;
+use tokio::task::LocalSet;
 
 pub const VOCABULARY: Vocabulary = Vocabulary {
     request_id: "x-id",
@@ -317,241 +310,6 @@
     }
 }
 
-/// What a test instance does with a request.
-#[derive(Clone)]
-pub enum Action {
-    Send(String),
-    Sleep(u64),
-    /// Makes a call by the node at this address and answers 200 when that succeeds, else 500.
-    Call(SocketAddr, String),
-    /// Tells the test that the work is done.
-    Note(Rc<dyn Fn()>),
-    Close,
-    Reset,
-    /// Ends the whole instance after so many milliseconds, as a process that crashes: its port and
-    /// all its connections; also when nobody waits for the answer any more.
-    Crash(u64),
-}
-
-/// A request that an instance received.
-#[derive(Debug, Clone)]
-pub struct Seen {
-    pub head: RequestHead,
-    pub body: Bytes,
-    /// How long its connection had rested; none for the first request of a connection.
-    pub rested: Option<Duration>,
-}
-
-impl Seen {
-    pub fn field(&self, name: &str) -> String {
-        self.head.fields.text(name).unwrap_or_default().to_string()
-    }
-
-    pub fn id(&self) -> String {
-        self.field(VOCABULARY.request_id)
-    }
-}
-
-/// A scripted instance.
-#[derive(Clone, Default)]
-pub struct TestInstance {
-    pub seen: Rc<RefCell<Vec<Seen>>>,
-    /// Connections that ended while a request was being worked on.
-    pub abandoned: Rc<Cell<u32>>,
-    /// Connections that are open.
-    pub open: Rc<Cell<u32>>,
-    /// The task that serves; connections end with it.
-    serving: Rc<RefCell<Option<AbortHandle>>>,
-    /// Told when it has crashed.
-    pub crashed: Rc<Notify>,
-}
-
-/// Counts a connection as long as it is open.
-struct Open(Rc<Cell<u32>>);
-
-impl Open {
-    fn begin(open: &Rc<Cell<u32>>) -> Self {
-        open.set(open.get() + 1);
-        Open(open.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-impl TestInstance {
-    /// Serves `address`; `script` says what to do with each request, given how many came
-    /// before it.
-    pub async fn start(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
-        let instance = TestInstance::default();
-        let listener = TcpListener::bind(address).await.unwrap();
-        let script = Rc::new(script);
-        let serving = instance.clone();
-        let task = spawn_local(async move {
-            let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn_local(serving.clone().connection(stream, script.clone()));
-                while connections.try_join_next().is_some() {}
-            }
-        });
-        *instance.serving.borrow_mut() = Some(task.abort_handle());
-        instance
-    }
-
-    /// Ends the instance: its port refuses, its connections break.
-    pub fn crash(&self) {
-        if let Some(serving) = self.serving.borrow_mut().take() {
-            serving.abort();
-            self.crashed.notify_one();
-        }
-    }
-
-    async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
-        let _open = Open::begin(&self.open);
-        let (reading, mut writing) = stream.into_split();
-        let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
-        let mut current: Option<(RequestHead, BytesMut)> = None;
-        let mut rests_since: Option<tokio::time::Instant> = None;
-        while let Some(Ok(frame)) = requests.next().await {
-            match (frame, current.take()) {
-                (Frame::Head(head, _), _) => current = Some((head, BytesMut::new())),
-                (Frame::Data(data), Some((head, mut body))) => {
-                    body.extend_from_slice(&data);
-                    current = Some((head, body));
-                }
-                (Frame::End, Some((head, body))) => {
-                    let rested = rests_since.map(|since| since.elapsed());
-                    let seen = Seen { head, body: body.freeze(), rested };
-                    let before = self.seen.borrow().len();
-                    self.seen.borrow_mut().push(seen.clone());
-                    for action in script(&seen, before) {
-                        match action {
-                            Action::Send(text) => {
-                                let _ = writing.write_all(text.as_bytes()).await;
-                            }
-                            Action::Sleep(millis) => tokio::select! {
-                                () = tokio::time::sleep(Duration::from_millis(millis)) => {}
-                                frame = requests.next() => {
-                                    if !matches!(frame, Some(Ok(_))) {
-                                        self.abandoned.set(self.abandoned.get() + 1);
-                                        return;
-                                    }
-                                }
-                            },
-                            Action::Call(outbound, request) => {
-                                let called = Client::connect(outbound).await.ask(&request).await;
-                                let status = if called.head.status == 200 { 200 } else { 500 };
-                                let _ = writing.write_all(answer(status, &seen.id(), "body").as_bytes()).await;
-                            }
-                            Action::Note(note) => note(),
-                            Action::Close => return,
-                            Action::Crash(millis) => {
-                                let instance = self.clone();
-                                spawn_local(async move {
-                                    tokio::time::sleep(Duration::from_millis(millis)).await;
-                                    instance.crash();
-                                });
-                                return futures::future::pending().await;
-                            }
-                            Action::Reset => {
-                                let stream = requests.into_inner().reunite(writing).unwrap();
-                                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
-                                return;
-                            }
-                        }
-                    }
-                    rests_since = Some(tokio::time::Instant::now());
-                }
-                _ => return,
-            }
-        }
-    }
-
-    pub fn runs(&self) -> usize {
-        self.seen.borrow().len()
-    }
-}
-
-/// An instance's answer.
-pub fn answer(status: u16, id: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-signature: s-{id}\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-/// A whole answer as a client sees it.
-#[derive(Debug, Clone)]
-pub struct ClientAnswer {
-    pub head: ResponseHead,
-    pub body: String,
-    /// False when the connection ended inside the answer.
-    pub whole: bool,
-}
-
-impl ClientAnswer {
-    pub fn field(&self, name: &str) -> Option<String> {
-        self.head.fields.text(name).map(str::to_string)
-    }
-}
-
-/// A client's connection.
-pub struct Client {
-    pub writing: tokio::net::tcp::OwnedWriteHalf,
-    answers: FramedRead<tokio::net::tcp::OwnedReadHalf, ResponseDecoder>,
-}
-
-impl Client {
-    pub async fn connect(address: SocketAddr) -> Self {
-        let (reading, writing) = TcpStream::connect(address).await.unwrap().into_split();
-        Client { writing, answers: FramedRead::new(reading, ResponseDecoder::new(65_536)) }
-    }
-
-    pub async fn send(&mut self, text: &str) {
-        self.writing.write_all(text.as_bytes()).await.unwrap();
-    }
-
-    /// The next answer; `None` when the connection ended before it.
-    pub async fn answer(&mut self) -> Option<ClientAnswer> {
-        let mut head = None;
-        let mut body = Vec::new();
-        loop {
-            match self.answers.next().await {
-                Some(Ok(Frame::Head(read, _))) => head = Some(read),
-                Some(Ok(Frame::Data(data))) => body.extend_from_slice(&data),
-                Some(Ok(Frame::End)) => {
-                    let body = String::from_utf8_lossy(&body).into_owned();
-                    return head.map(|head| ClientAnswer { head, body, whole: true });
-                }
-                Some(Err(_)) | None => {
-                    let body = String::from_utf8_lossy(&body).into_owned();
-                    return head.map(|head| ClientAnswer { head, body, whole: false });
-                }
-            }
-        }
-    }
-
-    pub async fn ask(&mut self, text: &str) -> ClientAnswer {
-        self.send(text).await;
-        self.answer().await.expect("an answer")
-    }
-}
-
-/// A request without a body.
-pub fn get(path: &str, id: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n\r\n")
-}
-
-/// A request with a key, by a client that names itself another tenant.
-pub fn keyed(path: &str, id: &str, key: &str) -> String {
-    format!(
-        "GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nx-key: {key}\r\nx-holder: forged\r\n\r\n"
-    )
-}
-
 /// A tenant without a limit.
 pub fn tenant(name: &str, keys: &[&str]) -> Tenant {
     Tenant {
@@ -562,16 +320,3 @@
         burst: 0.0,
     }
 }
-
-/// A call with a limit of its own, in milliseconds.
-pub fn call(path: &str, id: &str, limit_ms: u64) -> String {
-    format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: {limit_ms}\r\n\r\n")
-}
-
-/// A request with a body.
-pub fn post(path: &str, id: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
