Logs tell that a reading was older than what is known

Cause: the logs of the incident could not tell a source that lost what it had acknowledged from one that answers from an old copy of itself, nor from calls that hear nothing: a reading that was put aside left no line, and source_history_gone named no revision. Both are told now, and counted. No change of behaviour.

--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -106,7 +106,7 @@
         }
         Ok(None) => Ok(()),
         Err(SourceError::HistoryGone) => {
-            log::info!("event=source_history_gone");
+            log::info!("event=source_history_gone known={known}");
             count(node, "history-gone");
             read_everything(node, source).await
         }
@@ -160,6 +160,11 @@
         node.accept_configuration(configuration, "source");
     }
     let (list, now) = (snapshot.list, clock::now());
+    let known = node.known_state().directory;
+    if list.revision < known {
+        count(node, "older");
+        log::warn!("event=reading_older revision={} known={known}", list.revision);
+    }
     node.update_directory("source", |directory| directory.apply_snapshot(&list.instances, list.revision, now));
 }
 
