--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use olivegate_http1::{BodyLength, Fields, Frame, RequestDecoder, RequestHead, ResponseHead};
 use olivegate_platform::VOCABULARY;
+use olivegate_sidecar::model::Incarnation;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -46,6 +47,8 @@
 pub struct Instance {
     /// Its id.
     pub name: String,
+    /// Its start.
+    pub incarnation: Incarnation,
     /// Its machine.
     pub machine: usize,
     /// Its service.
@@ -58,10 +61,11 @@
 }
 
 impl Instance {
-    /// An instance with `slots` slots.
-    pub fn new(name: String, machine: usize, service: String, slots: u32) -> Self {
+    /// An instance with `slots` slots, started at `incarnation`.
+    pub fn new(name: String, incarnation: Incarnation, machine: usize, service: String, slots: u32) -> Self {
         Instance {
             name,
+            incarnation,
             machine,
             service,
             slots: Semaphore::new(slots as usize),
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -5,11 +5,12 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use olivegate_platform_stand_in::{Door, StandIn, records};
 use olivegate_sidecar::model::{
-    ClientLimits, Configuration, ConfigurationVersion, Instance as Entry, InstanceState, Millis, RepeatSafety,
-    Route, WeightedPart,
+    ClientLimits, Configuration, ConfigurationVersion, Incarnation, Instance as Entry, InstanceState, Millis,
+    RepeatSafety, Route, WeightedPart,
 };
 use olivegate_types::{InstanceName, ServiceName, ZoneName};
 use rand::SeedableRng;
@@ -309,6 +310,7 @@
         let place = &self.machines[machine];
         let entry = Entry {
             name: InstanceName::new(&instance.name),
+            incarnation: instance.incarnation,
             service: ServiceName::new(&place.service),
             address: place.instance,
             zone: ZoneName::new(&place.zone),
@@ -332,9 +334,16 @@
 
     /// Puts a new instance beside a machine's node.
     pub async fn start_instance(self: &Rc<Self>, machine: usize) -> Result<(), BenchError> {
-        let place = &self.machines[machine];
         let name = format!("i-{machine}-{}", self.next_id());
-        let instance = Rc::new(Instance::new(name, machine, place.service.clone(), place.slots));
+        self.start_instance_as(name, machine).await
+    }
+
+    /// Starts an instance beside a machine's node under this name, which an earlier one may have had.
+    pub async fn start_instance_as(self: &Rc<Self>, name: String, machine: usize) -> Result<(), BenchError> {
+        let place = &self.machines[machine];
+        let incarnation = Incarnation(unix_millis());
+        let instance = Instance::new(name, incarnation, machine, place.service.clone(), place.slots);
+        let instance = Rc::new(instance);
         let serving = instance.clone().serve(self.clone(), place.instance).await;
         serving.map_err(|error| BenchError::Process(format!("instance of {}: {error}", place.name())))?;
         self.instances.borrow_mut()[machine] = Some(instance);
@@ -348,6 +357,11 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn route(host: &str, path_prefix: &str, service: &str, is_repeatable: bool) -> Route {
     Route {
         name: format!("to-{service}{path_prefix}"),
--- a/crates/olivegate/tests/sidecar.rs
+++ b/crates/olivegate/tests/sidecar.rs
@@ -9,8 +9,8 @@
 
 use olivegate_platform_stand_in::{StandIn, records};
 use olivegate_sidecar::model::{
-    ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Route,
-    WeightedPart,
+    ClientLimits, Configuration, ConfigurationVersion, Incarnation, Instance, InstanceState, Millis, RepeatSafety,
+    Route, WeightedPart,
 };
 use olivegate_types::{InstanceName, ServiceName, ZoneName};
 use rstest::rstest;
@@ -144,6 +144,7 @@
     let _silent = TcpListener::bind(address).unwrap();
     let store = store_with(Instance {
         name: InstanceName::new("i-1"),
+        incarnation: Incarnation::UNKNOWN,
         service: ServiceName::new("books"),
         address,
         zone: ZoneName::new("north"),
--- a/crates/quarantine/src/report.rs
+++ b/crates/quarantine/src/report.rs
@@ -35,7 +35,7 @@
 /// An instance that ended with the content at work in it.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct ReportedEnd {
-    /// The instance; its name never comes again.
+    /// Name of this start of the instance; it never comes again.
     pub instance: InstanceName,
     /// How long ago it ended.
     pub ended: Age,
--- a/crates/sidecar/src/directory/copy.rs
+++ b/crates/sidecar/src/directory/copy.rs
@@ -6,8 +6,8 @@
 use olivegate_types::{InstanceName, Moment};
 
 use super::hold::{Hold, HoldReason, PassedHold};
-use super::{Directory, Entry};
-use crate::model::{Instance, Revision};
+use super::{Directory, Entry, Tombstone};
+use crate::model::{Instance, Millis, Revision};
 use crate::source::ListedInstance;
 
 /// An entry as nodes pass it on.
@@ -19,6 +19,8 @@
     pub revision: Revision,
     /// Why and how long it is still believed, when the source does not list it.
     pub hold: Option<PassedHold>,
+    /// How long it is not used yet, since nobody may renew it.
+    pub doubted_for: Option<Millis>,
 }
 
 /// An instance whose entry went away.
@@ -49,11 +51,17 @@
         if copy.revision <= self.revision || copy.base.is_some_and(|base| base > self.revision) {
             return false;
         }
+        let is_new_epoch = self.enter_epoch(copy.revision.epoch, now);
         let mut changed = false;
         if copy.base.is_none() {
             let names: HashSet<&InstanceName> = copy.entries.iter().map(|entry| &entry.instance.name).collect();
             for name in self.missing_from(&names) {
-                changed |= self.forget(&name, copy.revision, now);
+                // The other node may never have heard of it, and the source has lost it.
+                changed |= if is_new_epoch {
+                    self.remove(&name, copy.revision, now)
+                } else {
+                    self.forget(&name, copy.revision, now)
+                };
             }
             self.gone_since = self.gone_since.max(copy.revision);
         }
@@ -66,7 +74,11 @@
                 continue;
             }
             let listed = ListedInstance { instance: entry.instance.clone(), revision: entry.revision };
+            let before = self.entries.get(&entry.instance.name).map(|own| own.revision);
             changed |= self.insert(&listed, now);
+            if before != Some(entry.revision) {
+                changed |= self.doubt(entry, now);
+            }
             let is_same = self.entries.get(&entry.instance.name).is_some_and(|own| own.revision == entry.revision);
             if let Some(passed) = entry.hold.as_ref().filter(|_| is_same) {
                 changed |= self.hold(&entry.instance.name, Hold::of_passed(passed, now));
@@ -75,6 +87,15 @@
         self.finish(copy.revision, changed)
     }
 
+    /// Takes over another node's doubt of an entry. True when that changes anything.
+    fn doubt(&mut self, passed: &DirectoryEntry, now: Moment) -> bool {
+        let Some(doubted_for) = passed.doubted_for else { return false };
+        let own = self.entries.get_mut(&passed.instance.name).filter(|own| own.revision == passed.revision);
+        let Some(own) = own else { return false };
+        own.doubted_until = Some(now + doubted_for.duration());
+        true
+    }
+
     /// True for an entry that another node still believes since it waits for the word of the
     /// instance's gate, while this node knows already that the instance is gone.
     fn was_seen_gone(&self, entry: &DirectoryEntry) -> bool {
@@ -92,8 +113,13 @@
             instance: Instance::clone(&entry.instance),
             revision: entry.revision,
             hold: entry.hold.map(|hold| hold.to_passed(now)),
+            doubted_for: entry.doubted_until.map(|until| Millis::of(until.since(now))),
         });
-        let removed = self.gone.iter().filter(|(_, tombstone)| !is_whole && tombstone.revision > known);
+        // A node of an earlier epoch may know what the source has lost, and not what has gone since.
+        let is_of_earlier_epoch = known != Revision::default() && known.epoch < self.revision.epoch;
+        let is_lacking = |revision: Revision| if is_whole { is_of_earlier_epoch } else { revision > known };
+        let is_told = |tombstone: &Tombstone| tombstone.revision != Revision::default();
+        let removed = self.gone.iter().filter(|(_, gone)| is_told(gone) && is_lacking(gone.revision));
         let gone = removed.map(|(name, tombstone)| GoneEntry { name: name.clone(), revision: tombstone.revision });
         DirectoryCopy { base, entries: entries.collect(), gone: gone.collect(), revision: self.revision }
     }
--- a/crates/sidecar/src/directory/hold.rs
+++ b/crates/sidecar/src/directory/hold.rs
@@ -17,6 +17,8 @@
     pub confirmed_within: Duration,
     /// Time that an instance which was met on its own machine takes to be listed.
     pub listed_within: Duration,
+    /// Time within which an entry that nobody renews goes.
+    pub lapses_within: Duration,
 }
 
 /// How the source fared when this node last read it.
--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -11,11 +11,17 @@
 //! tell, and attests that its instance lives. So an entry that goes in calm is held, too, for
 //! the moment that its gate needs to say so or to refuse.
 //!
+//! A source that lost what it had acknowledged begins a new epoch, with a state older than what is
+//! known here. That state is taken over as all that the source holds, but nothing of what was
+//! learnt of instances is forgotten for it.
+//!
 //! - [`hold`]: how long an instance that is not listed is believed.
+//! - [`prior`]: what was known of an instance that is listed anew.
 //! - [`copy`]: what nodes pass on.
 
 pub mod copy;
 pub mod hold;
+mod prior;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -24,9 +30,10 @@
 
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 
-use crate::model::{Instance, InstanceState, Revision};
+use crate::model::{Epoch, Instance, InstanceState, Revision};
 use crate::source::{Change, ListedInstance};
 use hold::{Hold, HoldPolicy, HoldReason, SourceHealth};
+use prior::{Prior, Taken};
 
 /// An attestation that lasts longer by this much is news.
 const NEWS_OF_HOLD: Duration = Duration::from_secs(1);
@@ -53,6 +60,8 @@
     instance: Rc<Instance>,
     /// The change that removed it; the default when only this node saw that it is gone.
     revision: Revision,
+    /// Epoch in which that was learnt.
+    epoch: Epoch,
     /// It was seen, on its machine or on the way there, that it is gone.
     is_seen: bool,
     since: Moment,
@@ -71,6 +80,8 @@
     revision: Revision,
     /// The source does not list it, but it is believed for now.
     hold: Option<Hold>,
+    /// The source lists it, but until then it may be an entry that nobody renews.
+    doubted_until: Option<Moment>,
 }
 
 /// The instances that are known.
@@ -84,6 +95,10 @@
     gone_since: Revision,
     machines: HashMap<IpAddr, Machine>,
     source: SourceHealth,
+    /// When the present epoch was met, where an earlier one was known.
+    epoch_met: Option<Moment>,
+    /// Instances that have started again under their names, until they are taken.
+    restarted: Vec<InstanceName>,
     ready: HashMap<ServiceName, Rc<Vec<Rc<Instance>>>>,
 }
 
@@ -98,6 +113,8 @@
             gone_since: Revision::default(),
             machines: HashMap::new(),
             source: SourceHealth::default(),
+            epoch_met: None,
+            restarted: Vec::new(),
             ready: HashMap::new(),
         }
     }
@@ -121,6 +138,7 @@
     pub fn standing(&self, name: &InstanceName) -> Standing {
         match self.entries.get(name) {
             Some(entry) if entry.instance.state == InstanceState::Draining => Standing::Draining,
+            Some(entry) if entry.doubted_until.is_some() => Standing::Gone,
             Some(_) => Standing::Ready,
             None if self.gone.contains_key(name) => Standing::Gone,
             None => Standing::Unknown,
@@ -189,11 +207,41 @@
         holds.for_each(|hold| hold.until = hold.until.max(until));
     }
 
+    /// Begins `epoch`, if it is later than the one known: what was learnt in that one is no longer
+    /// counted as known, but stays in force until the source has said otherwise. What is missing now
+    /// is written again as after an absence. True when it began.
+    fn enter_epoch(&mut self, epoch: Epoch, now: Moment) -> bool {
+        if self.revision == Revision::default() || epoch <= self.revision.epoch {
+            return false;
+        }
+        self.revision = Revision::new(epoch, 0);
+        self.gone_since = self.revision;
+        self.epoch_met = Some(now);
+        self.note_source_seen(now);
+        match self.source {
+            SourceHealth::Away { .. } => {}
+            SourceHealth::Returned(at) if now.since(at) < self.policy.rewritten_within => {}
+            _ => self.source = SourceHealth::Returned(now),
+        }
+        true
+    }
+
+    /// True while writes that the source lost may not yet have been written again.
+    pub fn may_lack_writes(&self, now: Moment) -> bool {
+        self.epoch_met.is_some_and(|met| now.since(met) < self.policy.rewritten_within)
+    }
+
+    /// Instances that have started again under their names since this was asked last.
+    pub fn take_restarted(&mut self) -> Vec<InstanceName> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// Takes over everything that the source holds. True when anything changed.
     pub fn apply_snapshot(&mut self, listed: &[ListedInstance], revision: Revision, now: Moment) -> bool {
         if revision < self.revision {
             return false;
         }
+        self.enter_epoch(revision.epoch, now);
         let names: HashSet<&InstanceName> = listed.iter().map(|entry| &entry.instance.name).collect();
         let mut changed = false;
         for name in self.missing_from(&names) {
@@ -235,13 +283,24 @@
         let is_over = |entry: &Entry| entry.hold.is_some_and(|hold| hold.is_over(source, now));
         let ended: Vec<InstanceName> =
             self.entries.iter().filter(|(_, entry)| is_over(entry)).map(|(name, _)| name.clone()).collect();
-        let mut changed = false;
+        let mut changed = self.end_doubts(now);
         for name in ended {
             changed |= self.forget(&name, self.removal_of(&name), now);
         }
         self.finish(self.revision, changed)
     }
 
+    /// An entry that has stood for longer than a silent one does is renewed by its instance. Nothing
+    /// shows that while the source is away.
+    fn end_doubts(&mut self, now: Moment) -> bool {
+        if matches!(self.source, SourceHealth::Away { .. }) {
+            return false;
+        }
+        let is_over = |entry: &&mut Entry| entry.doubted_until.is_some_and(|until| now >= until);
+        let ended = self.entries.values_mut().filter(is_over);
+        ended.map(|entry| entry.doubted_until = None).count() > 0
+    }
+
     fn forget_old_removals(&mut self, now: Moment) {
         let mut forgotten = self.gone_since;
         self.gone.retain(|_, tombstone| {
@@ -278,7 +337,7 @@
     /// The gate on its machine attests until `until` that an instance lives whose entry is
     /// gone. True when that is news which is to be passed on.
     pub fn attest(&mut self, instance: Instance, until: Moment, now: Moment) -> bool {
-        if self.left_as_draining(&instance.name) {
+        if self.left_as_draining(&instance) {
             return false;
         }
         let removed = self.removal_of(&instance.name);
@@ -307,15 +366,23 @@
     }
 
     /// An instance said that it leaves before its entry went.
-    fn left_as_draining(&self, name: &InstanceName) -> bool {
-        self.gone.get(name).is_some_and(|tombstone| tombstone.instance.state == InstanceState::Draining)
+    fn left_as_draining(&self, instance: &Instance) -> bool {
+        let left = self.gone.get(&instance.name).map(|tombstone| &tombstone.instance);
+        left.is_some_and(|left| {
+            left.state == InstanceState::Draining && !instance.incarnation.differs_from(left.incarnation)
+        })
     }
 
     fn believe(&mut self, instance: Instance, hold: Hold, now: Moment) {
         self.note_machine(&instance, now);
         let name = instance.name.clone();
         self.gone.remove(&name);
-        let entry = Entry { instance: Rc::new(instance), revision: Revision::default(), hold: Some(hold) };
+        let entry = Entry {
+            instance: Rc::new(instance),
+            revision: Revision::default(),
+            hold: Some(hold),
+            doubted_until: None,
+        };
         self.entries.insert(name, entry);
         self.finish(self.revision, true);
     }
@@ -365,13 +432,35 @@
         if !is_news || known.is_some_and(|entry| entry.revision > listed.revision) {
             return false;
         }
-        let changed = known.is_none_or(|entry| *entry.instance != listed.instance);
-        let instance = Rc::new(listed.instance.clone());
+        let taken = self.prior_of(name).map_or(Taken::AsListed, |prior| prior.take(listed));
+        let mut instance = listed.instance.clone();
+        match taken {
+            Taken::Outdated => return false,
+            Taken::StillLeaving => instance.state = InstanceState::Draining,
+            Taken::AsListed | Taken::Doubted => {}
+        }
+        let doubted_until = (taken == Taken::Doubted).then(|| now + self.policy.lapses_within);
+        let is_same = |entry: &Entry| *entry.instance == instance && entry.doubted_until == doubted_until;
+        let changed = known.is_none_or(|entry| !is_same(entry));
+        let prior = self.prior_of(name).map(|prior| prior.instance.incarnation);
+        if prior.is_some_and(|prior| instance.incarnation.differs_from(prior)) {
+            self.restarted.push(name.clone());
+        }
         self.gone.remove(name);
-        self.entries.insert(name.clone(), Entry { instance, revision: listed.revision, hold: None });
+        let entry = Entry { instance: Rc::new(instance), revision: listed.revision, hold: None, doubted_until };
+        self.entries.insert(name.clone(), entry);
         changed
     }
 
+    /// What is known of an instance, whether it is listed or gone.
+    fn prior_of(&self, name: &InstanceName) -> Option<Prior<'_>> {
+        if let Some(entry) = self.entries.get(name) {
+            return Some(Prior { instance: &entry.instance, epoch: entry.revision.epoch, was_gone: false });
+        }
+        let tombstone = self.gone.get(name)?;
+        Some(Prior { instance: &tombstone.instance, epoch: tombstone.epoch, was_gone: true })
+    }
+
     /// An entry went missing: held for a while unless it was draining.
     fn remove(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
         match self.source.hold_of_missing(self.policy, revision, now) {
@@ -395,8 +484,9 @@
     fn forget(&mut self, name: &InstanceName, revision: Revision, now: Moment) -> bool {
         let Some(entry) = self.entries.remove(name) else { return false };
         self.note_machine(&entry.instance, now);
-        self.gone
-            .insert(name.clone(), Tombstone { instance: entry.instance, revision, is_seen: false, since: now });
+        let epoch = self.revision.epoch;
+        let tombstone = Tombstone { instance: entry.instance, revision, epoch, is_seen: false, since: now };
+        self.gone.insert(name.clone(), tombstone);
         true
     }
 
@@ -411,7 +501,7 @@
     fn rebuild(&mut self) {
         let mut ready: HashMap<ServiceName, Vec<Rc<Instance>>> = HashMap::new();
         for entry in self.entries.values() {
-            if entry.instance.state == InstanceState::Ready {
+            if entry.instance.state == InstanceState::Ready && entry.doubted_until.is_none() {
                 ready.entry(entry.instance.service.clone()).or_default().push(entry.instance.clone());
             }
         }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -132,7 +132,7 @@
                     self.note_failure(&instance, failure);
                     if failure.reason == FailureReason::InstanceEnded {
                         let ended = clock::now_with_suspension();
-                        self.fatal_runs.push((instance.name.clone(), FatalRun { ended, began: offered }));
+                        self.fatal_runs.push((instance.start_name(), FatalRun { ended, began: offered }));
                     }
                     if failure.reason == FailureReason::GateLost {
                         self.drop_held(&instance);
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -6,6 +6,10 @@
 //!
 //! One failed call says nothing: a waiting call may be cut at any time. Two in a row, or
 //! one without an answer, mean that the source is away.
+//!
+//! Where changes are not to be had one by one, everything is read: the source has forgotten its
+//! history, or lost what it had acknowledged and begun a new epoch, or a waiting call was not told of a
+//! change. Readings that bring nothing new are followed by pauses that grow.
 
 mod start;
 pub mod watch;
@@ -17,7 +21,7 @@
 use rand::RngExt;
 
 use crate::model::{ConfigurationVersion, Revision};
-use crate::source::{Change, Changes, Snapshot, Source, SourceError};
+use crate::source::{Change, Changes, ConfigurationReading, Snapshot, Source, SourceError};
 use crate::state::Node;
 use olivegate_clock as clock;
 
@@ -41,6 +45,7 @@
 pub async fn follow<S: Source>(node: Rc<Node>, source: Rc<S>) {
     start::learn(&node, source.as_ref()).await;
     let mut failures = 0;
+    let mut fruitless = 0;
     let mut is_alone = true;
     loop {
         if is_alone && start::knows_peers(&node) {
@@ -55,7 +60,12 @@
             continue;
         }
         match read(&node, source.as_ref(), failures > 0).await {
-            Ok(()) => failures = 0,
+            Ok(Progress::Followed) => (failures, fruitless) = (0, 0),
+            Ok(Progress::Fruitless) => {
+                // Without a pause, a source that could not be followed was read 45 times a second.
+                (failures, fruitless) = (0, fruitless + 1);
+                tokio::time::sleep(pause(&node, fruitless)).await;
+            }
             Err(error) => {
                 failures += 1;
                 note_failure(&node, &error, failures);
@@ -81,48 +91,83 @@
     should_read(node)
 }
 
+/// What a reading brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// The source is being followed.
+    Followed,
+    /// Everything was read, and nothing in it was new.
+    Fruitless,
+}
+
 /// Reads what has changed since what this node knows; everything when that is not to be had.
 /// After a failure the cheapest call finds out whether the source answers again.
-async fn read<S: Source>(node: &Node, source: &S, has_failed: bool) -> Result<(), SourceError> {
+async fn read<S: Source>(node: &Node, source: &S, has_failed: bool) -> Result<Progress, SourceError> {
     if has_failed {
         source.probe(CALL_LIMIT).await?;
         count(node, "probed");
     }
-    if wants_proof(node) {
-        prove_configuration(node, source).await?;
-    }
     let known = node.known_state().directory;
     if known == Revision::default() {
         return read_everything(node, source).await;
     }
-    match watch::changes(node, source, known).await {
-        Ok(Some(changes)) => {
-            let is_busy = !changes.changes.is_empty();
-            take_changes(node, changes);
-            if is_busy {
-                tokio::time::sleep(GATHER).await;
-            }
-            Ok(())
+    match follow_changes(node, source, known).await {
+        Ok(Waited::Ended) => Ok(Progress::Followed),
+        Ok(Waited::Missed) => {
+            log::info!("event=source_change_missed known={known}");
+            count(node, "missed");
+            read_everything(node, source).await
         }
-        Ok(None) => Ok(()),
         Err(SourceError::HistoryGone) => {
             log::info!("event=source_history_gone known={known}");
             count(node, "history-gone");
             read_everything(node, source).await
         }
+        Err(SourceError::EpochChanged) => {
+            log::warn!("event=source_epoch_changed known={known}");
+            count(node, "epoch-changed");
+            read_everything(node, source).await
+        }
         Err(error) => Err(error),
     }
 }
 
-async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+/// How waiting for changes ended.
+enum Waited {
+    /// Changes came, or none, or another node reads.
+    Ended,
+    /// There are changes that the waiting call did not tell.
+    Missed,
+}
+
+async fn follow_changes<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Waited, SourceError> {
+    if wants_proof(node) {
+        prove_configuration(node, source).await?;
+    }
+    match watch::changes(node, source, known).await? {
+        watch::Waited::Changes(changes) => {
+            let is_busy = !changes.changes.is_empty();
+            take_changes(node, changes);
+            if is_busy {
+                tokio::time::sleep(GATHER).await;
+            }
+            Ok(Waited::Ended)
+        }
+        watch::Waited::NotNeeded => Ok(Waited::Ended),
+        watch::Waited::Missed => Ok(Waited::Missed),
+    }
+}
+
+async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<Progress, SourceError> {
     let began = clock::now();
     let snapshot = source.snapshot(CALL_LIMIT).await?;
     note_answered(node);
     let seen = snapshot.configuration.as_ref().map(|configuration| configuration.version);
+    let before = node.known_state();
     take_snapshot(node, snapshot);
     note_proof(node, seen, began);
     note_reading(node);
-    Ok(())
+    Ok(if node.known_state() == before { Progress::Fruitless } else { Progress::Followed })
 }
 
 /// True where keys count only while the configuration is proven to be young, and the proof ages.
@@ -132,24 +177,30 @@
     node.access.has_tenants() && node.access.proof_age(clock::now()).is_none_or(is_old)
 }
 
-/// Reads the configuration alone, which proves how old what is known of keys may be at most. The
-/// end of a wait for changes proves nothing: it may not have heard of a change.
-async fn prove_configuration<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+/// Reads the configuration alone, which proves how old what is known of keys may be at most, and tells
+/// the source's last change. The end of a wait for changes proves nothing: it may not have heard of a
+/// change.
+async fn prove_configuration<S: Source>(node: &Node, source: &S) -> Result<Revision, SourceError> {
     let began = clock::now();
-    let configuration = source.configuration(CALL_LIMIT).await?;
+    let ConfigurationReading { configuration, revision } = source.configuration(CALL_LIMIT).await?;
     count(node, "proved");
     let seen = configuration.as_ref().map(|configuration| configuration.version);
     if let Some(configuration) = configuration {
         node.accept_configuration(configuration, "source");
     }
+    if revision.epoch > node.known_state().directory.epoch {
+        return Err(SourceError::EpochChanged);
+    }
     note_proof(node, seen, began);
-    Ok(())
+    Ok(revision)
 }
 
 /// A reading that began at `began` showed the version `seen`. One that was not taken over proves
-/// nothing: it may have withdrawn keys.
+/// nothing: it may have withdrawn keys. Nor does one of a source that lost what it had acknowledged,
+/// before the operator has had time to write it again.
 fn note_proof(node: &Node, seen: Option<ConfigurationVersion>, began: Moment) {
-    if seen.is_some_and(|seen| seen <= node.known_state().configuration) {
+    let may_lack_writes = node.knowledge.borrow().directory.may_lack_writes(began);
+    if !may_lack_writes && seen.is_some_and(|seen| seen <= node.known_state().configuration) {
         node.access.on_proven(began);
     }
 }
--- a/crates/sidecar/src/follow/start.rs
+++ b/crates/sidecar/src/follow/start.rs
@@ -59,7 +59,10 @@
         waited >= ALONE_AFTER
     };
     let reads = is_due && node.routes().is_none();
-    if reads { read_everything(node, source).await } else { Ok(()) }
+    if reads {
+        read_everything(node, source).await?;
+    }
+    Ok(())
 }
 
 /// True when this node knows of another machine.
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -1,9 +1,13 @@
 //! Waiting for changes, as one of the readers.
 //!
-//! One call waits long, since each costs. Whether the source still answers meanwhile is asked
-//! by probes, which cost least: a source that went silent is noticed as fast as by short
-//! waits. A source that drops its history may leave calls that wait without a word, so none
-//! waits longer than a disturbance of the source counts, and the readers' waits differ.
+//! One call waits long, since each costs. What it does not tell is found by looks at the source's
+//! last change meanwhile: a call may wait without a word while changes are made, since its connection
+//! fell silent, or the source drops its history or comes back from an older copy. So a look that finds
+//! nothing newer than what is known proves that nothing was missed up to it; only such a look counts as a
+//! reading on which other nodes rely.
+//!
+//! A change that the waiting call misses is known after the interval of looks, two calls and the way
+//! to all nodes: 0.45 s, 0.1 s and 0.3 s where calls take 50 ms, of the 2 s that are allowed, by arithmetic.
 
 use std::convert::Infallible;
 use std::ops::Range;
@@ -21,20 +25,32 @@
 use crate::state::Node;
 
 /// Wait for changes in one call, as parts of the shorter of the time for which a disturbance
-/// counts and the time within which no request goes to an instance that left. A source that drops
-/// its history tells waiting calls nothing for a second before; a call that begins at the end of
-/// it must end in time for both: a second, the longest wait and 0.3 s to pass it on are 1.98 s of
+/// counts and the time within which no request goes to an instance that left. Should looks tell of
+/// no change either, a call that begins at the end of a second in which waiting calls are told
+/// nothing still ends in time: a second, the longest wait and 0.3 s to pass it on are 1.98 s of
 /// 2 s and 2.15 s of 2.5 s, by arithmetic.
 const WAIT_PARTS: Range<f64> = 0.2..0.34;
-/// Interval of probes while a call waits.
-const PROBE_INTERVAL: Duration = Duration::from_millis(450);
+/// Interval of looks while a call waits.
+const LOOK_INTERVAL: Duration = Duration::from_millis(450);
+/// Time in which the waiting call tells of a change that a look has found: they cross each other.
+const CROSSING_TIME: Duration = Duration::from_millis(60);
 
-/// Why waiting ended before there were changes.
-enum Ended {
+/// How waiting ended.
+pub(super) enum Waited {
+    /// The call has told the changes, or that there are none.
+    Changes(Changes),
     /// Another node reads.
     NotNeeded,
-    /// The source does not answer.
-    Away(SourceError),
+    /// There are changes that the call did not tell.
+    Missed,
+}
+
+/// Why waiting ended before the call did.
+enum Ended {
+    NotNeeded,
+    Missed,
+    /// The source does not answer, or is not the one that it was.
+    Failed(SourceError),
 }
 
 /// Shortest and longest wait for changes in one call.
@@ -43,8 +59,8 @@
     whole.mul_f64(WAIT_PARTS.start)..whole.mul_f64(WAIT_PARTS.end)
 }
 
-/// Changes after `known`, as soon as there are some; `None` when other nodes read for this one.
-pub async fn changes<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Option<Changes>, SourceError> {
+/// Changes after `known`, as soon as there are some.
+pub(super) async fn changes<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Waited, SourceError> {
     let waits = waits(&node.settings().bounds);
     let wait = node.random(|random| random.random_range(waits));
     let waiting = source.changes(known, wait, CALL_LIMIT);
@@ -53,34 +69,40 @@
         changes = waiting => {
             let changes = changes?;
             note_answered(node);
-            Ok(Some(changes))
+            Ok(Waited::Changes(changes))
         }
-        Err(ended) = probe_regularly(node, source) => match ended {
-            Ended::NotNeeded => Ok(None),
-            Ended::Away(error) => Err(error),
+        Err(ended) = look_regularly(node, source, known) => match ended {
+            Ended::NotNeeded => Ok(Waited::NotNeeded),
+            Ended::Missed => Ok(Waited::Missed),
+            Ended::Failed(error) => Err(error),
         },
     }
 }
 
-/// Notes a reading with each probe that is answered: a change before it would have ended the
-/// wait.
-async fn probe_regularly<S: Source>(node: &Node, source: &S) -> Result<Infallible, Ended> {
+/// Looks at the source's last change until it is one that the waiting call has not told.
+async fn look_regularly<S: Source>(node: &Node, source: &S, known: Revision) -> Result<Infallible, Ended> {
     let mut failures = 0;
     loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        tokio::time::sleep(LOOK_INTERVAL).await;
         if !should_read(node) {
             return Err(Ended::NotNeeded);
         }
-        match probe(node, source).await {
-            Ok(()) => {
+        match look(node, source).await {
+            Ok(last) if last.epoch != known.epoch => return Err(Ended::Failed(SourceError::EpochChanged)),
+            Ok(last) if last > known => {
+                tokio::time::sleep(CROSSING_TIME).await;
+                return Err(Ended::Missed);
+            }
+            Ok(_) => {
                 failures = 0;
                 count(node, "probed");
                 note_reading(node);
             }
             Err(error) => {
                 failures += 1;
-                if failures >= FAILURES_TO_BE_AWAY || matches!(error, SourceError::TimedOut) {
-                    return Err(Ended::Away(error));
+                let is_away = failures >= FAILURES_TO_BE_AWAY || matches!(error, SourceError::TimedOut);
+                if is_away || matches!(error, SourceError::EpochChanged) {
+                    return Err(Ended::Failed(error));
                 }
                 count(node, "failed");
             }
@@ -88,11 +110,11 @@
     }
 }
 
-/// Asks whether the source answers: by a reading of the configuration where the proof of it has
-/// aged, else by the cheapest call.
-async fn probe<S: Source>(node: &Node, source: &S) -> Result<(), SourceError> {
+/// The source's last change: by a reading of the configuration where the proof of it has aged, else
+/// by the cheapest call.
+async fn look<S: Source>(node: &Node, source: &S) -> Result<Revision, SourceError> {
     if wants_proof(node) {
         return prove_configuration(node, source).await;
     }
-    source.probe(CALL_LIMIT).await
+    source.position(CALL_LIMIT).await
 }
--- a/crates/sidecar/src/gate/instance_end.rs
+++ b/crates/sidecar/src/gate/instance_end.rs
@@ -25,7 +25,7 @@
 /// What is known of the end of one instance.
 #[derive(Default)]
 pub struct InstanceEnd {
-    /// When it was seen to have ended. It does not come back: the next process has another name.
+    /// When it was last seen to have ended. It may start again under its name before that is known.
     ended: Cell<Option<Moment>>,
     /// The look that is being taken: exchanges that break together share one.
     looking: RefCell<Option<Rc<OnceCell<Option<Moment>>>>>,
@@ -33,23 +33,25 @@
 
 impl InstanceEnd {
     /// When the instance ended, by the clock that counts suspension, if it has; to be asked when an
-    /// exchange has broken. A connection that comes of it is handed to `keep`.
+    /// exchange has broken that began at `began`. A connection that comes of it is handed to `keep`.
     pub async fn look(
         &self,
+        began: Moment,
         connections: &InstanceConnections,
         address: SocketAddr,
         keep: impl FnOnce(InstanceConnection),
     ) -> Option<Moment> {
-        if self.ended.get().is_some() {
+        let is_known = |ended: Moment| began <= ended;
+        if self.ended.get().is_some_and(is_known) {
             return self.ended.get();
         }
         let look = self.looking.borrow_mut().get_or_insert_with(Rc::default).clone();
         let found = *look.get_or_init(|| look_at_port(connections, address, keep)).await;
         self.looking.borrow_mut().take_if(|current| Rc::ptr_eq(current, &look));
-        if self.ended.get().is_none() {
-            self.ended.set(found);
+        if !self.ended.get().is_some_and(is_known) {
+            self.ended.set(found.or(self.ended.get()));
         }
-        self.ended.get()
+        self.ended.get().filter(|ended| is_known(*ended))
     }
 }
 
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -40,7 +40,7 @@
 use crate::hop::{ONE_GROUP, Offer, Root};
 use crate::lateness;
 use crate::lineage::{RunningKey, RunningRequest};
-use crate::model::{Instance, InstanceState};
+use crate::model::{Incarnation, Instance, InstanceState};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use confirmation::Confirmation;
@@ -75,20 +75,23 @@
             return slots.clone();
         }
         let listed = node.knowledge.borrow().directory.instance(name);
-        let count = listed.map_or(UNLISTED_SLOTS, |instance| instance.slots);
+        let count = listed.as_ref().map_or(UNLISTED_SLOTS, |instance| instance.slots);
         let slots = Rc::new(InstanceSlots::new(count));
+        listed.into_iter().for_each(|instance| {
+            slots.follow(&instance);
+        });
         self.instances.borrow_mut().insert(name.clone(), slots.clone());
         slots
     }
 
-    /// Follows the directory: slot counts, and instances that are gone.
+    /// Follows the directory: slot counts, and instances that are gone or have started again. One
+    /// that came back under its name must not pass for leaving, or ended, since the one before was.
     pub fn follow_directory(&self, node: &Node) {
         let knowledge = node.knowledge.borrow();
         self.instances.borrow_mut().retain(|name, slots| {
-            if let Some(instance) = knowledge.directory.instance(name) {
-                slots.set_slots(instance.slots);
-            }
-            knowledge.directory.standing(name) != Standing::Gone || slots.in_use()
+            let is_same = knowledge.directory.instance(name).is_none_or(|instance| slots.follow(&instance));
+            let is_of_use = knowledge.directory.standing(name) != Standing::Gone || slots.in_use();
+            is_same && is_of_use
         });
     }
 
@@ -321,6 +324,7 @@
     let slots = node.knowledge.borrow().directory.slots_of_service(&settings.service);
     let instance = Instance {
         name: InstanceName::new(name),
+        incarnation: Incarnation::UNKNOWN,
         service: settings.service.clone(),
         address: settings.instance,
         zone: settings.zone.clone(),
--- a/crates/sidecar/src/gate/quarantine/evidence.rs
+++ b/crates/sidecar/src/gate/quarantine/evidence.rs
@@ -45,7 +45,7 @@
         }
         let was_answered = self.answered.contain(&run.content);
         let Some(suspected) = run.content.suspected(was_answered) else { return };
-        self.note_end(node, suspected, &run.instance, FatalRun { ended, began: run.began });
+        self.note_end(node, suspected, &run.start, FatalRun { ended, began: run.began });
         log::info!(
             "event=content_suspected content={} route={} caller={} instance={} {}",
             suspected.digest,
@@ -56,7 +56,7 @@
         );
     }
 
-    /// Notes that `instance` ended with a run of `content`.
+    /// Notes that `instance`, by the name of its start, ended with a run of `content`.
     pub(super) fn note_end(&self, node: &Node, content: SuspectedContent, instance: &InstanceName, run: FatalRun) {
         let policy = node.settings().quarantine;
         if self.suspects.borrow_mut().note_end(&policy, content, instance, run) {
--- a/crates/sidecar/src/gate/quarantine/watched_run.rs
+++ b/crates/sidecar/src/gate/quarantine/watched_run.rs
@@ -38,6 +38,7 @@
     ) -> Self {
         let run = Run {
             instance: offer.instance.clone(),
+            start: slots.start_name(&offer.instance),
             route: offer.route.clone(),
             content,
             began: clock::now_with_suspension(),
@@ -110,7 +111,7 @@
     async fn end_of_instance(&self) -> Option<Moment> {
         let connections = self.slots.connections();
         let keep = |connection| connections.keep(connection, None, self.slots.limit());
-        self.slots.end().look(connections, self.node.settings().instance, keep).await
+        self.slots.end().look(self.run.began, connections, self.node.settings().instance, keep).await
     }
 }
 
--- a/crates/sidecar/src/gate/quarantine/witnesses.rs
+++ b/crates/sidecar/src/gate/quarantine/witnesses.rs
@@ -54,6 +54,8 @@
 pub struct Run {
     /// The instance.
     pub instance: InstanceName,
+    /// Name of this start of it: one that starts again under its name may end again.
+    pub start: InstanceName,
     /// Name of the request's route.
     pub route: String,
     /// The request.
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -8,13 +8,14 @@
 use olivegate_overload::{
     AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, InstanceQueue, Pace, Settings, TicketId,
 };
-use olivegate_types::{Moment, Refusal, RefusalReason};
+use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
 use crate::gate::instance_connection::InstanceConnections;
 use crate::gate::instance_end::InstanceEnd;
 use crate::gate::sheds::Sheds;
 use crate::hop::Offer;
+use crate::model::{Incarnation, Instance};
 use crate::reply::{Answer, AnswerFault, Body, Failure, FailureReason, Load};
 use olivegate_clock as clock;
 
@@ -49,6 +50,7 @@
     sheds: Sheds,
     connections: InstanceConnections,
     end: InstanceEnd,
+    incarnation: Cell<Incarnation>,
 }
 
 /// A slot in use; dropped when the exchange has ended, whichever way.
@@ -85,12 +87,24 @@
             sheds: Sheds::default(),
             connections: InstanceConnections::default(),
             end: InstanceEnd::default(),
+            incarnation: Cell::default(),
         }
     }
 
-    /// Follows the number of slots that the instance tells.
-    pub fn set_slots(&self, slots: u32) {
-        self.queue.borrow_mut().configure(QUEUE, used_slots(slots));
+    /// Follows what is listed of the instance. False when it has started again: then nothing that was
+    /// learnt here holds for it.
+    pub fn follow(&self, instance: &Instance) -> bool {
+        if instance.incarnation.differs_from(self.incarnation.get()) {
+            return false;
+        }
+        self.incarnation.set(instance.incarnation);
+        self.queue.borrow_mut().configure(QUEUE, used_slots(instance.slots));
+        true
+    }
+
+    /// Name of the present start of the instance `name`.
+    pub fn start_name(&self, name: &InstanceName) -> InstanceName {
+        self.incarnation.get().start_name(name)
     }
 
     /// Follows the pace of this process.
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -18,16 +18,75 @@
     }
 }
 
-/// Position in the source's history of changes; later ones are larger.
+/// How often the source has lost changes that it had acknowledged: it came back from an older copy of
+/// itself and gives positions in its history out again. Later ones are larger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, BorshSerialize, BorshDeserialize)]
-pub struct Revision(pub u64);
+pub struct Epoch(pub u64);
 
-impl fmt::Display for Revision {
+impl fmt::Display for Epoch {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.0)
     }
 }
 
+/// Position in the source's history of changes; later ones are larger. The epoch goes first: without
+/// it, 22 of before a loss passes for newer than 18 of after it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, BorshSerialize, BorshDeserialize)]
+pub struct Revision {
+    /// Epoch in which the source gave it out.
+    pub epoch: Epoch,
+    /// Number of the change, counted by the source.
+    pub number: u64,
+}
+
+impl Revision {
+    /// The change of this number in `epoch`.
+    pub fn new(epoch: Epoch, number: u64) -> Self {
+        Revision { epoch, number }
+    }
+
+    /// The change of this number in the epoch of a source that has lost nothing.
+    pub fn of(number: u64) -> Self {
+        Revision::new(Epoch::default(), number)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.epoch, self.number)
+    }
+}
+
+/// Start of an instance, in milliseconds of Unix time; 0 where it is not told. An instance that starts
+/// again under its name has a later one, and knows nothing of before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, BorshSerialize, BorshDeserialize)]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// The start is not told.
+    pub const UNKNOWN: Incarnation = Incarnation(0);
+
+    /// True where the start is told.
+    pub fn is_told(self) -> bool {
+        self != Incarnation::UNKNOWN
+    }
+
+    /// Name of this start of the instance `name`, where one that starts again is another.
+    pub fn start_name(self, name: &InstanceName) -> InstanceName {
+        if self.is_told() { InstanceName::new(format!("{name}@{}", self.0)) } else { name.clone() }
+    }
+
+    /// True when both are told and differ.
+    pub fn differs_from(self, other: Incarnation) -> bool {
+        self != other && self.is_told() && other.is_told()
+    }
+
+    /// True when both are told and this one is the earlier.
+    pub fn is_before(self, other: Incarnation) -> bool {
+        self.differs_from(other) && self < other
+    }
+}
+
 /// A span of time in whole milliseconds, as nodes pass it on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, BorshSerialize, BorshDeserialize)]
 pub struct Millis(pub u32);
@@ -136,8 +195,10 @@
 /// An instance as the source lists it.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Instance {
-    /// Identity of this start of the instance.
+    /// Its name; an instance may start again under the one that it had.
     pub name: InstanceName,
+    /// Its start.
+    pub incarnation: Incarnation,
     /// Service that it runs.
     pub service: ServiceName,
     /// Where it listens; only processes of its own machine reach it.
@@ -149,3 +210,10 @@
     /// Whether it takes new requests.
     pub state: InstanceState,
 }
+
+impl Instance {
+    /// Name of this start of the instance.
+    pub fn start_name(&self) -> InstanceName {
+        self.incarnation.start_name(&self.name)
+    }
+}
--- a/crates/sidecar/src/peers/attestation.rs
+++ b/crates/sidecar/src/peers/attestation.rs
@@ -14,7 +14,6 @@
 use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use olivegate_types::InstanceName;
 use tokio::net::UdpSocket;
 
 use super::{Audience, PeerMessage, send};
@@ -49,15 +48,13 @@
 /// Attests the instance beside this node whenever that is called for.
 pub async fn attest_own<S: Source>(node: Rc<Node>, source: Rc<S>) {
     // The instance of which the source's word was found to hold.
-    let mut gone: Option<InstanceName> = None;
+    let mut gone: Option<Instance> = None;
     loop {
         node.knowledge_changed.notified().await;
-        while let Some(instance) =
-            unlisted_instance(&node).filter(|instance| gone.as_ref() != Some(&instance.name))
-        {
+        while let Some(instance) = unlisted_instance(&node).filter(|instance| gone.as_ref() != Some(instance)) {
             if !may_attest(&node, source.as_ref(), &instance).await {
                 node.update_directory("gate", |directory| directory.confirm_gone(&instance.name, clock::now()));
-                gone = Some(instance.name);
+                gone = Some(instance);
                 break;
             }
             log::info!("event=instance_attested instance={} valid_ms={}", instance.name, VALID_FOR.as_millis());
--- a/crates/sidecar/src/source.rs
+++ b/crates/sidecar/src/source.rs
@@ -36,6 +36,15 @@
     pub list: InstanceList,
 }
 
+/// The newest configuration, read alone.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct ConfigurationReading {
+    /// It; `None` when there is none that can be read.
+    pub configuration: Option<Configuration>,
+    /// The source's last change as it was read.
+    pub revision: Revision,
+}
+
 /// How recent a list has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Recency {
@@ -92,6 +101,8 @@
     Refused(u16),
     /// The changes asked for are forgotten: read everything again.
     HistoryGone,
+    /// It has lost what it had acknowledged, and begun a new epoch: read everything again.
+    EpochChanged,
     /// The answer can't be understood.
     Malformed(String),
 }
@@ -103,6 +114,7 @@
             SourceError::TimedOut => formatter.write_str("no answer in time"),
             SourceError::Refused(status) => write!(formatter, "refused with status {status}"),
             SourceError::HistoryGone => formatter.write_str("history is gone"),
+            SourceError::EpochChanged => formatter.write_str("epoch has changed"),
             SourceError::Malformed(reason) => write!(formatter, "malformed answer: {reason}"),
         }
     }
@@ -122,11 +134,13 @@
     /// Reads everything, as it is now. `limit` bounds the time of each call.
     fn snapshot(&self, limit: Duration) -> impl Future<Output = Result<Snapshot, SourceError>>;
 
-    /// Reads the newest configuration alone, as the source holds it when it is asked; `None` when
-    /// there is none that can be read.
-    fn configuration(&self, limit: Duration) -> impl Future<Output = Result<Option<Configuration>, SourceError>>;
+    /// Reads the newest configuration alone, as the source holds it when it is asked.
+    fn configuration(&self, limit: Duration) -> impl Future<Output = Result<ConfigurationReading, SourceError>>;
+
+    /// Reads the source's last change as of when it is asked, by the cheapest call that tells it.
+    fn position(&self, limit: Duration) -> impl Future<Output = Result<Revision, SourceError>>;
 
-    /// Waits up to `wait` for changes after `revision`; none when there were none.
+    /// Waits up to `wait` for changes after `after`; none when there were none.
     /// `limit` bounds the time of the call beyond `wait`.
     fn changes(
         &self,
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -9,7 +9,7 @@
 use olivegate_authentication::key_table::HashSecret;
 use olivegate_overload::{LevelTable, ProcessPressure};
 use olivegate_routing::balance::Balancer;
-use olivegate_types::Moment;
+use olivegate_types::{InstanceName, Moment};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use tokio::sync::Notify;
@@ -41,6 +41,10 @@
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(600);
 /// Heartbeats within which an instance that has just started is listed.
 const LISTED_HEARTBEATS: u32 = 2;
+/// Heartbeats of silence after which the source drops an entry.
+const LAPSED_HEARTBEATS: u32 = 3;
+/// Time that the end of an entry takes to be known here.
+const LAPSE_SLACK: Duration = Duration::from_millis(500);
 /// Time for which a reported level holds: edges where a class is rare hear of it this seldom.
 const LEVEL_HOLD: Duration = Duration::from_millis(500);
 /// Bytes that are held of a body and of an answer that are read whole, at most.
@@ -116,6 +120,7 @@
             rewritten_within: REWRITTEN_WITHIN,
             confirmed_within: CONFIRMED_WITHIN,
             listed_within: settings.heartbeat * LISTED_HEARTBEATS,
+            lapses_within: settings.heartbeat * LAPSED_HEARTBEATS + LAPSE_SLACK,
         };
         let knowledge = Knowledge { configuration: None, routes: None, directory: Directory::new(hold) };
         let freshness = Freshness::new(settings.ip());
@@ -204,12 +209,13 @@
 
     /// Changes the directory; `change` says whether anything changed.
     pub fn update_directory(&self, from: &str, change: impl FnOnce(&mut Directory) -> bool) {
-        let (changed, revision, ready) = {
+        let (changed, revision, ready, restarted) = {
             let directory = &mut self.knowledge.borrow_mut().directory;
             let changed = change(directory);
-            (changed, directory.revision(), directory.ready_count())
+            (changed, directory.revision(), directory.ready_count(), directory.take_restarted())
         };
-        self.metrics.set_state("directory_revision", revision.0);
+        self.metrics.set_state("directory_revision", revision.number);
+        self.metrics.set_state("directory_epoch", revision.epoch.0);
         if !changed {
             return;
         }
@@ -218,7 +224,11 @@
         self.gate.follow_directory(self);
         self.note_service_machines();
         let knowledge = self.knowledge.borrow();
-        self.balancer.borrow_mut().retain(|name| knowledge.directory.instance(name).is_some());
+        // An instance that has started again is another one: slowness and failures of the one before
+        // would keep requests from it.
+        let is_same = |name: &InstanceName| !restarted.contains(name);
+        let is_listed = |name: &InstanceName| knowledge.directory.instance(name).is_some();
+        self.balancer.borrow_mut().retain(|name| is_listed(name) && is_same(name));
         drop(knowledge);
         self.knowledge_changed.notify_waiters();
     }
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -5,7 +5,7 @@
 
 use olivegate_sidecar::directory::hold::HoldPolicy;
 use olivegate_sidecar::directory::{Directory, Standing};
-use olivegate_sidecar::model::{Instance, InstanceState, Revision};
+use olivegate_sidecar::model::{Incarnation, Instance, InstanceState, Revision};
 use olivegate_sidecar::source::{Change, ListedInstance};
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 use proptest::prelude::*;
@@ -15,6 +15,7 @@
     rewritten_within: Duration::from_millis(2_000),
     confirmed_within: Duration::ZERO,
     listed_within: Duration::from_millis(3_000),
+    lapses_within: Duration::from_millis(5_000),
 };
 /// Gates have time to say whether their instances live.
 const WITH_GATES: HoldPolicy = HoldPolicy { confirmed_within: Duration::from_millis(900), ..POLICY };
@@ -26,6 +27,7 @@
 fn instance(name: &str, state: InstanceState) -> Instance {
     Instance {
         name: InstanceName::new(name),
+        incarnation: Incarnation::UNKNOWN,
         service: ServiceName::new("books"),
         address: "127.0.0.1:8301".parse().unwrap(),
         zone: ZoneName::new("north"),
@@ -35,7 +37,7 @@
 }
 
 fn listed(name: &str, state: InstanceState, revision: u64) -> ListedInstance {
-    ListedInstance { instance: instance(name, state), revision: Revision(revision) }
+    ListedInstance { instance: instance(name, state), revision: Revision::of(revision) }
 }
 
 fn ready(directory: &Directory) -> Vec<String> {
@@ -47,9 +49,9 @@
 fn a_calm_source_is_believed_at_once() {
     let mut directory = Directory::new(POLICY);
     let both = [listed("a", InstanceState::Ready, 1), listed("b", InstanceState::Ready, 2)];
-    assert!(directory.apply_snapshot(&both, Revision(2), at(0)));
+    assert!(directory.apply_snapshot(&both, Revision::of(2), at(0)));
     assert_eq!(ready(&directory), ["a", "b"]);
-    assert!(directory.apply_snapshot(&both[1..], Revision(3), at(10)));
+    assert!(directory.apply_snapshot(&both[1..], Revision::of(3), at(10)));
     assert_eq!(ready(&directory), ["b"]);
     assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Gone);
 }
@@ -59,12 +61,12 @@
 #[rstest]
 fn what_lapsed_is_held_from_the_sources_first_answer_to_any_node() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
     directory.note_source_away();
     directory.note_source_seen(at(10_000));
     directory.note_source_away();
     directory.note_source_seen(at(11_000));
-    directory.apply_snapshot(&[], Revision(2), at(11_100));
+    directory.apply_snapshot(&[], Revision::of(2), at(11_100));
     directory.note_source_answered(at(11_500));
     assert!(!directory.expire(at(11_900)), "it may still write again");
     assert!(directory.expire(at(12_000)), "two seconds after the first answer it is gone");
@@ -74,11 +76,11 @@
 fn what_lapsed_while_the_source_was_away_is_held_for_its_return_and_then_gone() {
     let mut directory = Directory::new(POLICY);
     let both = [listed("a", InstanceState::Ready, 1), listed("b", InstanceState::Ready, 2)];
-    directory.apply_snapshot(&both, Revision(2), at(0));
+    directory.apply_snapshot(&both, Revision::of(2), at(0));
     directory.note_source_away();
     assert!(!directory.expire(at(30_000)), "an absence ends nothing");
     directory.note_source_answered(at(31_000));
-    directory.apply_snapshot(&[], Revision(4), at(31_000));
+    directory.apply_snapshot(&[], Revision::of(4), at(31_000));
     assert_eq!(ready(&directory), ["a", "b"]);
     directory.apply_change(&Change::Instance(listed("b", InstanceState::Ready, 5)), at(32_000));
     assert!(!directory.expire(at(32_900)), "a may still come back");
@@ -89,10 +91,10 @@
 #[rstest]
 fn what_goes_missing_later_than_the_return_is_gone_at_once() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
     directory.note_source_away();
     directory.note_source_answered(at(1_000));
-    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) };
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision::of(2) };
     directory.apply_change(&gone, at(3_100));
     assert!(ready(&directory).is_empty());
 }
@@ -100,21 +102,21 @@
 #[rstest]
 fn a_draining_instance_is_never_held() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision::of(1), at(0));
     directory.note_source_away();
     directory.note_source_answered(at(10));
-    directory.apply_snapshot(&[], Revision(2), at(20));
+    directory.apply_snapshot(&[], Revision::of(2), at(20));
     assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Gone);
 }
 
 #[rstest]
 fn an_older_state_changes_nothing() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 9)], Revision(9), at(0));
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 4)], Revision(4), at(1));
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 9)], Revision::of(9), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 4)], Revision::of(4), at(1));
     directory.apply_change(&Change::Instance(listed("a", InstanceState::Ready, 5)), at(2));
     assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Draining);
-    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(6) };
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision::of(6) };
     directory.apply_change(&gone, at(3));
     assert_eq!(directory.standing(&InstanceName::new("a")), Standing::Draining);
 }
@@ -122,11 +124,11 @@
 #[rstest]
 fn an_observed_instance_is_used_until_the_source_should_list_it() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
     directory.note_gone(&InstanceName::new("a"), at(100));
     assert!(directory.observe(instance("b", InstanceState::Ready), at(100)));
     assert_eq!(ready(&directory), ["b"]);
-    directory.apply_snapshot(&[], Revision(2), at(200));
+    directory.apply_snapshot(&[], Revision::of(2), at(200));
     assert_eq!(ready(&directory), ["b"]);
     assert!(!directory.observe(instance("a", InstanceState::Ready), at(300)), "a is known to be gone");
     assert!(directory.expire(at(3_200)));
@@ -136,10 +138,10 @@
 #[rstest]
 fn a_copy_brings_another_node_to_the_same_state() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(5), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(5), at(0));
     let mut other = Directory::new(POLICY);
     assert!(other.apply_copy(&directory.copy_since(other.revision(), at(0)), at(0)));
-    assert_eq!((ready(&other), other.revision()), (vec!["a".to_string()], Revision(5)));
+    assert_eq!((ready(&other), other.revision()), (vec!["a".to_string()], Revision::of(5)));
     assert!(!other.apply_copy(&directory.copy_since(other.revision(), at(0)), at(1)), "nothing newer");
 }
 
@@ -147,39 +149,41 @@
 fn a_copy_of_changes_holds_changes_only_and_leads_to_the_same_state() {
     let mut directory = Directory::new(POLICY);
     let three = ["a", "b", "c"].map(|name| listed(name, InstanceState::Ready, 1));
-    directory.apply_snapshot(&three, Revision(3), at(0));
+    directory.apply_snapshot(&three, Revision::of(3), at(0));
     let mut other = Directory::new(POLICY);
     other.apply_copy(&directory.copy_since(Revision::default(), at(0)), at(0));
-    directory.apply_change(&Change::InstanceGone { name: InstanceName::new("b"), revision: Revision(4) }, at(10));
+    directory
+        .apply_change(&Change::InstanceGone { name: InstanceName::new("b"), revision: Revision::of(4) }, at(10));
     directory.apply_change(&Change::Instance(listed("d", InstanceState::Ready, 5)), at(10));
-    directory.advance(Revision(5));
-    let changes = directory.copy_since(Revision(3), at(0));
-    assert_eq!((changes.base, changes.entries.len(), changes.gone.len()), (Some(Revision(3)), 1, 1));
+    directory.advance(Revision::of(5));
+    let changes = directory.copy_since(Revision::of(3), at(0));
+    assert_eq!((changes.base, changes.entries.len(), changes.gone.len()), (Some(Revision::of(3)), 1, 1));
     assert!(other.apply_copy(&changes, at(20)));
-    assert_eq!((ready(&other), other.revision()), (ready(&directory), Revision(5)));
+    assert_eq!((ready(&other), other.revision()), (ready(&directory), Revision::of(5)));
 }
 
 #[rstest]
 fn a_removal_that_is_no_longer_remembered_needs_everything() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
-    directory.apply_change(&Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) }, at(10));
-    directory.advance(Revision(2));
-    assert_eq!(directory.copy_since(Revision(1), at(0)).base, Some(Revision(1)));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
+    directory
+        .apply_change(&Change::InstanceGone { name: InstanceName::new("a"), revision: Revision::of(2) }, at(10));
+    directory.advance(Revision::of(2));
+    assert_eq!(directory.copy_since(Revision::of(1), at(0)).base, Some(Revision::of(1)));
     directory.expire(at(120_000));
-    assert_eq!(directory.copy_since(Revision(1), at(0)).base, None);
+    assert_eq!(directory.copy_since(Revision::of(1), at(0)).base, None);
 }
 
 #[rstest]
 fn held_entries_are_passed_on_as_held() {
     let mut directory = Directory::new(POLICY);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
     let mut other = Directory::new(POLICY);
     other.apply_copy(&directory.copy_since(Revision::default(), at(0)), at(0));
     directory.note_source_away();
     directory.note_source_answered(at(100));
-    directory.apply_snapshot(&[], Revision(2), at(200));
-    other.apply_copy(&directory.copy_since(Revision(1), at(900)), at(900));
+    directory.apply_snapshot(&[], Revision::of(2), at(200));
+    other.apply_copy(&directory.copy_since(Revision::of(1), at(900)), at(900));
     assert_eq!(ready(&other), ["a"]);
     assert!(!directory.expire(at(2_000)) && !other.expire(at(2_000)));
     assert!(directory.expire(at(2_100)) && other.expire(at(2_100)), "all nodes end the hold together");
@@ -201,10 +205,10 @@
 /// A directory from which the entry of `a` has just gone.
 fn without_a() -> Directory {
     let mut directory = Directory::new(WITH_GATES);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
-    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) };
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision::of(2) };
     assert!(directory.apply_change(&gone, at(100)));
-    directory.advance(Revision(2));
+    directory.advance(Revision::of(2));
     directory
 }
 
@@ -235,7 +239,7 @@
     let mut peer = without_a();
     let other = Change::Instance(listed("b", InstanceState::Ready, 3));
     peer.apply_change(&other, at(120));
-    peer.advance(Revision(3));
+    peer.advance(Revision::of(3));
     gate.apply_copy(&peer.copy_since(gate.revision(), at(130)), at(130));
     assert_eq!(ready(&gate), ["b"]);
     let again = Change::Instance(listed("a", InstanceState::Ready, 4));
@@ -246,10 +250,10 @@
 #[rstest]
 fn a_gate_does_not_end_the_hold_of_what_lapsed_while_the_source_was_away() {
     let mut directory = Directory::new(WITH_GATES);
-    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision(1), at(0));
+    directory.apply_snapshot(&[listed("a", InstanceState::Ready, 1)], Revision::of(1), at(0));
     directory.note_source_away();
     directory.note_source_answered(at(100));
-    directory.apply_snapshot(&[], Revision(2), at(100));
+    directory.apply_snapshot(&[], Revision::of(2), at(100));
     assert!(!directory.confirm_gone(&InstanceName::new("a"), at(110)));
     assert_eq!(ready(&directory), ["a"]);
 }
@@ -261,9 +265,9 @@
     assert!(directory.attest(instance("a", InstanceState::Ready), at(4_000), at(1_000)));
     assert_eq!(ready(&directory), ["a"]);
     assert!(!directory.attest(instance("a", InstanceState::Ready), at(4_010), at(1_010)), "heard again: no news");
-    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision(2) };
+    let gone = Change::InstanceGone { name: InstanceName::new("a"), revision: Revision::of(2) };
     directory.apply_change(&gone, at(1_100));
-    directory.apply_snapshot(&[], Revision(3), at(1_200));
+    directory.apply_snapshot(&[], Revision::of(3), at(1_200));
     assert_eq!(ready(&directory), ["a"], "the gate knows better than the source");
     assert!(directory.attest(instance("a", InstanceState::Ready), at(5_500), at(2_500)), "it says so again");
     assert!(!directory.expire(at(5_400)));
@@ -274,8 +278,8 @@
 #[rstest]
 fn what_left_as_draining_is_not_attested() {
     let mut directory = Directory::new(WITH_GATES);
-    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision(1), at(0));
-    directory.apply_snapshot(&[], Revision(2), at(10));
+    directory.apply_snapshot(&[listed("a", InstanceState::Draining, 1)], Revision::of(1), at(0));
+    directory.apply_snapshot(&[], Revision::of(2), at(10));
     assert!(!directory.attest(instance("a", InstanceState::Ready), at(4_000), at(20)));
     assert!(ready(&directory).is_empty());
 }
@@ -360,30 +364,30 @@
                     let state = if draining { InstanceState::Draining } else { InstanceState::Ready };
                     let entry = listed(&format!("i-{name}-{}", model.revision), state, model.revision);
                     if let Some(old) = model.entries.insert(name, entry.clone()) {
-                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision(model.revision) });
+                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision::of(model.revision) });
                     }
                     model.history.push(Change::Instance(entry));
                 }
                 Step::Remove(name) => {
                     if let Some(old) = model.entries.remove(&name) {
                         model.revision += 1;
-                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision(model.revision) });
+                        model.history.push(Change::InstanceGone { name: old.instance.name, revision: Revision::of(model.revision) });
                     }
                 }
                 Step::ForgetHistory => {
                     // A node that is told so reads everything.
                     model.history.clear();
-                    directory.apply_snapshot(&model.snapshot(), Revision(model.revision), at(time));
+                    directory.apply_snapshot(&model.snapshot(), Revision::of(model.revision), at(time));
                 }
                 Step::ReadAll => {
-                    directory.apply_snapshot(&model.snapshot(), Revision(model.revision), at(time));
+                    directory.apply_snapshot(&model.snapshot(), Revision::of(model.revision), at(time));
                     prop_assert_eq!(sorted(ready(&directory)), sorted(model.ready()));
                 }
                 Step::ReadChanges => {
                     for change in model.history.drain(..) {
                         directory.apply_change(&change, at(time));
                     }
-                    directory.advance(Revision(model.revision));
+                    directory.advance(Revision::of(model.revision));
                     prop_assert_eq!(sorted(ready(&directory)), sorted(model.ready()));
                 }
             }
@@ -410,15 +414,15 @@
                 Step::Remove(name) => {
                     if let Some(old) = model.entries.remove(&name) {
                         model.revision += 1;
-                        let revision = Revision(model.revision);
+                        let revision = Revision::of(model.revision);
                         reader.apply_change(&Change::InstanceGone { name: old.instance.name, revision }, now);
                     }
                 }
                 _ => {
-                    reader.apply_snapshot(&model.snapshot(), Revision(model.revision), now);
+                    reader.apply_snapshot(&model.snapshot(), Revision::of(model.revision), now);
                 }
             }
-            reader.advance(Revision(model.revision));
+            reader.advance(Revision::of(model.revision));
             if fetches[index] {
                 follower.apply_copy(&reader.copy_since(follower.revision(), now), now);
                 prop_assert_eq!(sorted(ready(&follower)), sorted(ready(&reader)));
@@ -455,16 +459,16 @@
                 Step::Remove(name) => {
                     if let Some(old) = model.entries.remove(&name) {
                         model.revision += 1;
-                        let revision = Revision(model.revision);
+                        let revision = Revision::of(model.revision);
                         reader.apply_change(&Change::InstanceGone { name: old.instance.name, revision }, now);
                     }
                 }
                 Step::ReadAll | Step::ForgetHistory => {
-                    reader.apply_snapshot(&model.snapshot(), Revision(model.revision), now);
+                    reader.apply_snapshot(&model.snapshot(), Revision::of(model.revision), now);
                 }
                 Step::ReadChanges => {}
             }
-            reader.advance(Revision(model.revision));
+            reader.advance(Revision::of(model.revision));
             if fetches[index] {
                 follower.apply_copy(&reader.copy_since(follower.revision(), now), now);
             }
--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -153,7 +153,7 @@
         Fleet::ready(&edge).await;
         Fleet::ready(&fleet.start(2, BOOKS).await).await;
         fleet.source.unlist("books-3");
-        eventually("one is left", || edge.known_state().directory.0 >= 5).await;
+        eventually("one is left", || edge.known_state().directory.number >= 5).await;
         fleet.source.set_down(true);
         tokio::time::sleep(Duration::from_millis(1_800)).await;
         fleet.source.unlist("books-2");
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -10,11 +10,13 @@
 use olivegate_authentication::{ApiKey, Tenant};
 use olivegate_quarantine::QuarantinePolicy;
 use olivegate_sidecar::model::{
-    ClientLimits, Configuration, ConfigurationVersion, Instance, InstanceState, Millis, RepeatSafety, Revision,
-    Route, WeightedPart,
+    ClientLimits, Configuration, ConfigurationVersion, Epoch, Incarnation, Instance, InstanceState, Millis,
+    RepeatSafety, Revision, Route, WeightedPart,
 };
 use olivegate_sidecar::settings::{Bounds, ListenAddresses, MachineLimits};
-use olivegate_sidecar::source::{Changes, InstanceList, ListedInstance, Recency, Snapshot, Source, SourceError};
+use olivegate_sidecar::source::{
+    Changes, ConfigurationReading, InstanceList, ListedInstance, Recency, Snapshot, Source, SourceError,
+};
 use olivegate_sidecar::state::Node;
 use olivegate_sidecar::{SidecarSettings, Vocabulary};
 use olivegate_types::{InstanceName, NodeName, ServiceName, TenantName, ZoneName};
@@ -104,6 +106,7 @@
     pub fn list_as(&self, machine: u8, name: &str, service: &str, state: InstanceState) -> Instance {
         let instance = Instance {
             name: InstanceName::new(name),
+            incarnation: Incarnation::UNKNOWN,
             service: ServiceName::new(service),
             address: self.instance_address(machine),
             zone: ZoneName::new("zone"),
@@ -227,12 +230,12 @@
     pub fn configure(&self, configuration: Configuration) {
         let mut snapshot = self.snapshot.borrow_mut();
         snapshot.configuration = Some(configuration);
-        snapshot.list.revision.0 += 1;
+        snapshot.list.revision.number += 1;
     }
 
     pub fn list(&self, instance: Instance) {
         let mut snapshot = self.snapshot.borrow_mut();
-        snapshot.list.revision.0 += 1;
+        snapshot.list.revision.number += 1;
         let revision = snapshot.list.revision;
         snapshot.list.instances.retain(|listed| listed.instance.name != instance.name);
         snapshot.list.instances.push(ListedInstance { instance, revision });
@@ -240,7 +243,7 @@
 
     pub fn unlist(&self, name: &str) {
         let mut snapshot = self.snapshot.borrow_mut();
-        snapshot.list.revision.0 += 1;
+        snapshot.list.revision.number += 1;
         snapshot.list.instances.retain(|listed| listed.instance.name.as_str() != name);
     }
 
@@ -250,8 +253,11 @@
     }
 
     /// Comes back from a copy: what was written since is lost, and revisions are given out again.
-    pub fn restore(&self, copy: Snapshot) {
-        self.restored.set(self.restored.get() + 1);
+    pub fn restore(&self, mut copy: Snapshot) {
+        let epoch = Epoch(self.restored.get() + 1);
+        self.restored.set(epoch.0);
+        copy.list.revision.epoch = epoch;
+        copy.list.instances.iter_mut().for_each(|listed| listed.revision.epoch = epoch);
         *self.snapshot.borrow_mut() = copy;
     }
 
@@ -305,8 +311,10 @@
         self.call(limit).await?;
         let until = tokio::time::Instant::now() + wait;
         let is_deaf = self.deaf.get();
-        if self.snapshot.borrow().list.revision < after {
-            return Err(SourceError::HistoryGone);
+        let revision = self.snapshot.borrow().list.revision;
+        if revision.epoch != after.epoch {
+            let knows_it = revision.number >= after.number;
+            return Err(if knows_it { SourceError::EpochChanged } else { SourceError::HistoryGone });
         }
         while is_deaf || self.snapshot.borrow().list.revision <= after {
             if tokio::time::Instant::now() >= until {
@@ -317,9 +325,16 @@
         Err(SourceError::HistoryGone)
     }
 
-    async fn configuration(&self, limit: Duration) -> Result<Option<Configuration>, SourceError> {
+    async fn configuration(&self, limit: Duration) -> Result<ConfigurationReading, SourceError> {
+        self.call(limit).await?;
+        let snapshot = self.snapshot.borrow();
+        let configuration = snapshot.configuration.clone();
+        Ok(ConfigurationReading { configuration, revision: snapshot.list.revision })
+    }
+
+    async fn position(&self, limit: Duration) -> Result<Revision, SourceError> {
         self.call(limit).await?;
-        Ok(self.snapshot.borrow().configuration.clone())
+        Ok(self.snapshot.borrow().list.revision)
     }
 
     async fn probe(&self, limit: Duration) -> Result<(), SourceError> {
