--- /dev/null
+++ b/crates/sidecar/tests/decisions/epochs.rs
@@ -0,0 +1,332 @@
+//! The directory against a source that comes back from an older copy of itself, and instances that
+//! start again under their names.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use olivegate_sidecar::directory::hold::HoldPolicy;
+use olivegate_sidecar::directory::{Directory, Standing};
+use olivegate_sidecar::model::{Epoch, Incarnation, Instance, InstanceState, Revision};
+use olivegate_sidecar::source::{Change, ListedInstance};
+use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const POLICY: HoldPolicy = HoldPolicy {
+    rewritten_within: Duration::from_millis(2_000),
+    confirmed_within: Duration::from_millis(600),
+    listed_within: Duration::from_millis(3_000),
+    lapses_within: Duration::from_millis(5_000),
+};
+/// Start of an instance, where it is told.
+const FIRST: u64 = 1_700_000_000_000;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn name(name: &str) -> InstanceName {
+    InstanceName::new(name)
+}
+
+fn revision(epoch: u64, number: u64) -> Revision {
+    Revision::new(Epoch(epoch), number)
+}
+
+fn listed_of(name: &str, state: InstanceState, started: u64, revision: Revision) -> ListedInstance {
+    let instance = Instance {
+        name: InstanceName::new(name),
+        incarnation: Incarnation(started),
+        service: ServiceName::new("books"),
+        address: "127.0.0.1:8301".parse().unwrap(),
+        zone: ZoneName::new("north"),
+        slots: 4,
+        state,
+    };
+    ListedInstance { instance, revision }
+}
+
+fn ready_entry(name: &str, revision: Revision) -> ListedInstance {
+    listed_of(name, InstanceState::Ready, FIRST, revision)
+}
+
+fn leaving_entry(name: &str, revision: Revision) -> ListedInstance {
+    listed_of(name, InstanceState::Draining, FIRST, revision)
+}
+
+fn ready(directory: &Directory) -> Vec<String> {
+    let instances = directory.ready_instances(&ServiceName::new("books"));
+    instances.iter().map(|instance| instance.name.to_string()).collect()
+}
+
+/// Knows `a` and `b` as ready, at number 20 of the first epoch.
+fn with_a_and_b() -> Directory {
+    let mut directory = Directory::new(POLICY);
+    let both = [ready_entry("a", revision(0, 1)), ready_entry("b", revision(0, 2))];
+    directory.apply_snapshot(&both, revision(0, 20), at(0));
+    directory
+}
+
+#[rstest]
+fn a_later_epoch_goes_before_a_larger_number() {
+    let mut directory = with_a_and_b();
+    let both = [ready_entry("a", revision(1, 1)), leaving_entry("b", revision(1, 6))];
+    assert!(directory.apply_snapshot(&both, revision(1, 6), at(100)));
+    assert_eq!((ready(&directory), directory.revision()), (vec!["a".to_string()], revision(1, 6)));
+    let late = [ready_entry("a", revision(0, 1)), ready_entry("b", revision(0, 2))];
+    assert!(!directory.apply_snapshot(&late, revision(0, 30), at(200)), "an answer of the epoch before");
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[rstest]
+fn who_has_said_that_it_leaves_is_not_ready_again_by_the_copy() {
+    let mut directory = with_a_and_b();
+    directory.apply_change(&Change::Instance(leaving_entry("b", revision(0, 21))), at(10));
+    let both = [ready_entry("a", revision(1, 1)), ready_entry("b", revision(1, 2))];
+    directory.apply_snapshot(&both, revision(1, 5), at(100));
+    assert_eq!(directory.standing(&name("b")), Standing::Draining);
+    directory.apply_change(&Change::Instance(ready_entry("b", revision(1, 7))), at(200));
+    assert_eq!(directory.standing(&name("b")), Standing::Draining, "one start never takes its leaving back");
+    let again = listed_of("b", InstanceState::Ready, FIRST + 9_000, revision(1, 8));
+    directory.apply_change(&Change::Instance(again), at(300));
+    assert_eq!(directory.standing(&name("b")), Standing::Ready, "it has started again");
+}
+
+#[rstest]
+fn who_left_and_went_is_not_ready_again_by_the_copy() {
+    let mut directory = with_a_and_b();
+    directory.apply_change(&Change::Instance(leaving_entry("b", revision(0, 21))), at(10));
+    directory.apply_change(&Change::InstanceGone { name: name("b"), revision: revision(0, 22) }, at(20));
+    let both = [ready_entry("a", revision(1, 1)), ready_entry("b", revision(1, 2))];
+    directory.apply_snapshot(&both, revision(1, 5), at(100));
+    directory.expire(at(20_000));
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+/// Its entry had gone without a word; the copy lists it, and it may be one that nobody renews.
+fn with_b_gone_and_listed_by_the_copy() -> Directory {
+    let mut directory = with_a_and_b();
+    directory.apply_change(&Change::InstanceGone { name: name("b"), revision: revision(0, 21) }, at(0));
+    assert!(directory.expire(at(700)));
+    let both = [ready_entry("a", revision(1, 1)), ready_entry("b", revision(1, 2))];
+    directory.apply_snapshot(&both, revision(1, 5), at(1_000));
+    assert_eq!(directory.standing(&name("b")), Standing::Gone);
+    directory
+}
+
+#[rstest]
+fn an_entry_that_had_gone_is_used_once_it_has_stood_longer_than_a_silent_one() {
+    let mut directory = with_b_gone_and_listed_by_the_copy();
+    assert!(!directory.expire(at(5_900)));
+    assert!(directory.expire(at(6_000)));
+    assert_eq!(ready(&directory), ["a", "b"]);
+}
+
+#[rstest]
+fn an_entry_that_had_gone_is_used_once_it_is_written_again() {
+    let mut directory = with_b_gone_and_listed_by_the_copy();
+    assert!(directory.apply_change(&Change::Instance(ready_entry("b", revision(1, 6))), at(1_200)));
+    assert_eq!(ready(&directory), ["a", "b"]);
+}
+
+#[rstest]
+fn an_entry_that_had_gone_goes_again_unused() {
+    let mut directory = with_b_gone_and_listed_by_the_copy();
+    directory.apply_change(&Change::InstanceGone { name: name("b"), revision: revision(1, 6) }, at(3_000));
+    assert!(!directory.expire(at(9_000)));
+    assert_eq!(ready(&directory), ["a"]);
+}
+
+#[rstest]
+fn what_the_copy_lacks_is_held_to_be_written_again() {
+    let mut directory = with_a_and_b();
+    directory.apply_snapshot(&[ready_entry("a", revision(1, 1))], revision(1, 1), at(100));
+    assert_eq!(ready(&directory), ["a", "b"]);
+    assert!(directory.may_lack_writes(at(2_000)));
+    assert!(!directory.expire(at(2_000)));
+    assert!(directory.expire(at(2_100)), "written by now, or gone");
+    assert_eq!(ready(&directory), ["a"]);
+    assert!(!directory.may_lack_writes(at(2_100)));
+}
+
+/// A reader that never heard of an instance does not make others forget it, nor of its leaving.
+#[rstest]
+fn a_copy_of_a_later_epoch_adds_to_what_a_node_knows_alone() {
+    let mut reader = with_a_and_b();
+    let mut other = Directory::new(POLICY);
+    other.apply_copy(&reader.copy_since(Revision::default(), at(0)), at(0));
+    other.apply_change(&Change::Instance(ready_entry("c", revision(0, 21))), at(10));
+    other.apply_change(&Change::Instance(leaving_entry("b", revision(0, 22))), at(10));
+    other.advance(revision(0, 22));
+    let both = [ready_entry("a", revision(1, 1)), ready_entry("b", revision(1, 2))];
+    reader.apply_snapshot(&both, revision(1, 3), at(100));
+    let copy = reader.copy_since(other.revision(), at(100));
+    assert_eq!(copy.base, None, "nothing of an earlier epoch is a base");
+    assert!(other.apply_copy(&copy, at(100)));
+    assert_eq!((ready(&other), other.revision()), (vec!["a".to_string(), "c".to_string()], revision(1, 3)));
+    assert_eq!(other.standing(&name("b")), Standing::Draining);
+    assert!(other.expire(at(2_100)), "c was not written again");
+    assert_eq!(ready(&other), ["a"]);
+}
+
+#[rstest]
+fn a_copy_of_a_later_epoch_tells_what_has_gone_and_what_is_doubted() {
+    let mut other = with_a_and_b();
+    let reader = with_b_gone_and_listed_by_the_copy();
+    other.apply_copy(&reader.copy_since(other.revision(), at(1_000)), at(1_000));
+    assert_eq!(ready(&other), ["a"]);
+    assert!(!other.expire(at(5_900)));
+    assert!(other.expire(at(6_000)));
+    assert_eq!(ready(&other), ["a", "b"]);
+}
+
+#[rstest]
+fn an_entry_of_an_earlier_start_is_passed_over() {
+    let mut directory = with_a_and_b();
+    let again = listed_of("a", InstanceState::Ready, FIRST + 5_000, revision(0, 21));
+    directory.apply_change(&Change::Instance(again), at(10));
+    assert_eq!(directory.take_restarted(), [name("a")]);
+    let both = [leaving_entry("a", revision(1, 3)), ready_entry("b", revision(1, 2))];
+    directory.apply_snapshot(&both, revision(1, 3), at(100));
+    assert_eq!(directory.standing(&name("a")), Standing::Ready);
+    assert_eq!(directory.instance(&name("a")).unwrap().incarnation, Incarnation(FIRST + 5_000));
+}
+
+#[rstest]
+fn one_that_left_and_started_again_under_its_name_is_attested() {
+    let mut directory = with_a_and_b();
+    directory.apply_change(&Change::Instance(leaving_entry("a", revision(0, 21))), at(10));
+    directory.apply_change(&Change::InstanceGone { name: name("a"), revision: revision(0, 22) }, at(20));
+    let before = ready_entry("a", revision(0, 1)).instance;
+    assert!(!directory.attest(before, at(3_000), at(30)));
+    let again = listed_of("a", InstanceState::Ready, FIRST + 5_000, revision(0, 1)).instance;
+    assert!(directory.attest(again, at(3_000), at(30)));
+}
+
+/// What the source and its instances do.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An instance appears, or writes its entry again.
+    Write(u8),
+    /// It says that it leaves.
+    Leave(u8),
+    /// Its entry goes.
+    Remove(u8),
+    /// A copy is taken.
+    Copy,
+    /// The source comes back from it.
+    Restore,
+    /// The reader reads everything.
+    Read,
+    /// The follower fetches from the reader.
+    Fetch,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        3 => (0_u8..4).prop_map(Step::Write),
+        2 => (0_u8..4).prop_map(Step::Leave),
+        1 => (0_u8..4).prop_map(Step::Remove),
+        2 => Just(Step::Copy),
+        2 => Just(Step::Restore),
+        4 => Just(Step::Read),
+        4 => Just(Step::Fetch),
+    ];
+    proptest::collection::vec(step, 0..60)
+}
+
+/// The source with its copy, and what each instance really does.
+#[derive(Default)]
+struct Model {
+    epoch: u64,
+    number: u64,
+    entries: BTreeMap<u8, (InstanceState, u64)>,
+    copy: (u64, BTreeMap<u8, (InstanceState, u64)>),
+    /// Who lives, and whether it leaves.
+    alive: BTreeMap<u8, InstanceState>,
+}
+
+impl Model {
+    fn write(&mut self, who: u8) {
+        let state = *self.alive.entry(who).or_insert(InstanceState::Ready);
+        self.number += 1;
+        self.entries.insert(who, (state, self.number));
+    }
+
+    fn listed(&self) -> Vec<ListedInstance> {
+        let listed = |(who, (state, number)): (&u8, &(InstanceState, u64))| {
+            listed_of(&format!("i-{who}"), *state, FIRST, revision(self.epoch, *number))
+        };
+        self.entries.iter().map(listed).collect()
+    }
+
+    fn ready(&self) -> Vec<String> {
+        let ready = self.alive.iter().filter(|(_, state)| **state == InstanceState::Ready);
+        ready.map(|(who, _)| format!("i-{who}")).collect()
+    }
+}
+
+proptest! {
+    /// However often the source comes back from copies: a node never takes for ready who it knew to
+    /// be leaving, and when all have written again and time has passed, all nodes know who lives.
+    #[test]
+    fn nodes_agree_with_the_living_after_any_restores(steps in steps()) {
+        let mut model = Model::default();
+        let (mut reader, mut follower) = (Directory::new(POLICY), Directory::new(POLICY));
+        let mut now = at(0);
+        for step in steps {
+            now = now + Duration::from_millis(150);
+            reader.expire(now);
+            follower.expire(now);
+            match step {
+                Step::Write(who) => model.write(who),
+                Step::Leave(who) => {
+                    if let Some(state) = model.alive.get_mut(&who) {
+                        *state = InstanceState::Draining;
+                        model.write(who);
+                    }
+                }
+                // One that has left does not come back under its name and start.
+                Step::Remove(who) => {
+                    if model.alive.get(&who) == Some(&InstanceState::Ready) {
+                        model.alive.remove(&who);
+                        model.number += 1;
+                        model.entries.remove(&who);
+                    }
+                }
+                Step::Copy => model.copy = (model.number, model.entries.clone()),
+                Step::Restore => {
+                    model.epoch += 1;
+                    (model.number, model.entries) = model.copy.clone();
+                }
+                Step::Read => {
+                    reader.apply_snapshot(&model.listed(), revision(model.epoch, model.number), now);
+                }
+                Step::Fetch => {
+                    let known: Vec<InstanceName> = (0..4).map(|who| name(&format!("i-{who}"))).collect();
+                    let left: Vec<&InstanceName> =
+                        known.iter().filter(|who| follower.standing(who) == Standing::Draining).collect();
+                    follower.apply_copy(&reader.copy_since(follower.revision(), now), now);
+                    for who in left {
+                        prop_assert_ne!(follower.standing(who), Standing::Ready);
+                    }
+                }
+            }
+        }
+        // Who lives writes again; what nobody renews lapses.
+        let living: Vec<u8> = model.alive.keys().copied().collect();
+        model.entries.retain(|who, _| living.contains(who));
+        model.number += 1;
+        living.into_iter().for_each(|who| model.write(who));
+        for _ in 0..3 {
+            now = now + Duration::from_secs(6);
+            reader.apply_snapshot(&model.listed(), revision(model.epoch, model.number), now);
+            reader.expire(now);
+            follower.apply_copy(&reader.copy_since(follower.revision(), now), now);
+            follower.expire(now);
+            model.number += 1;
+        }
+        prop_assert_eq!(ready(&reader), model.ready());
+        prop_assert_eq!(ready(&follower), model.ready());
+    }
+}
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod directory;
+mod epochs;
 mod events;
 mod freshness;
 mod lineage;
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod quotas;
 mod requests;
+mod restarted;
 mod resting;
 mod restored;
 mod source;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -104,9 +104,21 @@
 
     /// Lists an instance of `service` on `machine` in this state.
     pub fn list_as(&self, machine: u8, name: &str, service: &str, state: InstanceState) -> Instance {
+        self.list_started(machine, name, service, state, Incarnation::UNKNOWN)
+    }
+
+    /// Lists an instance of `service` on `machine` in this state, with the start that it tells.
+    pub fn list_started(
+        &self,
+        machine: u8,
+        name: &str,
+        service: &str,
+        state: InstanceState,
+        incarnation: Incarnation,
+    ) -> Instance {
         let instance = Instance {
             name: InstanceName::new(name),
-            incarnation: Incarnation::UNKNOWN,
+            incarnation,
             service: ServiceName::new(service),
             address: self.instance_address(machine),
             zone: ZoneName::new("zone"),
