Soak: the store comes back from an older copy, instances start again under their names, the margin of leaving

Cause: the soak's store could be silent, busy or without history, but never went back; instances that crashed always came back under new names; and of leaving only the bound was judged. The longest time from a leaving to a run that machines in touch sent on is printed (last_run_after_leaving_s).

--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Name of this start of it, which never comes again.
+    pub fn start_name(&self) -> String {
+        format!("{}@{}", self.name, self.incarnation.0)
+    }
+
     /// It says so in its answers from now on.
     pub fn leave(&self) {
         self.is_leaving.set(true);
@@ -220,7 +225,7 @@
     let run = Run {
         id: id.to_string(),
         machine: instance.machine,
-        instance: instance.name.clone(),
+        instance: instance.start_name(),
         service: instance.service.clone(),
         caller: head.fields.text(VOCABULARY.caller_service).unwrap_or_default().to_string(),
         asked: format!("{method} {target}"),
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 
-use super::record::{Call, CallEnd, CallPurpose, Promised, Record, Run};
+use super::record::{Call, CallEnd, CallPurpose, Leaving, Promised, Record, Run};
 
 /// Part of the requests of the last seconds that have to be served.
 const RECOVERED_PART: f64 = 0.9;
@@ -81,14 +81,27 @@
     runs: HashMap<&'a str, Vec<&'a Run>>,
 }
 
+/// The longest time from the word of an instance that it leaves to the begin of a run there that machines
+/// in touch sent on, in seconds: what is left of the promise is the margin.
+pub fn last_run_after_leaving_s(record: &Record, promised: &Promised) -> f64 {
+    let case = Case::of(record, promised);
+    case.after_leaving().map(|(run, _, left)| run.at_s - left.acknowledged_s).fold(0.0, f64::max)
+}
+
+impl<'a> Case<'a> {
+    fn of(record: &'a Record, promised: &'a Promised) -> Self {
+        let calls = record.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+        let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
+        for run in &record.runs {
+            runs.entry(&run.id).or_default().push(run);
+        }
+        Case { record, promised, calls, runs }
+    }
+}
+
 /// All broken promises, in order of time.
 pub fn judge(record: &Record, promised: &Promised) -> Vec<Violation> {
-    let calls = record.calls.iter().map(|call| (call.id.as_str(), call)).collect();
-    let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
-    for run in &record.runs {
-        runs.entry(&run.id).or_default().push(run);
-    }
-    let case = Case { record, promised, calls, runs };
+    let case = Case::of(record, promised);
     let mut violations = case.answers();
     violations.extend(case.runs_of_calls());
     violations.extend(case.asked());
@@ -186,20 +199,28 @@
     }
 
     fn leaving(&self) -> Vec<Violation> {
-        let left: HashMap<&str, f64> =
-            self.record.leaving.iter().map(|left| (left.instance.as_str(), left.acknowledged_s)).collect();
-        let mut violations = Vec::new();
-        for run in &self.record.runs {
-            let Some(acknowledged_s) = left.get(run.instance.as_str()) else { continue };
-            let bound_s = acknowledged_s + self.promised.drain_s + self.promised.slack_s;
-            let Some(call) = self.calls.get(run.id.as_str()) else { continue };
-            let in_touch = self.record.is_in_touch(call.machine, *acknowledged_s, run.at_s, self.promised)
-                && self.record.is_in_touch(run.machine, *acknowledged_s, run.at_s, self.promised);
-            if run.at_s > bound_s && call.sent_s > bound_s && in_touch {
-                violations.push(of_run(Promise::LeavingGetsNothing, run, "the instance had left"));
-            }
-        }
-        violations
+        let bound_s = self.promised.drain_s + self.promised.slack_s;
+        let is_late = |(run, call, left): &(&Run, &Call, &Leaving)| {
+            let bound_s = left.acknowledged_s + bound_s;
+            run.at_s > bound_s && call.sent_s > bound_s
+        };
+        let late = self.after_leaving().filter(is_late);
+        late.map(|(run, _, _)| of_run(Promise::LeavingGetsNothing, run, "the instance had left")).collect()
+    }
+
+    /// Runs that began after the instance had said that it leaves, sent on by machines in touch since
+    /// before that.
+    fn after_leaving(&self) -> impl Iterator<Item = (&Run, &Call, &Leaving)> {
+        let left: HashMap<&str, &Leaving> =
+            self.record.leaving.iter().map(|left| (left.instance.as_str(), left)).collect();
+        let with_leaving = move |run: &'_ _| left.get((run as &Run).instance.as_str()).copied();
+        self.record.runs.iter().filter_map(move |run| {
+            let left = with_leaving(run).filter(|left| run.at_s > left.acknowledged_s)?;
+            let call = *self.calls.get(run.id.as_str())?;
+            let is_in_touch =
+                |machine| self.record.is_in_touch(machine, left.acknowledged_s, run.at_s, self.promised);
+            (is_in_touch(call.machine) && is_in_touch(run.machine)).then_some((run, call, left))
+        })
     }
 
     fn stops(&self) -> Vec<Violation> {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -32,7 +32,7 @@
 use tokio::net::TcpStream;
 use tokio::task::{LocalSet, spawn_local};
 
-use self::judge::{Violation, judge, outcomes};
+use self::judge::{Violation, judge, last_run_after_leaving_s, outcomes};
 use self::plan::Plan;
 use self::proxy::DatagramEnd;
 use self::record::{Promised, Record};
@@ -145,7 +145,7 @@
         write_lines(&self.out.join("plan.txt"), &faults)?;
         write_lines(&self.out.join("violations.txt"), &lines)?;
         println!(
-            "deployment={} seed={} seconds={} faults={} requests={} runs={} ended_by_requests={} violations={}",
+            "deployment={} seed={} seconds={} faults={} requests={} runs={} ended_by_requests={} leavings={} last_run_after_leaving_s={:.3} violations={}",
             self.spec.deployment,
             self.seed,
             self.plan.length_s,
@@ -153,6 +153,8 @@
             record.calls.len(),
             record.runs.len(),
             record.crashes.len(),
+            record.leaving.len(),
+            last_run_after_leaving_s(record, &PROMISED),
             violations.len(),
         );
         println!("ends: {:?}", outcomes(record));
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -99,6 +99,11 @@
     Configuration,
     /// The operator changes the configuration in quick succession.
     ConfigurationStorm,
+    /// The store goes away and comes back from a copy of itself.
+    StoreRestored {
+        /// Age of the copy as the store goes away, in milliseconds.
+        copy_age_ms: u32,
+    },
     /// Requests of one content end each instance of this machine's service that runs them.
     DeadlyRequests {
         /// They have a body and may run once.
@@ -146,6 +151,20 @@
 /// Most deadly contents in a soak; the least is one.
 const MOST_DEADLY: usize = 3;
 
+/// Added to the seed for the draw of stores that come back from a copy.
+const RESTORED_SEED: u64 = 0x0c0b;
+/// Shortest and longest absence of such a store, in seconds.
+const RESTORED_AWAY_S: std::ops::Range<f64> = 0.5..2.5;
+/// Age of the copy, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u32> = 500..5_000;
+/// From the store's return to leavings of instances, in seconds: as revisions catch up, with all
+/// machines in touch again.
+const LEAVES_AFTER_S: std::ops::Range<f64> = 1.6..5.0;
+/// Leavings after each return.
+const LEAVINGS: usize = 3;
+/// Most such returns in a soak; the least is one.
+const MOST_RESTORED: usize = 2;
+
 /// A fault at its time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Fault {
@@ -185,7 +204,10 @@
 
     /// True when the whole deployment is hit and not one machine.
     pub fn is_for_all(self) -> bool {
-        matches!(self, FaultKind::KillAll | FaultKind::Store(_) | FaultKind::Burst)
+        matches!(
+            self,
+            FaultKind::KillAll | FaultKind::Store(_) | FaultKind::StoreRestored { .. } | FaultKind::Burst
+        )
     }
 }
 
@@ -208,6 +230,7 @@
         }
         if !is_planned_only {
             draw_deadly(&mut faults, seed, length_s, machines);
+            draw_restored(&mut faults, seed, length_s, machines);
         }
         Plan { faults, length_s }
     }
@@ -232,6 +255,31 @@
     }
 }
 
+/// Draws returns of the store from a copy, and instances that leave soon after.
+fn draw_restored(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
+    let mut random = StdRng::seed_from_u64(seed ^ RESTORED_SEED);
+    let end_s = length_s - CALM_END_S;
+    for _ in 0..random.random_range(1..=MOST_RESTORED) {
+        let copy_age_ms = random.random_range(COPY_AGE_MS);
+        let at_s = random.random_range(CALM_START_S..(end_s - 10.0).max(CALM_START_S + 1.0));
+        let for_s = f64::from(copy_age_ms) / 1_000.0 + random.random_range(RESTORED_AWAY_S);
+        let for_s = for_s.min(end_s - at_s).max(0.1);
+        let kind = FaultKind::StoreRestored { copy_age_ms };
+        faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine: 0 });
+        for _ in 0..LEAVINGS {
+            let at_s = (at_s + for_s + random.random_range(LEAVES_AFTER_S)).min(end_s);
+            let machine = random.random_range(0..machines.max(1));
+            faults.push(Fault {
+                number: faults.len(),
+                at_s,
+                for_s: 0.1,
+                kind: FaultKind::InstanceLeaves,
+                machine,
+            });
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Fault { number, at_s, for_s, kind, machine } = self;
--- a/crates/bench/src/soak/strike.rs
+++ b/crates/bench/src/soak/strike.rs
@@ -17,6 +17,7 @@
 use super::record::{Crash, Disturbance, Stop};
 use super::senders::{Order, Senders};
 use super::world::World;
+use crate::error::BenchError;
 
 /// Time that an entry outlives an instance that said nothing.
 const ENTRY_OUTLIVES: Duration = Duration::from_millis(1_500);
@@ -28,6 +29,8 @@
 const STARTS_AGAIN: Duration = Duration::from_millis(200);
 /// An address of an instance that crashed has a new one after this time.
 const CRASHED_RESTS: Duration = Duration::from_millis(1_500);
+/// The operator writes again what a store has lost this long after its return.
+const OPERATOR_WRITES_AFTER: Duration = Duration::from_millis(300);
 /// Pause between two requests of a deadly content, in seconds.
 const DEADLY_PAUSE_S: std::ops::Range<f64> = 0.1..0.7;
 /// Load of a burst, over the usual one.
@@ -49,7 +52,9 @@
     log::info!("event=fault_ends fault={}", fault.number);
     // The instances end, and not the machines.
     let is_of_machines = !matches!(fault.kind, FaultKind::DeadlyRequests { .. });
-    if !fault.kind.is_planned() && is_of_machines {
+    // It begins when the copy is taken, which disturbs nothing.
+    let tells_itself = matches!(fault.kind, FaultKind::StoreRestored { .. });
+    if !fault.kind.is_planned() && is_of_machines && !tells_itself {
         let machine = (!fault.kind.is_for_all()).then_some(fault.machine);
         let until_s = world.now_s();
         world.record.borrow_mut().disturbances.push(Disturbance { machine, from_s, until_s });
@@ -101,6 +106,9 @@
             tokio::time::sleep(length).await;
             world.load.set(1.0);
         }
+        FaultKind::StoreRestored { copy_age_ms } => {
+            store_restored(world, Duration::from_millis(u64::from(copy_age_ms)), length).await;
+        }
         FaultKind::DeadlyRequests { with_body } => deadly_requests(world, fault, with_body).await,
         FaultKind::Configuration => world.configure(),
         FaultKind::ConfigurationStorm => {
@@ -195,31 +203,73 @@
     world.store.set_mood(Mood::Well);
 }
 
-/// An instance crashes; its entry goes later, and another instance takes its address.
+/// The store goes away and comes back from a copy that was taken `copy_age` before. What was written
+/// since is written again: by the operator soon, by instances with their next heartbeats.
+async fn store_restored(world: &Rc<World>, copy_age: Duration, length: Duration) {
+    let copy = world.store.copy();
+    tokio::time::sleep(copy_age.min(length)).await;
+    let from_s = world.now_s();
+    let is_silent = world.random(|random| random.random_bool(0.5));
+    world.store.set_mood(if is_silent { Mood::Silent } else { Mood::Resetting });
+    tokio::time::sleep(length.saturating_sub(copy_age)).await;
+    world.store.restore(copy);
+    world.store.set_mood(Mood::Well);
+    let until_s = world.now_s();
+    world.record.borrow_mut().disturbances.push(Disturbance { machine: None, from_s, until_s });
+    let silent = world.clone();
+    spawn_local(async move {
+        tokio::time::sleep(ENTRY_OUTLIVES).await;
+        silent.drop_silent_entries();
+    });
+    tokio::time::sleep(OPERATOR_WRITES_AFTER).await;
+    world.configure_again();
+    for machine in 0..world.machines.len() {
+        let world = world.clone();
+        spawn_local(async move {
+            let heartbeat = world.random(|random| random.random_range(Duration::ZERO..ENTRY_OUTLIVES / 2));
+            tokio::time::sleep(heartbeat).await;
+            world.write_again(machine);
+        });
+    }
+}
+
+/// An instance crashes, and another one takes its address: under the same name, or its entry goes
+/// later.
 async fn instance_restarts(world: &Rc<World>, machine: usize) {
     let Some(instance) = world.take_instance(machine) else { return };
     instance.end();
     tokio::time::sleep(ADDRESS_RESTS).await;
-    start_instance(world, machine).await;
-    tokio::time::sleep(ENTRY_OUTLIVES).await;
-    world.remove_entry(&instance.name);
+    start_after(world, &instance, ENTRY_OUTLIVES).await;
+}
+
+/// Starts an instance in place of one that crashed: under its name, or under a new one, and the
+/// earlier one's entry goes after some time.
+async fn start_after(world: &Rc<World>, crashed: &Instance, entry_outlives: Duration) {
+    if world.random(|random| random.random_bool(0.5)) {
+        let started = world.start_instance_as(crashed.name.clone(), crashed.machine).await;
+        started.unwrap_or_else(|error| log_not_started(crashed.machine, &error));
+        return;
+    }
+    start_instance(world, crashed.machine).await;
+    tokio::time::sleep(entry_outlives).await;
+    world.remove_entry(&crashed.name);
 }
 
 /// An instance ends under a request; another one takes its address after some time.
 pub async fn instance_crashes(world: &Rc<World>, instance: &Instance) {
-    let is_present =
-        world.instances.borrow()[instance.machine].as_ref().is_some_and(|present| present.name == instance.name);
+    let is_present = world.instances.borrow()[instance.machine]
+        .as_ref()
+        .is_some_and(|present| present.start_name() == instance.start_name());
     if !is_present {
         return;
     }
     let machine = instance.machine;
     let Some(instance) = world.take_instance(machine) else { return };
     instance.end();
-    let crash = Crash { instance: instance.name.clone(), at_s: world.now_s() };
+    let crash = Crash { instance: instance.start_name(), at_s: world.now_s() };
     world.record.borrow_mut().crashes.push(crash);
     tokio::time::sleep(CRASHED_RESTS).await;
-    start_instance(world, machine).await;
-    world.remove_entry(&instance.name);
+    start_after(world, &instance, Duration::ZERO).await;
 }
 
 /// One content comes again and again at machines of one service; each instance that runs it ends.
@@ -245,9 +295,10 @@
 async fn instance_leaves(world: &Rc<World>, machine: usize) {
     world.write_entry(machine, InstanceState::Draining);
     let Some(instance) = world.take_instance(machine) else { return };
-    world.note_leaving(&instance.name);
+    world.note_leaving(&instance);
     instance.leave();
     tokio::time::sleep(SERVES_ON).await;
+    world.note_left(&instance);
     instance.end();
     world.remove_entry(&instance.name);
     tokio::time::sleep(ADDRESS_RESTS).await;
@@ -255,7 +306,9 @@
 }
 
 async fn start_instance(world: &Rc<World>, machine: usize) {
-    if let Err(error) = world.start_instance(machine).await {
-        log::error!("event=instance_not_started machine={machine} error={error}");
-    }
+    world.start_instance(machine).await.unwrap_or_else(|error| log_not_started(machine, &error));
+}
+
+fn log_not_started(machine: usize, error: &BenchError) {
+    log::error!("event=instance_not_started machine={machine} error={error}");
 }
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -102,6 +102,10 @@
     pub version: Cell<u64>,
     /// Present instances, by machine.
     pub instances: RefCell<Vec<Option<Rc<Instance>>>>,
+    /// Instances that have said that they leave, until they end.
+    leaving: RefCell<Vec<Rc<Instance>>>,
+    /// What the operator wrote last.
+    written: RefCell<Option<Configuration>>,
     ready: RefCell<Vec<bool>>,
     lives: RefCell<Vec<u32>>,
     /// Machines whose process was told to stop.
@@ -160,6 +164,8 @@
             load: Cell::new(1.0),
             version: Cell::new(0),
             instances: RefCell::new(vec![None; count]),
+            leaving: RefCell::default(),
+            written: RefCell::default(),
             ready: RefCell::new(vec![false; count]),
             lives: RefCell::new(vec![0; count]),
             stopping: RefCell::default(),
@@ -298,16 +304,29 @@
             tenants: tenants::of_version(version),
         };
         records::put_configuration(&self.store, &configuration);
+        *self.written.borrow_mut() = Some(configuration);
         self.version.set(version);
         let now_s = self.now_s();
         self.record.borrow_mut().versions.insert(version, now_s);
     }
 
+    /// The operator writes its last version again.
+    pub fn configure_again(&self) {
+        if let Some(configuration) = &*self.written.borrow() {
+            records::put_configuration(&self.store, configuration);
+        }
+    }
+
     /// Writes the entry of a machine's present instance.
     pub fn write_entry(&self, machine: usize, state: InstanceState) {
-        let instances = self.instances.borrow();
-        let Some(instance) = &instances[machine] else { return };
-        let place = &self.machines[machine];
+        let instance = self.instances.borrow()[machine].clone();
+        if let Some(instance) = instance {
+            self.write_entry_of(&instance, state);
+        }
+    }
+
+    fn write_entry_of(&self, instance: &Instance, state: InstanceState) {
+        let place = &self.machines[instance.machine];
         let entry = Entry {
             name: InstanceName::new(&instance.name),
             incarnation: instance.incarnation,
@@ -321,15 +340,40 @@
         records::put_instance(&self.store, &entry, self.sequence.get());
     }
 
+    /// Who lives beside `machine` writes its entry, as it stands, again.
+    pub fn write_again(&self, machine: usize) {
+        self.write_entry(machine, InstanceState::Ready);
+        let leaving = self.leaving.borrow();
+        let of_machine = leaving.iter().filter(|instance| instance.machine == machine);
+        of_machine.for_each(|instance| self.write_entry_of(instance, InstanceState::Draining));
+    }
+
+    /// Removes entries of instances that no longer live: nobody renews them.
+    pub fn drop_silent_entries(&self) {
+        let mut living: HashSet<String> = HashSet::new();
+        living.extend(
+            self.instances.borrow().iter().flatten().map(|instance| records::instance_key(&instance.name)),
+        );
+        living.extend(self.leaving.borrow().iter().map(|instance| records::instance_key(&instance.name)));
+        let silent = self.store.keys(&records::instance_key(""));
+        silent.iter().filter(|key| !living.contains(*key)).for_each(|key| self.store.remove(key));
+    }
+
     /// Removes an instance's entry.
     pub fn remove_entry(&self, name: &str) {
         self.store.remove(&records::instance_key(name));
     }
 
     /// Notes that the store has taken that an instance leaves.
-    pub fn note_leaving(&self, name: &str) {
-        let leaving = Leaving { instance: name.to_string(), acknowledged_s: self.now_s() };
+    pub fn note_leaving(&self, instance: &Rc<Instance>) {
+        let leaving = Leaving { instance: instance.start_name(), acknowledged_s: self.now_s() };
         self.record.borrow_mut().leaving.push(leaving);
+        self.leaving.borrow_mut().push(instance.clone());
+    }
+
+    /// An instance that has left ends.
+    pub fn note_left(&self, instance: &Rc<Instance>) {
+        self.leaving.borrow_mut().retain(|other| !Rc::ptr_eq(other, instance));
     }
 
     /// Puts a new instance beside a machine's node.
