Soak: waiting calls that are told nothing while an instance leaves; an unchanged entry is no change

Cause: as on the platform, an entry that differs by its sequence alone is no change, and a configuration that the store holds is not written again; with each heartbeat as a change, revisions passed those known before within a second and hid the fault.

--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -99,6 +99,9 @@
     Configuration,
     /// The operator changes the configuration in quick succession.
     ConfigurationStorm,
+    /// Calls that wait for changes of the store are told nothing, then it forgets its history. Nothing
+    /// else is disturbed: who asks is answered.
+    StoreDeaf,
     /// The store goes away and comes back from a copy of itself.
     StoreRestored {
         /// Age of the copy as the store goes away, in milliseconds.
@@ -153,6 +156,8 @@
 
 /// Added to the seed for the draw of stores that come back from a copy.
 const RESTORED_SEED: u64 = 0x0c0b;
+/// Added to the seed for the draw of stores whose waiting calls are told nothing.
+const DEAF_SEED: u64 = 0x0dea;
 /// Shortest and longest absence of such a store, in seconds.
 const RESTORED_AWAY_S: std::ops::Range<f64> = 0.5..2.5;
 /// Age of the copy, in milliseconds.
@@ -162,6 +167,8 @@
 const LEAVES_AFTER_S: std::ops::Range<f64> = 1.6..5.0;
 /// Leavings after each return.
 const LEAVINGS: usize = 3;
+/// Time for which waiting calls are told nothing, in seconds.
+const DEAF_S: f64 = 1.0;
 /// Most such returns in a soak; the least is one.
 const MOST_RESTORED: usize = 2;
 
@@ -206,7 +213,11 @@
     pub fn is_for_all(self) -> bool {
         matches!(
             self,
-            FaultKind::KillAll | FaultKind::Store(_) | FaultKind::StoreRestored { .. } | FaultKind::Burst
+            FaultKind::KillAll
+                | FaultKind::Store(_)
+                | FaultKind::StoreDeaf
+                | FaultKind::StoreRestored { .. }
+                | FaultKind::Burst
         )
     }
 }
@@ -231,6 +242,7 @@
         if !is_planned_only {
             draw_deadly(&mut faults, seed, length_s, machines);
             draw_restored(&mut faults, seed, length_s, machines);
+            draw_deaf(&mut faults, seed, length_s, machines);
         }
         Plan { faults, length_s }
     }
@@ -280,6 +292,16 @@
     }
 }
 
+/// Draws a time in which waiting calls are told nothing, and an instance that leaves in it.
+fn draw_deaf(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
+    let mut random = StdRng::seed_from_u64(seed ^ DEAF_SEED);
+    let at_s = random.random_range(CALM_START_S..(length_s - CALM_END_S - DEAF_S).max(CALM_START_S + 1.0));
+    faults.push(Fault { number: faults.len(), at_s, for_s: DEAF_S, kind: FaultKind::StoreDeaf, machine: 0 });
+    let at_s = at_s + random.random_range(0.0..DEAF_S);
+    let machine = random.random_range(0..machines.max(1));
+    faults.push(Fault { number: faults.len(), at_s, for_s: 0.1, kind: FaultKind::InstanceLeaves, machine });
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Fault { number, at_s, for_s, kind, machine } = self;
--- a/crates/bench/src/soak/strike.rs
+++ b/crates/bench/src/soak/strike.rs
@@ -29,6 +29,8 @@
 const STARTS_AGAIN: Duration = Duration::from_millis(200);
 /// An address of an instance that crashed has a new one after this time.
 const CRASHED_RESTS: Duration = Duration::from_millis(1_500);
+/// Configurations that are lost with a store: as many revisions are given out again.
+const LOST_VERSIONS: u32 = 8;
 /// The operator writes again what a store has lost this long after its return.
 const OPERATOR_WRITES_AFTER: Duration = Duration::from_millis(300);
 /// Pause between two requests of a deadly content, in seconds.
@@ -52,8 +54,9 @@
     log::info!("event=fault_ends fault={}", fault.number);
     // The instances end, and not the machines.
     let is_of_machines = !matches!(fault.kind, FaultKind::DeadlyRequests { .. });
-    // It begins when the copy is taken, which disturbs nothing.
-    let tells_itself = matches!(fault.kind, FaultKind::StoreRestored { .. });
+    // The one begins when the copy is taken, which disturbs nothing; through the other, whoever asks is
+    // answered.
+    let tells_itself = matches!(fault.kind, FaultKind::StoreRestored { .. } | FaultKind::StoreDeaf);
     if !fault.kind.is_planned() && is_of_machines && !tells_itself {
         let machine = (!fault.kind.is_for_all()).then_some(fault.machine);
         let until_s = world.now_s();
@@ -106,6 +109,12 @@
             tokio::time::sleep(length).await;
             world.load.set(1.0);
         }
+        FaultKind::StoreDeaf => {
+            world.store.set_deaf(true);
+            tokio::time::sleep(length).await;
+            world.store.compact();
+            world.store.set_deaf(false);
+        }
         FaultKind::StoreRestored { copy_age_ms } => {
             store_restored(world, Duration::from_millis(u64::from(copy_age_ms)), length).await;
         }
@@ -207,7 +216,11 @@
 /// since is written again: by the operator soon, by instances with their next heartbeats.
 async fn store_restored(world: &Rc<World>, copy_age: Duration, length: Duration) {
     let copy = world.store.copy();
-    tokio::time::sleep(copy_age.min(length)).await;
+    let pause = copy_age.min(length) / LOST_VERSIONS;
+    for _ in 0..LOST_VERSIONS {
+        tokio::time::sleep(pause).await;
+        world.configure();
+    }
     let from_s = world.now_s();
     let is_silent = world.random(|random| random.random_bool(0.5));
     world.store.set_mood(if is_silent { Mood::Silent } else { Mood::Resetting });
