--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -194,3 +194,27 @@
         }
     });
 }
+
+/// The call that waits is told nothing for as long as it waits, seconds here: what is asked beside it
+/// finds the change.
+#[rstest]
+fn a_change_that_a_long_waiting_call_misses_is_found_by_a_look() {
+    run(async {
+        let mut fleet = fleet_of_three();
+        (fleet.contact, fleet.drain) = (Duration::from_secs(15), Duration::from_secs(15));
+        let nodes = [fleet.start(1, "desk").await, fleet.start(2, BOOKS).await];
+        for node in &nodes {
+            Fleet::ready(node).await;
+        }
+        tokio::time::sleep(SETTLED_AFTER).await;
+        fleet.source.set_deaf(true);
+        // Ends the call that waits, so that the next one begins deaf.
+        fleet.list(3, "books-4", BOOKS);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        fleet.source.configure(configuration(9, vec![route("/newer/", BOOKS, Safe)]));
+        let began = std::time::Instant::now();
+        eventually("all follow", || nodes.iter().all(|node| node.known_state().configuration.0 == 9)).await;
+        // The shortest wait is three seconds.
+        assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -63,6 +63,10 @@
     pub keys_proven_within: Option<Duration>,
     /// What follows for requests with which instances end.
     pub quarantine: QuarantinePolicy,
+    /// After this time without a fault the source counts as calm again.
+    pub contact: Duration,
+    /// A leaving instance gets no requests after this time.
+    pub drain: Duration,
 }
 
 impl Fleet {
@@ -74,6 +78,8 @@
             repeat_ratio: 1.0,
             keys_proven_within: None,
             quarantine: QuarantinePolicy::default(),
+            contact: Duration::from_millis(300),
+            drain: Duration::from_secs(2),
         }
     }
 
@@ -158,9 +164,9 @@
             source: SocketAddr::new(ip, 1),
             heartbeat: Duration::from_millis(100),
             bounds: Bounds {
-                contact: Duration::from_millis(300),
+                contact: self.contact,
                 grace_period: Duration::from_secs(6),
-                drain: Duration::from_secs(2),
+                drain: self.drain,
                 repeat_ratio: self.repeat_ratio,
                 repeat_slack: self.repeat_slack,
                 repeat_window: Duration::from_secs(10),
