--- a/crates/sidecar/src/directory/prior.rs
+++ b/crates/sidecar/src/directory/prior.rs
@@ -33,6 +33,11 @@
 }
 
 impl Prior<'_> {
+    /// True when `listed` tells of a later start than the one that was known.
+    pub fn has_restarted(self, listed: &ListedInstance) -> bool {
+        self.instance.incarnation.is_before(listed.instance.incarnation)
+    }
+
     /// How `listed` is to be taken.
     pub fn take(self, listed: &ListedInstance) -> Taken {
         let (known, told) = (self.instance.incarnation, listed.instance.incarnation);
