--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -2,12 +2,15 @@
 //!
 //! One call waits long, since each costs. What it does not tell is found by looks at the source's
 //! last change meanwhile: a call may wait without a word while changes are made, since its connection
-//! fell silent, or the source drops its history or comes back from an older copy. So a look that finds
-//! nothing newer than what is known proves that nothing was missed up to it; only such a look counts as a
-//! reading on which other nodes rely.
+//! fell silent, or the source drops its history or comes back from an older copy. A look that finds
+//! nothing newer than what is known proves that nothing was missed up to it, and counts as a reading on
+//! which other nodes rely. So does the end of the call, which proves less: it ends without a word also
+//! where calls are told nothing, before its first look if its wait is short.
 //!
-//! A change that the waiting call misses is known after the interval of looks, two calls and the way
-//! to all nodes: 0.45 s, 0.1 s and 0.3 s where calls take 50 ms, of the 2 s that are allowed, by arithmetic.
+//! A change that a call on a silent connection misses is known after the interval of looks, three calls
+//! and the way to all nodes: 0.45 s, 0.15 s and 0.3 s where calls take 50 ms; one that falls into a second
+//! in which no waiting call is told anything, after that second, 0.15 s and 0.3 s at the latest. 2 s are
+//! allowed. By arithmetic.
 
 use std::convert::Infallible;
 use std::ops::Range;
