--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -15,10 +15,10 @@
 //! known here. That state is taken over as all that the source holds, but nothing of what was
 //! learnt of instances is forgotten for it.
 //!
-//! - [`update`]: taking over what the source says.
-//! - [`belief`]: what is believed beside that, and when it ends.
+//! - `update`: taking over what the source says.
+//! - `belief`: what is believed beside that, and when it ends.
 //! - [`hold`]: how long an instance that is not listed is believed.
-//! - [`prior`]: what was known of an instance that is listed anew.
+//! - `prior`: what was known of an instance that is listed anew.
 //! - [`copy`]: what nodes pass on.
 
 mod belief;
