--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -5,10 +5,12 @@
 //! - [`strike`]: carries them out.
 //! - [`world`]: machines, store and what all parts share; [`processes`]: the programs.
 //! - [`proxy`]: the ways between machines. [`instance`]: emulated instances.
+//! - [`entries`]: what the operator and instances write to the store.
 //! - [`senders`], [`exchange`]: clients, calls and probes.
 //! - [`tenants`]: whose requests they are.
 //! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`]: what was seen, and which promise was broken; pure.
 
+pub mod entries;
 pub mod exchange;
 pub mod instance;
 pub mod judge;
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -7,12 +7,8 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use olivegate_platform_stand_in::{Door, StandIn, records};
-use olivegate_sidecar::model::{
-    ClientLimits, Configuration, ConfigurationVersion, Incarnation, Instance as Entry, InstanceState, Millis,
-    RepeatSafety, Route, WeightedPart,
-};
-use olivegate_types::{InstanceName, ServiceName, ZoneName};
+use olivegate_platform_stand_in::{Door, StandIn};
+use olivegate_sidecar::model::{Configuration, Incarnation, InstanceState};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::time::Instant;
@@ -20,9 +16,8 @@
 use super::instance::{Instance, InstanceFaults};
 use super::processes::Processes;
 use super::proxy::Way;
-use super::record::{Leaving, Record};
+use super::record::Record;
 use super::senders::Senders;
-use super::tenants;
 use crate::error::BenchError;
 use crate::spec::DeploymentSpec;
 
@@ -103,9 +98,9 @@
     /// Present instances, by machine.
     pub instances: RefCell<Vec<Option<Rc<Instance>>>>,
     /// Instances that have said that they leave, until they end.
-    leaving: RefCell<Vec<Rc<Instance>>>,
+    pub(super) leaving: RefCell<Vec<Rc<Instance>>>,
     /// What the operator wrote last.
-    written: RefCell<Option<Configuration>>,
+    pub(super) written: RefCell<Option<Configuration>>,
     ready: RefCell<Vec<bool>>,
     lives: RefCell<Vec<u32>>,
     /// Machines whose process was told to stop.
@@ -114,7 +109,7 @@
     started: Instant,
     is_over: Cell<bool>,
     numbers: Cell<u64>,
-    sequence: Cell<u64>,
+    pub(super) sequence: Cell<u64>,
     random: RefCell<StdRng>,
     salt: u64,
 }
@@ -283,99 +278,6 @@
         service.unwrap_or_else(|| self.spec.services[0].name.clone())
     }
 
-    /// The operator writes the next version: the routes of the deployment and one of its own.
-    pub fn configure(&self) {
-        let version = self.version.get() + 1;
-        let mut routes: Vec<Route> = self
-            .spec
-            .endpoints
-            .iter()
-            .map(|endpoint| {
-                let is_repeatable = endpoint.method() == "GET";
-                route(&self.host, &format!("{}/", endpoint.path()), &endpoint.service, is_repeatable)
-            })
-            .collect();
-        let own = route(&self.host, &Self::version_path(version), &self.spec.services[0].name, true);
-        routes.push(Route { is_public: false, ..own });
-        let configuration = Configuration {
-            version: ConfigurationVersion(version),
-            routes,
-            limits: ClientLimits::default(),
-            tenants: tenants::of_version(version),
-        };
-        records::put_configuration(&self.store, &configuration);
-        *self.written.borrow_mut() = Some(configuration);
-        self.version.set(version);
-        let now_s = self.now_s();
-        self.record.borrow_mut().versions.insert(version, now_s);
-    }
-
-    /// The operator writes its last version again.
-    pub fn configure_again(&self) {
-        if let Some(configuration) = &*self.written.borrow() {
-            records::put_configuration(&self.store, configuration);
-        }
-    }
-
-    /// Writes the entry of a machine's present instance.
-    pub fn write_entry(&self, machine: usize, state: InstanceState) {
-        let instance = self.instances.borrow()[machine].clone();
-        if let Some(instance) = instance {
-            self.write_entry_of(&instance, state);
-        }
-    }
-
-    fn write_entry_of(&self, instance: &Instance, state: InstanceState) {
-        let place = &self.machines[instance.machine];
-        let entry = Entry {
-            name: InstanceName::new(&instance.name),
-            incarnation: instance.incarnation,
-            service: ServiceName::new(&place.service),
-            address: place.instance,
-            zone: ZoneName::new(&place.zone),
-            slots: place.slots,
-            state,
-        };
-        self.sequence.set(self.sequence.get() + 1);
-        records::put_instance(&self.store, &entry, self.sequence.get());
-    }
-
-    /// Who lives beside `machine` writes its entry, as it stands, again.
-    pub fn write_again(&self, machine: usize) {
-        self.write_entry(machine, InstanceState::Ready);
-        let leaving = self.leaving.borrow();
-        let of_machine = leaving.iter().filter(|instance| instance.machine == machine);
-        of_machine.for_each(|instance| self.write_entry_of(instance, InstanceState::Draining));
-    }
-
-    /// Removes entries of instances that no longer live: nobody renews them.
-    pub fn drop_silent_entries(&self) {
-        let mut living: HashSet<String> = HashSet::new();
-        living.extend(
-            self.instances.borrow().iter().flatten().map(|instance| records::instance_key(&instance.name)),
-        );
-        living.extend(self.leaving.borrow().iter().map(|instance| records::instance_key(&instance.name)));
-        let silent = self.store.keys(&records::instance_key(""));
-        silent.iter().filter(|key| !living.contains(*key)).for_each(|key| self.store.remove(key));
-    }
-
-    /// Removes an instance's entry.
-    pub fn remove_entry(&self, name: &str) {
-        self.store.remove(&records::instance_key(name));
-    }
-
-    /// Notes that the store has taken that an instance leaves.
-    pub fn note_leaving(&self, instance: &Rc<Instance>) {
-        let leaving = Leaving { instance: instance.start_name(), acknowledged_s: self.now_s() };
-        self.record.borrow_mut().leaving.push(leaving);
-        self.leaving.borrow_mut().push(instance.clone());
-    }
-
-    /// An instance that has left ends.
-    pub fn note_left(&self, instance: &Rc<Instance>) {
-        self.leaving.borrow_mut().retain(|other| !Rc::ptr_eq(other, instance));
-    }
-
     /// Puts a new instance beside a machine's node.
     pub async fn start_instance(self: &Rc<Self>, machine: usize) -> Result<(), BenchError> {
         let name = format!("i-{machine}-{}", self.next_id());
@@ -405,19 +307,3 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn route(host: &str, path_prefix: &str, service: &str, is_repeatable: bool) -> Route {
-    Route {
-        name: format!("to-{service}{path_prefix}"),
-        host: host.to_string(),
-        path_prefix: path_prefix.to_string(),
-        parts: vec![WeightedPart { service: ServiceName::new(service), weight: 1 }],
-        safety: if is_repeatable { RepeatSafety::Safe } else { RepeatSafety::Unsafe },
-        timeout: Some(Millis(1_500)),
-        target_latency: Millis(800),
-        priority: if is_repeatable { 2 } else { 0 },
-        attempts: ATTEMPTS,
-        // Instances call these routes.
-        is_public: true,
-    }
-}
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -1,8 +1,8 @@
 //! The soak's plan and judge: plans repeat from their seed, and every promise can be seen broken.
 
 use olivegate_bench::soak::PROMISED;
-use olivegate_bench::soak::judge::{Promise, judge};
-use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Plan};
+use olivegate_bench::soak::judge::{Promise, judge, last_run_after_leaving_s};
+use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Fault, FaultKind, Plan};
 use olivegate_bench::soak::record::{Call, CallEnd, CallPurpose, Crash, Disturbance, Leaving, Record, Run, Stop};
 use rstest::rstest;
 
@@ -31,6 +31,41 @@
     assert_eq!(smaller.faults, [plan.faults[1], plan.faults[3]]);
 }
 
+/// Each plan has a store that comes back from a copy, with leavings soon after, and one whose waiting
+/// calls are told nothing, with a leaving in it.
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(501)]
+fn a_plan_has_returns_from_copies_and_leavings_beside_them(#[case] seed: u64) {
+    let plan = Plan::draw(seed, LENGTH_S, 12, false);
+    let leaves_in = |from_s: f64, until_s: f64| {
+        let leavings = plan.faults.iter().filter(|fault| fault.kind == FaultKind::InstanceLeaves);
+        leavings.filter(|fault| (from_s..=until_s).contains(&fault.at_s)).count()
+    };
+    let is_restored = |fault: &&Fault| matches!(fault.kind, FaultKind::StoreRestored { .. });
+    let restored: Vec<&Fault> = plan.faults.iter().filter(is_restored).collect();
+    assert!((1..=2).contains(&restored.len()), "{restored:?}");
+    for fault in restored {
+        let back_s = fault.at_s + fault.for_s;
+        assert!(leaves_in(back_s, back_s + 5.0) >= 3, "{plan:?}");
+    }
+    let deaf = plan.faults.iter().find(|fault| fault.kind == FaultKind::StoreDeaf).unwrap();
+    assert!(leaves_in(deaf.at_s, deaf.at_s + deaf.for_s) >= 1, "{plan:?}");
+}
+
+/// The margin counts runs that machines in touch sent on, from the word of the instance on.
+#[rstest]
+fn the_last_run_after_a_leaving_is_told() {
+    let mut record = sound();
+    assert_eq!(last_run_after_leaving_s(&record, &PROMISED), 0.0);
+    let run_s = record.runs[0].at_s;
+    record.leaving.push(Leaving { instance: "i-1".into(), acknowledged_s: run_s - 0.75 });
+    assert!((last_run_after_leaving_s(&record, &PROMISED) - 0.75).abs() < 1e-9);
+    record.disturbances.push(Disturbance { machine: None, from_s: run_s - 0.5, until_s: run_s - 0.4 });
+    assert_eq!(last_run_after_leaving_s(&record, &PROMISED), 0.0);
+}
+
 fn call(id: &str, sent_s: f64, end: CallEnd) -> Call {
     Call {
         id: id.into(),
