Tests: instances that ended and came back as others, seen failing

What callers see: 503 no-instance while a sound instance of the service lives, within a second of the end of others; after a loss of all machines, refused repeats.

--- a/crates/sidecar/tests/path/instance.rs
+++ b/crates/sidecar/tests/path/instance.rs
@@ -15,7 +15,7 @@
 use tokio_util::codec::FramedRead;
 
 use crate::client::Client;
-use crate::support::VOCABULARY;
+use crate::support::{HEALTH_PATH, VOCABULARY};
 
 /// What a test instance does with a request.
 #[derive(Clone)]
@@ -50,6 +50,11 @@
     pub fn id(&self) -> String {
         self.field(VOCABULARY.request_id)
     }
+
+    /// True for the question whether the instance is healthy, which is no request of a caller.
+    pub fn is_health_question(&self) -> bool {
+        self.head.path() == HEALTH_PATH
+    }
 }
 
 /// A scripted instance.
@@ -64,6 +69,8 @@
     serving: Rc<RefCell<Option<AbortHandle>>>,
     /// Told when it has crashed.
     pub crashed: Rc<Notify>,
+    /// Its script also says what follows the question whether it is healthy.
+    is_odd: bool,
 }
 
 /// Counts a connection as long as it is open.
@@ -86,7 +93,16 @@
     /// Serves `address`; `script` says what to do with each request, given how many came
     /// before it.
     pub async fn start(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
-        let instance = TestInstance::default();
+        TestInstance::default().serve(address, script).await
+    }
+
+    /// One whose script also says what follows the question whether it is healthy.
+    pub async fn start_odd(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
+        TestInstance { is_odd: true, ..TestInstance::default() }.serve(address, script).await
+    }
+
+    async fn serve(self, address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
+        let instance = self;
         let listener = TcpListener::bind(address).await.unwrap();
         let script = Rc::new(script);
         let serving = instance.clone();
@@ -126,8 +142,13 @@
                     let rested = rests_since.map(|since| since.elapsed());
                     let seen = Seen { head, body: body.freeze(), rested };
                     let before = self.seen.borrow().len();
-                    self.seen.borrow_mut().push(seen.clone());
-                    for action in script(&seen, before) {
+                    let actions = if seen.is_health_question() && !self.is_odd {
+                        health_answer(script(&seen, before))
+                    } else {
+                        self.seen.borrow_mut().push(seen.clone());
+                        script(&seen, before)
+                    };
+                    for action in actions {
                         match action {
                             Action::Send(text) => {
                                 let _ = writing.write_all(text.as_bytes()).await;
@@ -182,3 +203,12 @@
         body.len()
     )
 }
+
+/// What follows the question whether an instance is healthy: it rejects what is meant for another one as
+/// its script does, and says nothing else of itself.
+fn health_answer(scripted: Vec<Action>) -> Vec<Action> {
+    match scripted.first() {
+        Some(Action::Send(text)) if text.starts_with("HTTP/1.1 421") => scripted,
+        _ => vec![Action::Send("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n".into())],
+    }
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod instance;
 mod keys;
 mod quotas;
+mod replaced;
 mod requests;
 mod restarted;
 mod resting;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -38,6 +38,9 @@
     readiness_path: "/ready",
 };
 
+/// Path by which instances are asked whether they are healthy.
+pub const HEALTH_PATH: &str = "/health";
+
 pub const INSTANCE_PORT: u16 = 18_301;
 const INBOUND_PORT: u16 = 18_300;
 const OUTBOUND_PORT: u16 = 18_304;
