A gate asks who is there before it sends to an instance whose end it has seen

Cause: the gate beside an instance saw its end (connection refused), but only the failed exchange knew. The next request for the old name went to whatever had the address by then; its 421 counted as an instance reached, and after two of them the route allowed no third. A gate that had just started knew nothing of who was there at all.

Change: the gate remembers which instance is confirmed at its address (gate/identity.rs). An end that an exchange shows, a refused connection, a resting connection that was closed before its time, or its own start make it ask by the health question of the service, which names the instance that is meant (gate/presence.rs): no request, no repeat, no place among those that a route allows. Another instance: the offer is refused with the successor, free for the edge. Nobody: as a refused connection before. The same name: it is used, whether or not entries tell starts. No clear answer within 100 ms: served as before. What was left running when an instance ended unseen is marked on a successor's word, too.

Why it holds: nothing is sent on the word of an entry that the gate has reason to doubt, and the question is put again at each doubt, so it doesn't matter what the source tells, or when.

Ruled out: refusing by what the directory says (the source tells the end some 0.1 to 4 s late, or never); marking the name as gone (an instance may start again under it without telling its start).

The scripted instance sends without delay now: behind an earlier answer on its connection the second of two writes waited 40 ms for an acknowledgement (seen with a peek at the socket), so that bytes_that_are_no_answer came after the next request. One script leaves the health question out of its count.

--- a/crates/bench/src/soak/entries.rs
+++ b/crates/bench/src/soak/entries.rs
@@ -10,7 +10,7 @@
 };
 use olivegate_types::{InstanceName, ServiceName, ZoneName};
 
-use super::instance::Instance;
+use super::instance::{HEALTH_PATH, Instance};
 use super::record::Leaving;
 use super::tenants;
 use super::world::{ATTEMPTS, World};
@@ -30,11 +30,13 @@
             .collect();
         let own = route(&self.host, &Self::version_path(version), &self.spec.services[0].name, true);
         routes.push(Route { is_public: false, ..own });
+        let services = self.spec.services.iter().map(|service| ServiceName::new(service.name.clone()));
         let configuration = Configuration {
             version: ConfigurationVersion(version),
             routes,
             limits: ClientLimits::default(),
             tenants: tenants::of_version(version),
+            health_paths: services.map(|service| (service, HEALTH_PATH.to_string())).collect(),
         };
         records::put_configuration(&self.store, &configuration);
         *self.written.borrow_mut() = Some(configuration);
--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -28,6 +28,8 @@
 use super::world::World;
 use crate::spec::EndpointSpec;
 
+/// Path by which an instance is asked whether it is healthy; it tells its name, whoever is meant.
+pub const HEALTH_PATH: &str = "/healthz";
 /// Longest head and body of a request in bytes.
 const MAX_REQUEST: (usize, u64) = (64 << 10, 1 << 20);
 /// Requests that wait in an instance, over its slots.
@@ -172,7 +174,9 @@
     answers: &mut OwnedWriteHalf,
 ) -> bool {
     let id = head.fields.text(VOCABULARY.request_id).unwrap_or_default().to_string();
-    if head.fields.text(VOCABULARY.expected_instance).is_some_and(|expected| expected != instance.name) {
+    let expected = head.fields.text(VOCABULARY.expected_instance);
+    let is_meant = expected.is_none_or(|expected| expected == instance.name);
+    if !is_meant && head.path() != HEALTH_PATH {
         return write(answers, rejection(instance, 421, &id), Bytes::new()).await;
     }
     let fault = world.faults.of_instance(instance.machine);
@@ -186,6 +190,10 @@
     if Instant::now() >= deadline {
         return write(answers, rejection(instance, 503, &id), Bytes::new()).await;
     }
+    if head.path() == HEALTH_PATH {
+        let status = if instance.is_leaving.get() { 503 } else { 200 };
+        return write(answers, own_head(instance, status, &id), Bytes::new()).await;
+    }
     note_run(instance, world, head, body, &id);
     if is_deadly(&String::from_utf8_lossy(&head.target)) {
         return end_with_it(instance, world).await;
--- a/crates/olivegate/tests/sidecar.rs
+++ b/crates/olivegate/tests/sidecar.rs
@@ -55,7 +55,13 @@
             };
             let limits = ClientLimits::default();
             let version = ConfigurationVersion(1);
-            let configuration = Configuration { version, routes: vec![route], limits, tenants: Vec::new() };
+            let configuration = Configuration {
+                version,
+                routes: vec![route],
+                limits,
+                tenants: Vec::new(),
+                health_paths: Default::default(),
+            };
             records::put_configuration(&store, &configuration);
             records::put_instance(&store, &instance, 1);
             sender.send(store.open().await.unwrap().address).unwrap();
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -5,6 +5,7 @@
 //! before anything is passed on, so that one that breaks off is a failure and not half an
 //! answer.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,16 +32,17 @@
     request_sent: bool,
 }
 
-/// Runs a request on a connection to the instance.
+/// Runs a request on `kept`, or on a new connection to the instance.
 pub async fn run(
     node: &Rc<Node>,
     slots: &InstanceSlots,
+    kept: Option<InstanceConnection>,
     offer: &Offer,
     body: Body,
     time_left: Duration,
 ) -> Result<Answer, Failure> {
     let connections = slots.connections();
-    let mut connection = match connections.take(offer.safety) {
+    let mut connection = match kept {
         Some(connection) => connection,
         None => connect(node, connections).await?,
     };
@@ -80,7 +82,12 @@
 async fn connect(node: &Node, connections: &InstanceConnections) -> Result<InstanceConnection, Failure> {
     node.metrics.connections.with_label_values(&["instance"]).inc();
     let connecting = connections.connect(node.settings().instance);
-    connecting.await.map_err(|_| Failure::not_sent(FailureReason::Connect))
+    connecting.await.map_err(|error| {
+        if error.kind() == ErrorKind::ConnectionRefused {
+            node.gate.identity.doubt();
+        }
+        Failure::not_sent(FailureReason::Connect)
+    })
 }
 
 /// The head as the instance gets it.
--- a/crates/sidecar/src/gate/instance_connection.rs
+++ b/crates/sidecar/src/gate/instance_connection.rs
@@ -4,6 +4,7 @@
 //! through to its end and nothing else has arrived since.
 
 use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -48,6 +49,19 @@
 pub struct InstanceConnections {
     resting: RefCell<Vec<Resting>>,
     trust: Cell<RestTrust>,
+    /// One that rested was found closed before its time.
+    closed_early: Cell<bool>,
+}
+
+/// What a connection that rested looks like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RestedState {
+    /// It is open and nothing has arrived on it.
+    Clean,
+    /// Bytes have arrived that belong to no request.
+    Surplus,
+    /// The instance has closed it.
+    Closed,
 }
 
 impl InstanceConnection {
@@ -57,12 +71,14 @@
         InstanceConnection { answers, requests, rested: None }
     }
 
-    /// True when the connection is open and nothing has arrived on it.
-    fn is_clean(&self) -> bool {
+    fn rested_state(&self) -> RestedState {
         let mut byte = [0];
-        let nothing = self.answers.get_ref().try_read(&mut byte);
-        let is_waiting = matches!(nothing, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
-        is_waiting && self.answers.read_buffer().is_empty()
+        match self.answers.get_ref().try_read(&mut byte) {
+            Err(error) if error.kind() != ErrorKind::WouldBlock => RestedState::Closed,
+            Ok(0) => RestedState::Closed,
+            Err(_) if self.answers.read_buffer().is_empty() => RestedState::Clean,
+            Ok(_) | Err(_) => RestedState::Surplus,
+        }
     }
 }
 
@@ -80,13 +96,26 @@
                 return None;
             }
             let mut connection = resting.connection;
-            if now < resting.until && connection.is_clean() {
-                connection.rested = Some(rested);
-                return Some(connection);
+            if now >= resting.until {
+                continue;
+            }
+            match connection.rested_state() {
+                RestedState::Clean => {
+                    connection.rested = Some(rested);
+                    return Some(connection);
+                }
+                RestedState::Closed => self.closed_early.set(true),
+                RestedState::Surplus => {}
             }
         }
     }
 
+    /// True when a connection was found closed before its time since this was asked last: the instance
+    /// may have ended while nothing ran.
+    pub fn take_closed_early(&self) -> bool {
+        self.closed_early.take()
+    }
+
     /// Leaves a connection that rested too long, and those below, which rested longer, for
     /// requests that may run again; closes them when they don't do for those either.
     fn leave(&self, connection: Resting, safety: RepeatSafety) {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -7,6 +7,8 @@
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`admission`]: which requests of clients may go on to their calls.
 //! - [`instance_end`]: whether the instance has ended.
+//! - [`identity`]: which instance is known to be there.
+//! - [`presence`]: whether the instance that is meant is there.
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
@@ -18,8 +20,10 @@
 pub mod admission;
 pub mod confirmation;
 pub mod exchange;
+pub mod identity;
 pub mod instance_connection;
 pub mod instance_end;
+pub mod presence;
 pub mod quarantine;
 pub mod repeats;
 pub mod rest_trust;
@@ -44,7 +48,9 @@
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use confirmation::Confirmation;
+use identity::InstanceIdentity;
 use olivegate_clock as clock;
+use presence::reply_for_absent;
 use quarantine::run_content::RunContent;
 use quarantine::watched_run::WatchedRun;
 use quarantine::{Entry, GateQuarantine};
@@ -65,6 +71,8 @@
 pub struct Gate {
     instances: RefCell<HashMap<InstanceName, Rc<InstanceSlots>>>,
     repeats: GateRepeats,
+    /// Which instance is known to be there.
+    pub identity: InstanceIdentity,
     /// Requests with which instances end.
     pub quarantine: GateQuarantine,
 }
@@ -142,6 +150,10 @@
         let successor = successor_of(node, &offer.instance);
         return count_refusal(node, &offer, GateReply::Refused { refusal, successor });
     }
+    let slots = node.gate.slots_of(node, &offer.instance);
+    if let Some(reply) = reply_for_absent(node, &offer, &slots).await {
+        return count_refusal(node, &offer, reply);
+    }
     if !node.gate.repeats.allows(node, &offer, arrived) {
         return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
     }
@@ -155,7 +167,6 @@
         Ok(entry) => entry,
         Err(refusal) => return count_refusal(node, &offer, GateReply::Refused { refusal, successor: None }),
     };
-    let slots = node.gate.slots_of(node, &offer.instance);
     slots.note_demand(&offer, arrived);
     let demand = demand_of(&offer, &slots, deadline);
     let slot = match slots.acquire(demand).await {
@@ -192,11 +203,18 @@
     if !node.gate.repeats.begin(node, &offer, started) {
         return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
     }
-    log_start(node, &offer, time_left);
     let slots = slot.slots().clone();
+    let connection = slots.connections().take(offer.safety);
+    if slots.connections().take_closed_early() {
+        node.gate.identity.doubt();
+    }
+    if let Some(reply) = reply_for_absent(node, &offer, &slots).await {
+        return count_refusal(node, &offer, reply);
+    }
+    log_start(node, &offer, time_left);
     let parent = Running::begin(node, &offer, started + time_left);
     let mut watched = WatchedRun::begin(node, &offer, content, entry, slots.clone());
-    let running = exchange::run(node, &slots, &offer, body, time_left);
+    let running = exchange::run(node, &slots, connection, &offer, body, time_left);
     let limit = clock::instant_of(deadline);
     let result = match tokio::time::timeout_at(limit, running).await {
         Ok(result) => result,
--- /dev/null
+++ b/crates/sidecar/src/gate/presence.rs
@@ -0,0 +1,140 @@
+//! Whether the instance that an offer means is there, asked by the health question of its service.
+//!
+//! The question names the instance that is meant, as requests do: any other one rejects it. Unlike a
+//! request it counts as none, neither against the instances that a route allows nor as a repeat.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use olivegate_http1::{BodyLength, Fields, Frame, RequestHead, ResponseHead};
+use olivegate_types::{InstanceName, RefusalReason};
+use tokio::io::AsyncWriteExt;
+
+use super::identity::Found;
+use super::instance_connection::InstanceConnection;
+use super::slots::InstanceSlots;
+use super::{SHORT_RETRY_AFTER, meet_instance, successor_of};
+use crate::hop::Offer;
+use crate::reply::{Failure, FailureReason, GateReply};
+use crate::state::Node;
+use olivegate_clock as clock;
+use olivegate_types::Refusal;
+
+/// Time limit of the question: a busy instance lets it wait for a slot, and the requests that wait for
+/// the answer are then served as if it had not been asked.
+const ANSWER_LIMIT: Duration = Duration::from_millis(100);
+
+/// The reply to an offer for an instance that is not there; `None` when it may be.
+pub async fn reply_for_absent(node: &Rc<Node>, offer: &Offer, slots: &InstanceSlots) -> Option<GateReply> {
+    let identity = &node.gate.identity;
+    if identity.is_confirmed(&offer.instance) {
+        return None;
+    }
+    let question = identity.question(&offer.instance);
+    let found = question.found().get_or_init(|| ask(node, &offer.instance, slots)).await;
+    identity.learn(&question, found);
+    match found {
+        Found::Expected | Found::Untold => None,
+        Found::Nobody => {
+            note_end(node, &offer.instance);
+            slots.note_absent();
+            node.metrics.exchanges.with_label_values(&[FailureReason::Connect.as_str()]).inc();
+            Some(GateReply::Failed(Failure::not_sent(FailureReason::Connect)))
+        }
+        Found::Other(name) => {
+            note_end(node, &offer.instance);
+            note_other(node, &offer.instance, name.as_ref());
+            let refusal = Refusal::new(RefusalReason::InstanceLeaving, SHORT_RETRY_AFTER);
+            Some(GateReply::Refused { refusal, successor: successor_of(node, &offer.instance) })
+        }
+    }
+}
+
+/// What it was at work on when it ended may have ended it, also where nobody waited for that any more.
+fn note_end(node: &Node, instance: &InstanceName) {
+    let quarantine = &node.gate.quarantine;
+    if quarantine.has_left_runs(instance) {
+        quarantine.on_end_unseen(node, instance, clock::now());
+    }
+}
+
+fn note_other(node: &Node, meant: &InstanceName, present: Option<&InstanceName>) {
+    let now = clock::now();
+    node.update_directory("gate", |directory| directory.note_gone(meant, now));
+    if let Some(present) = present {
+        meet_instance(node, present.as_str());
+    }
+}
+
+/// Asks who is there, and tells what was found.
+async fn ask(node: &Node, expected: &InstanceName, slots: &InstanceSlots) -> Found {
+    let asked = clock::now();
+    let found = tokio::time::timeout(ANSWER_LIMIT, question(node, expected, slots)).await.unwrap_or(Found::Untold);
+    log::info!(
+        "event=instance_asked expected={expected} found={} present={} after_ms={}",
+        found.as_str(),
+        if let Found::Other(Some(name)) = &found { name.as_str() } else { "untold" },
+        clock::now().since(asked).as_millis(),
+    );
+    node.metrics.identity_questions.with_label_values(&[found.as_str()]).inc();
+    found
+}
+
+async fn question(node: &Node, expected: &InstanceName, slots: &InstanceSlots) -> Found {
+    let Some(path) = health_path(node) else { return Found::Untold };
+    let address = node.settings().instance;
+    node.metrics.connections.with_label_values(&["instance"]).inc();
+    let mut connection = match slots.connections().connect(address).await {
+        Ok(connection) => connection,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Found::Nobody,
+        Err(_) => return Found::Untold,
+    };
+    let head = question_head(node, path, address, expected);
+    let Some(answer) = exchange(&mut connection, &head).await else { return Found::Untold };
+    if answer.keeps_connection() {
+        slots.connections().keep(connection, None, slots.limit());
+    }
+    found_by(node, &answer, expected)
+}
+
+/// The path by which instances of this machine's service are asked whether they are healthy.
+fn health_path(node: &Node) -> Option<String> {
+    let knowledge = node.knowledge.borrow();
+    knowledge.configuration.as_ref()?.health_paths.get(&node.settings().service).cloned()
+}
+
+fn question_head(node: &Node, path: String, address: SocketAddr, expected: &InstanceName) -> RequestHead {
+    let mut fields = Fields::default();
+    fields.add("Host", address.to_string());
+    fields.add(node.vocabulary.expected_instance, Bytes::copy_from_slice(expected.as_str().as_bytes()));
+    RequestHead { method: Bytes::from_static(b"GET"), target: path.into(), minor_version: 1, fields }
+}
+
+/// The head of the answer, once it is whole.
+async fn exchange(connection: &mut InstanceConnection, head: &RequestHead) -> Option<ResponseHead> {
+    let mut bytes = BytesMut::new();
+    head.write(BodyLength::None, &mut bytes);
+    connection.requests.write_all(&bytes).await.ok()?;
+    let mut answer = None;
+    loop {
+        match connection.answers.next().await?.ok()? {
+            Frame::Head(head, _) => answer = Some(head),
+            Frame::Data(_) => {}
+            Frame::End => return answer,
+        }
+    }
+}
+
+fn found_by(node: &Node, answer: &ResponseHead, expected: &InstanceName) -> Found {
+    match answer.fields.text(node.vocabulary.instance) {
+        Some(name) if name == expected.as_str() => Found::Expected,
+        Some(name) => Found::Other(Some(InstanceName::new(name))),
+        None if answer.status == 421 => Found::Other(None),
+        None if answer.status < 300 => Found::Expected,
+        None => Found::Untold,
+    }
+}
--- a/crates/sidecar/src/gate/quarantine/watched_run.rs
+++ b/crates/sidecar/src/gate/quarantine/watched_run.rs
@@ -111,7 +111,12 @@
     async fn end_of_instance(&self) -> Option<Moment> {
         let connections = self.slots.connections();
         let keep = |connection| connections.keep(connection, None, self.slots.limit());
-        self.slots.end().look(self.run.began, connections, self.node.settings().instance, keep).await
+        let address = self.node.settings().instance;
+        let ended = self.slots.end().look(self.run.began, connections, address, keep).await;
+        if ended.is_some() {
+            self.node.gate.identity.doubt();
+        }
+        ended
     }
 }
 
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -137,6 +137,17 @@
         self.closes_in_a_row.get() >= CLOSES_OF_LEAVING
     }
 
+    /// Notes that a request came while no process was there.
+    pub fn note_absent(&self) {
+        self.note_failing(true);
+    }
+
+    fn note_failing(&self, failed: bool) {
+        let sample = f64::from(u8::from(failed));
+        let failing = self.failing.get();
+        self.failing.set(failing + (sample - failing) * FAILING_WEIGHT);
+    }
+
     /// True while requests run or wait.
     pub fn in_use(&self) -> bool {
         let queue = self.queue.borrow();
@@ -266,7 +277,7 @@
 
     /// Learns from an answer.
     pub fn note_answer(&mut self, offer: &Offer, fault: AnswerFault, used: Duration) {
-        self.note_failing(fault == AnswerFault::Instance);
+        self.slots.note_failing(fault == AnswerFault::Instance);
         self.slots.sheds.note(false, clock::now());
         self.note_time(offer, used);
         let mut queue = self.slots.queue.borrow_mut();
@@ -280,7 +291,7 @@
         let is_instances_fault =
             !matches!(failure.reason, FailureReason::RequestBroken | FailureReason::RefusedByInstance);
         if is_instances_fault {
-            self.note_failing(true);
+            self.slots.note_failing(true);
         }
         match failure.reason {
             // The gate never gives it more than it has slots for: it refuses for a reason of its
@@ -294,12 +305,6 @@
         }
     }
 
-    fn note_failing(&self, failed: bool) {
-        let sample = f64::from(u8::from(failed));
-        let failing = self.slots.failing.get();
-        self.slots.failing.set(failing + (sample - failing) * FAILING_WEIGHT);
-    }
-
     fn note_time(&self, offer: &Offer, used: Duration) {
         let mut expected = self.slots.expected.borrow_mut();
         match expected.get_mut(&offer.route) {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -35,6 +35,8 @@
     pub refusals: IntCounterVec,
     /// Exchanges with the instance, by result.
     pub exchanges: IntCounterVec,
+    /// Questions who is there beside this node, by what was found.
+    pub identity_questions: IntCounterVec,
     /// Connections made to the instance and to other nodes.
     pub connections: IntCounterVec,
     /// Calls of the source, by result.
@@ -101,6 +103,12 @@
                 "Exchanges with the instance",
                 &["result"],
             ),
+            identity_questions: counters(
+                &registry,
+                "olivegate_sidecar_identity_questions_total",
+                "Questions which instance is beside this node",
+                &["found"],
+            ),
             connections: counters(&registry, "olivegate_sidecar_connections_total", "Connections made", &["to"]),
             source_calls: counters(
                 &registry,
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -1,5 +1,6 @@
 //! Configuration and instances as the product knows them.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -181,6 +182,8 @@
     pub limits: ClientLimits,
     /// Tenants; none where requests need no keys.
     pub tenants: Vec<Tenant>,
+    /// Path by which instances of each service are asked whether they are healthy, where it is told.
+    pub health_paths: BTreeMap<ServiceName, String>,
 }
 
 /// Whether an instance takes new requests.
--- a/crates/sidecar/tests/decisions/routes.rs
+++ b/crates/sidecar/tests/decisions/routes.rs
@@ -1,5 +1,7 @@
 //! Routes and weights.
 
+use std::collections::BTreeMap;
+
 use olivegate_sidecar::model::{
     ClientLimits, Configuration, ConfigurationVersion, Millis, RepeatSafety, Route, WeightedPart,
 };
@@ -31,6 +33,7 @@
         routes,
         limits: ClientLimits::default(),
         tenants: Vec::new(),
+        health_paths: BTreeMap::new(),
     })
 }
 
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -113,7 +113,10 @@
         // Whichever instance is asked first closes; all later requests are answered.
         let closed = Rc::new(Cell::new(false));
         let script = |closed: Rc<Cell<bool>>| {
-            move |seen: &Seen, _| if closed.replace(true) { plain(seen) } else { vec![Action::Close] }
+            move |seen: &Seen, _| {
+                let is_spared = seen.is_health_question() || closed.replace(true);
+                if is_spared { plain(seen) } else { vec![Action::Close] }
+            }
         };
         let first = TestInstance::start(fleet.instance_address(2), script(closed.clone())).await;
         let second = TestInstance::start(fleet.instance_address(3), script(closed)).await;
--- a/crates/sidecar/tests/path/instance.rs
+++ b/crates/sidecar/tests/path/instance.rs
@@ -127,6 +127,8 @@
 
     async fn connection(self, stream: TcpStream, script: Rc<impl Fn(&Seen, usize) -> Vec<Action>>) {
         let _open = Open::begin(&self.open);
+        // Each write of a script goes out by itself, also on a connection that was used before.
+        stream.set_nodelay(true).unwrap();
         let (reading, mut writing) = stream.into_split();
         let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
         let mut current: Option<(RequestHead, BytesMut)> = None;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -232,7 +232,10 @@
 }
 
 pub fn configuration(version: u64, routes: Vec<Route>) -> Configuration {
+    let services = routes.iter().flat_map(|route| &route.parts).map(|part| part.service.clone());
+    let health_paths = services.map(|service| (service, HEALTH_PATH.to_string())).collect();
     Configuration {
+        health_paths,
         version: ConfigurationVersion(version),
         routes,
         limits: ClientLimits::default(),
