--- a/crates/sidecar/tests/path/keys.rs
+++ b/crates/sidecar/tests/path/keys.rs
@@ -191,3 +191,34 @@
         assert_eq!(status(&fleet, 1, &keyed("/safe/", "a", "one")).await, 503);
     });
 }
+
+/// A node starts right after the source came back from an older copy of itself: its first reading shows
+/// a key that had been withdrawn before. A node that was there before waits until the operator has had
+/// time to write again what was lost; one that had just started took its first reading as proof, since it knew
+/// of no return. Settled by `configuration_in_force version=1` behind the withdrawal's acknowledgement, with
+/// an epoch above 0 in the same reading.
+#[rstest]
+fn a_node_that_starts_after_the_source_lost_a_withdrawal_does_not_take_the_key() {
+    run(async {
+        let mut fleet = Fleet::new();
+        fleet.keys_proven_within = Some(PROVEN_WITHIN);
+        fleet.source.configure(keyed_configuration(1, vec![tenant("left", &["one", "two"])]));
+        fleet.list(1, "books-1", "books");
+        let copy = fleet.source.copy();
+        fleet.source.configure(keyed_configuration(2, vec![tenant("left", &["two"])]));
+        fleet.source.restore(copy);
+        let script = |seen: &Seen, _| vec![Action::Send(answer(200, &seen.id(), "ok"))];
+        let instance = TestInstance::start(fleet.instance_address(1), script).await;
+        Fleet::ready(&fleet.start(1, "books").await).await;
+        for number in 0..5 {
+            let request = keyed("/safe/", &format!("r{number}"), "one");
+            assert_eq!(status(&fleet, 1, &request).await, 503, "request {number}");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        fleet.source.configure(keyed_configuration(2, vec![tenant("left", &["two"])]));
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "late", "one")).await, 401);
+        assert_eq!(instance.runs(), 0);
+        assert_eq!(status(&fleet, 1, &keyed("/safe/", "held", "two")).await, 200);
+    });
+}
