A node that starts with a source that came back from a copy waits before it proves keys

Seen: a key whose withdrawal had been acknowledged was served by a node that started right after the source came back from an older copy of itself.

Cause: the wait of 2.3 s, in which the operator writes again what was lost, began only at a node that had known an earlier epoch; one that had just started took its first reading as proof.

Change: the first epoch that a node meets begins the wait, too, unless it is the source's first: a node that starts cannot tell how long ago the return was. Proof that other nodes tell counts at once, so only a fleet of which every node has just started refuses keyed requests so long.

Same fault elsewhere: the directory's own holds begin with the source's return as each node notices it; a starting node holds nothing it could lose.

--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -96,7 +96,7 @@
     gone_since: Revision,
     machines: HashMap<IpAddr, Machine>,
     source: SourceHealth,
-    /// When the present epoch was met, where an earlier one was known.
+    /// When the present epoch was met, unless it is the source's first.
     epoch_met: Option<Moment>,
     /// Instances that have started again under their names, until they are taken.
     restarted: Vec<InstanceName>,
--- a/crates/sidecar/src/directory/update.rs
+++ b/crates/sidecar/src/directory/update.rs
@@ -16,7 +16,11 @@
     /// counted as known, but stays in force until the source has said otherwise. What is missing now
     /// is written again as after an absence. True when it began.
     pub(super) fn enter_epoch(&mut self, epoch: Epoch, now: Moment) -> bool {
-        if self.revision == Revision::default() || epoch <= self.revision.epoch {
+        if self.revision == Revision::default() {
+            self.note_first_epoch(epoch, now);
+            return false;
+        }
+        if epoch <= self.revision.epoch {
             return false;
         }
         self.revision = Revision::new(epoch, 0);
@@ -31,6 +35,14 @@
         true
     }
 
+    /// A node that has just started cannot tell how long ago the source came back, if it ever did: what
+    /// it reads first may lack a withdrawal that was acknowledged.
+    fn note_first_epoch(&mut self, epoch: Epoch, now: Moment) {
+        if epoch > Epoch::default() {
+            self.epoch_met = Some(now);
+        }
+    }
+
     /// True while writes that the source lost may not yet have been written again.
     pub fn may_lack_writes(&self, now: Moment) -> bool {
         self.epoch_met.is_some_and(|met| now.since(met) < self.policy.rewritten_within)
