Soak: how late the soak itself was is recorded and told

It tells now in which part of the time a timer of its own was late, over all and in the last seconds; no promise is judged otherwise by it yet.

--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -8,7 +8,7 @@
 /// Part of the requests of the last seconds that have to be served.
 const RECOVERED_PART: f64 = 0.9;
 /// Length of those last seconds.
-const LAST_S: f64 = 5.0;
+pub const LAST_S: f64 = 5.0;
 /// Statuses that say that the request was not run and never will be.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -8,6 +8,7 @@
 //! - [`entries`]: what the operator and instances write to the store.
 //! - [`senders`], [`exchange`]: clients, calls and probes.
 //! - [`tenants`]: whose requests they are.
+//! - [`lateness`]: whether the soak itself keeps up.
 //! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`]: what was seen, and which promise was broken; pure.
 
 pub mod entries;
@@ -16,6 +17,7 @@
 pub mod judge;
 pub mod judge_access;
 pub mod judge_deadly;
+pub mod lateness;
 pub mod plan;
 pub mod processes;
 pub mod proxy;
@@ -124,6 +126,7 @@
         let world = World::new(self.spec.clone(), self.seed, &self.out).await?;
         prepare(&world).await?;
         let begin_s = world.now_s();
+        spawn_local(lateness::watch(world.clone()));
         let per_machine = mix_capacity(&self.spec) * self.load / world.machines.len() as f64;
         for machine in 0..world.machines.len() {
             spawn_local(senders::clients(world.clone(), machine, per_machine));
@@ -147,7 +150,8 @@
         write_lines(&self.out.join("plan.txt"), &faults)?;
         write_lines(&self.out.join("violations.txt"), &lines)?;
         println!(
-            "deployment={} seed={} seconds={} faults={} requests={} runs={} ended_by_requests={} leavings={} last_run_after_leaving_s={:.3} violations={}",
+            "deployment={} seed={} seconds={} faults={} requests={} runs={} ended_by_requests={} leavings={} last_run_after_leaving_s={:.3} \
+             late_part={:.3} late_part_at_end={:.3} violations={}",
             self.spec.deployment,
             self.seed,
             self.plan.length_s,
@@ -157,6 +161,8 @@
             record.crashes.len(),
             record.leaving.len(),
             last_run_after_leaving_s(record, &PROMISED),
+            record.late_part(0.0),
+            record.late_part(record.length_s - judge::LAST_S),
             violations.len(),
         );
         println!("ends: {:?}", outcomes(record));
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -147,6 +147,15 @@
     pub until_s: f64,
 }
 
+/// How late the soak itself was: a timer of its own fired so long after it was due.
+#[derive(Debug, Clone, Copy)]
+pub struct Lateness {
+    /// When it was due.
+    pub due_s: f64,
+    /// How late it fired.
+    pub late_s: f64,
+}
+
 /// Everything that was seen.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
@@ -164,6 +173,8 @@
     pub versions: HashMap<u64, f64>,
     /// Unplanned faults.
     pub disturbances: Vec<Disturbance>,
+    /// The soak's own lateness, in order of time.
+    pub lateness: Vec<Lateness>,
     /// Processes that ended by themselves, by machine.
     pub ended_by_themselves: Vec<usize>,
     /// Services of the machines.
@@ -205,6 +216,14 @@
         (0..self.services.len()).all(|machine| self.is_in_touch(machine, from_s, until_s, promised))
     }
 
+    /// The part of the time since `from_s` in which the soak itself came late: it neither sent nor read then.
+    pub fn late_part(&self, from_s: f64) -> f64 {
+        let late = self.lateness.iter().filter(|lateness| lateness.due_s + lateness.late_s > from_s);
+        let late_s: f64 =
+            late.map(|lateness| lateness.late_s.min(lateness.due_s + lateness.late_s - from_s)).sum();
+        late_s / (self.length_s - from_s).max(f64::EPSILON)
+    }
+
     /// When the version after `version` was taken by the store.
     pub fn superseded_s(&self, version: u64) -> Option<f64> {
         self.versions.get(&(version + 1)).copied()
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -3,7 +3,9 @@
 use olivegate_bench::soak::PROMISED;
 use olivegate_bench::soak::judge::{Promise, judge, last_run_after_leaving_s};
 use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Fault, FaultKind, Plan};
-use olivegate_bench::soak::record::{Call, CallEnd, CallPurpose, Crash, Disturbance, Leaving, Record, Run, Stop};
+use olivegate_bench::soak::record::{
+    Call, CallEnd, CallPurpose, Crash, Disturbance, Lateness, Leaving, Record, Run, Stop,
+};
 use rstest::rstest;
 
 const LENGTH_S: f64 = 60.0;
@@ -66,6 +68,19 @@
     assert_eq!(last_run_after_leaving_s(&record, &PROMISED), 0.0);
 }
 
+/// A soak that stands still for two of its last four seconds was late for half of them.
+#[rstest]
+fn the_part_of_the_time_in_which_the_soak_itself_was_late_is_told() {
+    let mut record = sound();
+    record.lateness = vec![
+        Lateness { due_s: LENGTH_S - 10.0, late_s: 0.5 },
+        Lateness { due_s: LENGTH_S - 5.0, late_s: 2.0 },
+        Lateness { due_s: LENGTH_S - 2.0, late_s: 1.0 },
+    ];
+    assert!((record.late_part(LENGTH_S - 4.0) - 0.5).abs() < 1e-9);
+    assert!((record.late_part(0.0) - 3.5 / LENGTH_S).abs() < 1e-9);
+}
+
 fn call(id: &str, sent_s: f64, end: CallEnd) -> Call {
     Call {
         id: id.into(),
