Soak: a refusal for want of an instance beside a sound one is a broken promise

A request that ends as no-instance or instance-leaving is judged against the lives of the instances of its service: one that had started long enough ago for all nodes to know it, and neither ended nor said that it leaves until the answer, on a machine in touch.

Seven cases of the judge.

--- a/crates/bench/src/soak/exchange.rs
+++ b/crates/bench/src/soak/exchange.rs
@@ -59,6 +59,9 @@
     target.contains(DEADLY_PART)
 }
 
+/// What a node's own answer says where no instance was there to run the request.
+const NO_INSTANCE_REASONS: [&[u8]; 2] = [b"no-instance", b"instance-leaving"];
+
 /// The body that belongs to a request: another one for each id, but for deadly contents, which are
 /// always the same.
 pub fn request_body(method: &str, target: &str, id: &str) -> Bytes {
@@ -155,7 +158,8 @@
         None if is_success => CallEnd::WrongAnswer,
         None => {
             let names_return = head.fields.get(VOCABULARY.retry_after).is_some();
-            CallEnd::NodeFailed { status: head.status, names_return }
+            let lacks_instance = NO_INSTANCE_REASONS.contains(&body.trim_ascii());
+            CallEnd::NodeFailed { status: head.status, names_return, lacks_instance }
         }
     }
 }
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -51,6 +51,8 @@
     QuotaKept,
     /// A content that has ended three instances soon reaches none any more.
     DeadlyContentHeld,
+    /// No request is refused for want of an instance while a sound one lives that all nodes can know.
+    SoundInstanceTakes,
 }
 
 /// A broken promise.
@@ -115,11 +117,12 @@
     violations.extend(case.keys_held());
     violations.extend(case.quota());
     violations.extend(case.deadly());
+    violations.extend(case.refused_beside_sound_instances());
     violations.sort_by(|left, right| left.at_s.total_cmp(&right.at_s));
     violations
 }
 
-fn of_call(promise: Promise, call: &Call, detail: String) -> Violation {
+pub(super) fn of_call(promise: Promise, call: &Call, detail: String) -> Violation {
     let detail = format!("{detail} machine={} asked={:?} end={:?}", call.machine, call.asked, call.end);
     Violation { promise, subject: call.id.clone(), at_s: call.sent_s, detail }
 }
@@ -150,7 +153,7 @@
                 CallEnd::WrongAnswer => {
                     violations.push(of_call(Promise::OwnWholeAnswer, call, "not its own whole answer".into()));
                 }
-                CallEnd::NodeFailed { status: 503, names_return: false } => {
+                CallEnd::NodeFailed { status: 503, names_return: false, .. } => {
                     violations.push(of_call(Promise::RefusalSaysWhen, call, "no time to come back".into()));
                 }
                 CallEnd::NodeFailed { status, .. } if is_denial(status) && is_always_allowed(call) => {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -9,6 +9,7 @@
 //! - [`senders`], [`exchange`]: clients, calls and probes.
 //! - [`tenants`]: whose requests they are.
 //! - [`lateness`]: whether the soak itself keeps up.
+//! - [`judge_lives`]: who was refused although an instance lived; pure.
 //! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`]: what was seen, and which promise was broken; pure.
 
 pub mod entries;
@@ -17,6 +18,7 @@
 pub mod judge;
 pub mod judge_access;
 pub mod judge_deadly;
+pub mod judge_lives;
 pub mod lateness;
 pub mod plan;
 pub mod processes;
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -17,6 +17,8 @@
         status: u16,
         /// It says when to come back.
         names_return: bool,
+        /// It says that there was no instance to run the request.
+        lacks_instance: bool,
     },
     /// The connection ended before the whole answer.
     Cut,
@@ -147,6 +149,19 @@
     pub until_s: f64,
 }
 
+/// The time in which an instance took requests: it had started, and neither ended nor said that it leaves.
+#[derive(Debug, Clone)]
+pub struct Life {
+    /// Its machine.
+    pub machine: usize,
+    /// Its service.
+    pub service: String,
+    /// Begin.
+    pub from_s: f64,
+    /// End; none while it goes on.
+    pub until_s: Option<f64>,
+}
+
 /// How late the soak itself was: a timer of its own fired so long after it was due.
 #[derive(Debug, Clone, Copy)]
 pub struct Lateness {
@@ -165,6 +180,8 @@
     pub runs: Vec<Run>,
     /// Instances that left.
     pub leaving: Vec<Leaving>,
+    /// When instances took requests.
+    pub lives: Vec<Life>,
     /// Instances that ended under deadly requests.
     pub crashes: Vec<Crash>,
     /// Planned stops.
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -16,7 +16,7 @@
 use super::instance::{Instance, InstanceFaults};
 use super::processes::Processes;
 use super::proxy::Way;
-use super::record::Record;
+use super::record::{Life, Record};
 use super::senders::Senders;
 use crate::error::BenchError;
 use crate::spec::DeploymentSpec;
@@ -293,12 +293,18 @@
         let serving = instance.clone().serve(self.clone(), place.instance).await;
         serving.map_err(|error| BenchError::Process(format!("instance of {}: {error}", place.name())))?;
         self.instances.borrow_mut()[machine] = Some(instance);
+        let life = Life { machine, service: place.service.clone(), from_s: self.now_s(), until_s: None };
+        self.record.borrow_mut().lives.push(life);
         self.write_entry(machine, InstanceState::Ready);
         Ok(())
     }
 
     /// Takes the present instance of a machine away.
     pub fn take_instance(&self, machine: usize) -> Option<Rc<Instance>> {
+        let until_s = self.now_s();
+        let mut record = self.record.borrow_mut();
+        let present = record.lives.iter_mut().filter(|life| life.machine == machine && life.until_s.is_none());
+        present.for_each(|life| life.until_s = Some(until_s));
         self.instances.borrow_mut()[machine].take()
     }
 }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -4,7 +4,7 @@
 use olivegate_bench::soak::judge::{Promise, judge, last_run_after_leaving_s};
 use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Fault, FaultKind, Plan};
 use olivegate_bench::soak::record::{
-    Call, CallEnd, CallPurpose, Crash, Disturbance, Lateness, Leaving, Record, Run, Stop,
+    Call, CallEnd, CallPurpose, Crash, Disturbance, Lateness, Leaving, Life, Record, Run, Stop,
 };
 use rstest::rstest;
 
@@ -131,8 +131,9 @@
     record
 }
 
-const NOT_FOUND: CallEnd = CallEnd::NodeFailed { status: 404, names_return: false };
-const REFUSED: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true };
+const NOT_FOUND: CallEnd = CallEnd::NodeFailed { status: 404, names_return: false, lacks_instance: false };
+const REFUSED: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: false };
+const NO_INSTANCE: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: true };
 
 fn broken(change: impl FnOnce(&mut Record)) -> Vec<Promise> {
     let mut record = sound();
@@ -219,7 +220,7 @@
 })]
 #[case::no_return(Promise::RefusalSaysWhen, |record: &mut Record| {
     record.runs.remove(0);
-    record.calls[0].end = CallEnd::NodeFailed { status: 503, names_return: false };
+    record.calls[0].end = CallEnd::NodeFailed { status: 503, names_return: false, lacks_instance: false };
 })]
 #[case::denied(Promise::NotDenied, |record: &mut Record| record.calls[0].end = NOT_FOUND)]
 #[case::not_recovered(Promise::Recovers, |record: &mut Record| record.calls[1].end = CallEnd::TimedOut)]
@@ -242,6 +243,40 @@
     assert_eq!(broken, [promise]);
 }
 
+/// A request at 10 s that is refused for want of an instance, beside one on machine 1 that took requests
+/// from `from_s` to `until_s`.
+fn refused_beside(record: &mut Record, from_s: f64, until_s: Option<f64>) {
+    record.calls[0].end = NO_INSTANCE;
+    record.runs.remove(0);
+    record.lives.push(Life { machine: 1, service: "books".into(), from_s, until_s });
+}
+
+#[rstest]
+#[case::sound_all_the_time(1.0, None, &[Promise::SoundInstanceTakes])]
+#[case::ended_before(1.0, Some(9.9), &[])]
+#[case::ended_meanwhile(1.0, Some(10.05), &[])]
+#[case::ended_later(1.0, Some(10.2), &[Promise::SoundInstanceTakes])]
+#[case::known_to_few(8.0, None, &[])]
+fn a_refusal_beside_a_sound_instance_is_seen(
+    #[case] from_s: f64,
+    #[case] until_s: Option<f64>,
+    #[case] promises: &[Promise],
+) {
+    assert_eq!(broken(|record| refused_beside(record, from_s, until_s)), promises);
+}
+
+/// A machine that was disturbed is not one that everybody reaches.
+#[rstest]
+#[case::of_the_instance(1)]
+#[case::of_the_caller(0)]
+fn a_refusal_beside_a_disturbed_machine_is_none_beside_a_sound_instance(#[case] machine: usize) {
+    let broken = broken(|record| {
+        refused_beside(record, 1.0, None);
+        record.disturbances.push(Disturbance { machine: Some(machine), from_s: 8.0, until_s: 9.0 });
+    });
+    assert_eq!(broken, []);
+}
+
 #[rstest]
 #[case::of_the_machine(Some(1))]
 #[case::of_all(None)]
