A call whose id names its parent may be read late

Seen: beside other load a request ran at two instances of a service though none of them had failed it.

Cause: a node dates a call by its reading and its parent by the begin of its run. Where the process stood still in between for more than 30 ms, the call seemed to outlast its parent and passed for a client's. Its refusal then explained nothing, the parent's failure was put down to the instance, and it was repeated elsewhere.

Change: where the id names the parent, 500 ms are allowed. The bound never kept a forger out, who may name any time he likes: connection and route do. One that outlasts its parent by seconds is still none.

--- a/crates/sidecar/src/lineage/mod.rs
+++ b/crates/sidecar/src/lineage/mod.rs
@@ -38,6 +38,9 @@
 /// A request outlasts another one for certain when its deadline is this much later: what a busy
 /// process adds between the arrival of a call and its reading.
 const OUTLASTS: Duration = Duration::from_millis(30);
+/// A call whose id names its parent may seem to outlast it by this much: a process that stood still dates the
+/// call by its reading. Without this the call passes for a client's, and its failure for one of the instance.
+const NAMED_OUTLASTS: Duration = Duration::from_millis(500);
 /// Calls of a request that has ended may still arrive for this long.
 const STRAGGLES: Duration = Duration::from_millis(100);
 /// Time within which an instance fails after a call of an unknown parent failed.
@@ -231,7 +234,7 @@
         let ends = arriving.id.iter().enumerate().rev().filter(|(_, byte)| is_separator(byte));
         let key = ends.filter_map(|(end, _)| self.by_id.get(&arriving.id[..end])).next()?;
         let parent = &self.running[key].request;
-        (arriving.deadline <= parent.deadline + OUTLASTS).then_some(*key)
+        (arriving.deadline <= parent.deadline + NAMED_OUTLASTS).then_some(*key)
     }
 
     /// Running requests with this deadline.
