A call by a route of calls may be read late, whatever its id tells

The same fault as with named parents, where ids tell nothing: the first call of a new connection that was read more than 30 ms late put the connection down as a client's, and its calls were then held back by admission levels and their failures put down to the instance, until many others had shown otherwise.

Change: on a route whose requests were mostly calls so far, 500 ms are allowed, and the parent is the one that it outlasts least. Routes of clients keep 30 ms.

Tests: 2 of 3 new cases failed before.

--- a/crates/sidecar/src/lineage/mod.rs
+++ b/crates/sidecar/src/lineage/mod.rs
@@ -38,9 +38,10 @@
 /// A request outlasts another one for certain when its deadline is this much later: what a busy
 /// process adds between the arrival of a call and its reading.
 const OUTLASTS: Duration = Duration::from_millis(30);
-/// A call whose id names its parent may seem to outlast it by this much: a process that stood still dates the
-/// call by its reading. Without this the call passes for a client's, and its failure for one of the instance.
-const NAMED_OUTLASTS: Duration = Duration::from_millis(500);
+/// A call whose id names its parent, or that goes by a route of calls, may seem to outlast its parent by this
+/// much: a process that stood still dates the call by its reading. Without this the call passes for a
+/// client's, and its failure for one of the instance.
+const READ_LATE: Duration = Duration::from_millis(500);
 /// Calls of a request that has ended may still arrive for this long.
 const STRAGGLES: Duration = Duration::from_millis(100);
 /// Time within which an instance fails after a call of an unknown parent failed.
@@ -224,7 +225,8 @@
         let last_running = self.by_deadline.last().map(|(deadline, _)| *deadline);
         let last_ended = self.ended.iter().map(|(_, deadline)| *deadline).max();
         let last = last_running.max(last_ended);
-        let is_outlasted = last.is_some_and(|last| arriving.deadline <= last + OUTLASTS);
+        let allowed = if self.is_call_route(arriving.route) { READ_LATE } else { OUTLASTS };
+        let is_outlasted = last.is_some_and(|last| arriving.deadline <= last + allowed);
         if is_outlasted { Sign::Possible } else { Sign::Impossible }
     }
 
@@ -234,7 +236,7 @@
         let ends = arriving.id.iter().enumerate().rev().filter(|(_, byte)| is_separator(byte));
         let key = ends.filter_map(|(end, _)| self.by_id.get(&arriving.id[..end])).next()?;
         let parent = &self.running[key].request;
-        (arriving.deadline <= parent.deadline + NAMED_OUTLASTS).then_some(*key)
+        (arriving.deadline <= parent.deadline + READ_LATE).then_some(*key)
     }
 
     /// Running requests with this deadline.
@@ -251,12 +253,12 @@
         sign: Sign,
         nested: Option<RunningKey>,
     ) -> Origin {
-        let route = self.routes.get(arriving.route);
-        let is_call_route = route.is_some_and(|route| route.is_call_route());
+        let is_call_route = self.is_call_route(arriving.route);
+        let is_new_route = !self.routes.contains_key(arriving.route);
         let is_call = match (standing, sign) {
             (Standing::Client, _) | (_, Sign::Keyed) => false,
             (Standing::Instance, Sign::NestedId | Sign::SameDeadline) => true,
-            (Standing::Unsettled, Sign::NestedId) => is_call_route || route.is_none(),
+            (Standing::Unsettled, Sign::NestedId) => is_call_route || is_new_route,
             (Standing::Unsettled, _) if self.nesting >= NESTING_IN_USE => false,
             (Standing::Instance | Standing::Unsettled, _) => is_call_route,
         };
@@ -267,6 +269,11 @@
         }
     }
 
+    /// True when most requests of the route were calls so far.
+    fn is_call_route(&self, route: &str) -> bool {
+        self.routes.get(route).is_some_and(|route| route.is_call_route())
+    }
+
     fn learn(&mut self, route: &str, standing: Standing, sign: Sign) {
         let is_call = match (standing, sign) {
             (Standing::Client, _) | (_, Sign::Keyed) => false,
@@ -287,14 +294,19 @@
     }
 
     /// The parent of a call whose id does not name it: the one with the call's deadline, else
-    /// one that the call does not outlast. Several of one kind are as good as one.
+    /// one that the call does not outlast, or not by more than a late reading adds. Several of one kind are
+    /// as good as one.
     fn parent_by_deadline(&self, deadline: Moment) -> Parent {
         if let Some(key) = self.only_kind(self.with_deadline(deadline)) {
             return Parent::Probable(key);
         }
-        let first = (deadline.saturating_sub(LATER), RunningKey(0));
-        let later = self.by_deadline.range(first..).map(|(_, key)| *key);
-        self.only_kind(later).map_or(Parent::Unknown, Parent::Probable)
+        let outlived = |by: Duration| {
+            let first = (deadline.saturating_sub(by), RunningKey(0));
+            self.by_deadline.range(first..).map(|(_, key)| *key)
+        };
+        let is_read_late = outlived(LATER).next().is_none();
+        let fitting = outlived(if is_read_late { READ_LATE } else { LATER });
+        self.only_kind(fitting).map_or(Parent::Unknown, Parent::Probable)
     }
 
     /// The first of `keys` when the roots of all of them are of one route and importance.
--- a/crates/sidecar/tests/decisions/lineage.rs
+++ b/crates/sidecar/tests/decisions/lineage.rs
@@ -244,6 +244,26 @@
     assert_eq!(origin, Origin::Call(Parent::Sure(parent)));
 }
 
+/// The first call of a new connection, by a route of calls and under an id that tells nothing.
+#[rstest]
+#[case::as_soon_as_it_came(0)]
+#[case::a_moment_later(100)]
+#[case::as_late_as_a_starved_process_reads(450)]
+fn a_call_that_is_read_late_is_none_of_a_client_on_a_route_of_calls(#[case] late: u64) {
+    let mut lineage = Lineage::default();
+    let known = Cell::default();
+    for number in 0..50_u64 {
+        let parent = lineage.begin(running(&format!("p{number}"), "credit", 1_000 + number, 0.0));
+        lineage.classify(arriving(&format!("x{number}"), "fetch", 1_000 + number), &known, at(number));
+        lineage.end(parent, at(number));
+    }
+    let parent = lineage.begin(running("p", "credit", 2_000, 0.0));
+    let connection = Cell::default();
+    let origin = lineage.classify(arriving("x", "fetch", 2_000 + late), &connection, at(1_000 + late));
+    assert_eq!(origin, Origin::Call(Parent::Probable(parent)));
+    assert_ne!(connection.get().standing(), Standing::Client);
+}
+
 #[rstest]
 fn a_call_has_the_parent_that_its_id_names() {
     let mut lineage = Lineage::default();
