--- a/crates/sidecar/src/gate/instance_connection.rs
+++ b/crates/sidecar/src/gate/instance_connection.rs
@@ -71,6 +71,7 @@
         InstanceConnection { answers, requests, rested: None }
     }
 
+    /// What has become of the connection while it rested; reads no more than a byte.
     fn rested_state(&self) -> RestedState {
         let mut byte = [0];
         match self.answers.get_ref().try_read(&mut byte) {
--- a/crates/sidecar/src/gate/presence.rs
+++ b/crates/sidecar/src/gate/presence.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use olivegate_http1::{BodyLength, Fields, Frame, RequestHead, ResponseHead};
-use olivegate_types::{InstanceName, RefusalReason};
+use olivegate_types::{InstanceName, Refusal, RefusalReason};
 use tokio::io::AsyncWriteExt;
 
 use super::identity::Found;
@@ -22,7 +22,6 @@
 use crate::reply::{Failure, FailureReason, GateReply};
 use crate::state::Node;
 use olivegate_clock as clock;
-use olivegate_types::Refusal;
 
 /// Time limit of the question: a busy instance lets it wait for a slot, and the requests that wait for
 /// the answer are then served as if it had not been asked.
