--- a/crates/sidecar/tests/path/keys.rs
+++ b/crates/sidecar/tests/path/keys.rs
@@ -195,8 +195,8 @@
 /// A node starts right after the source came back from an older copy of itself: its first reading shows
 /// a key that had been withdrawn before. A node that was there before waits until the operator has had
 /// time to write again what was lost; one that had just started took its first reading as proof, since it knew
-/// of no return. Settled by `configuration_in_force version=1` behind the withdrawal's acknowledgement, with
-/// an epoch above 0 in the same reading.
+/// of no return. Found by reading; settled by this test, which got 200 until the wait began with a node's
+/// first epoch, too.
 #[rstest]
 fn a_node_that_starts_after_the_source_lost_a_withdrawal_does_not_take_the_key() {
     run(async {
--- a/crates/sidecar/tests/path/replaced.rs
+++ b/crates/sidecar/tests/path/replaced.rs
@@ -8,8 +8,8 @@
 //! instance that got the request: after two of them the route allowed no third.
 //! Cause: the gate beside the instance had seen the end (its port refused connections), but what it knew
 //! hung on the one exchange that had failed; nothing kept the next request from the port.
-//! Settled by: the trail of attempts of the refused requests, `attempts=books-2:wrong-instance,books-3:wrong-instance`,
-//! behind `exchange_failed reason=instance-ended` of the same gates.
+//! Settled by: the trail of attempts of a refused request, `books-2-1:wrong-instance,books-1-1:wrong-instance`,
+//! 59 ms after the second of the two had started again, while two others lived.
 
 use std::cell::Cell;
 use std::rc::Rc;
