Tests: a question at each close of a connection that rested, seen failing

Callers: each close of a resting connection is taken for a sign that the instance has ended, and the next request waits up to 100 ms for the question who is there. Here: 30 questions for 30 requests in each of three cases (health answered at once, after 0.3 s, never), no instance ending.

TestInstance: what it does beside its script has a type and names (is_odd was none).

--- a/crates/sidecar/tests/path/instance.rs
+++ b/crates/sidecar/tests/path/instance.rs
@@ -69,8 +69,16 @@
     serving: Rc<RefCell<Option<AbortHandle>>>,
     /// Told when it has crashed.
     pub crashed: Rc<Notify>,
-    /// Its script also says what follows the question whether it is healthy.
-    is_odd: bool,
+    conduct: Conduct,
+}
+
+/// What a test instance does beside its script.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Conduct {
+    /// The script says what follows the health question, too.
+    pub scripts_health: bool,
+    /// Connections that rest longer than this are closed, which no answer announces.
+    pub closes_after: Option<Duration>,
 }
 
 /// Counts a connection as long as it is open.
@@ -96,9 +104,13 @@
         TestInstance::default().serve(address, script).await
     }
 
-    /// One whose script also says what follows the question whether it is healthy.
-    pub async fn start_odd(address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
-        TestInstance { is_odd: true, ..TestInstance::default() }.serve(address, script).await
+    /// One with a conduct of its own.
+    pub async fn start_with(
+        address: SocketAddr,
+        conduct: Conduct,
+        script: impl Fn(&Seen, usize) -> Vec<Action> + 'static,
+    ) -> Self {
+        TestInstance { conduct, ..TestInstance::default() }.serve(address, script).await
     }
 
     async fn serve(self, address: SocketAddr, script: impl Fn(&Seen, usize) -> Vec<Action> + 'static) -> Self {
@@ -133,7 +145,16 @@
         let mut requests = FramedRead::new(reading, RequestDecoder::new(65_536, 1 << 30));
         let mut current: Option<(RequestHead, BytesMut)> = None;
         let mut rests_since: Option<tokio::time::Instant> = None;
-        while let Some(Ok(frame)) = requests.next().await {
+        loop {
+            let longest_rest = rests_since.and(self.conduct.closes_after);
+            let frame = match longest_rest {
+                Some(longest_rest) => match tokio::time::timeout(longest_rest, requests.next()).await {
+                    Ok(frame) => frame,
+                    Err(_) => return,
+                },
+                None => requests.next().await,
+            };
+            let Some(Ok(frame)) = frame else { return };
             match (frame, current.take()) {
                 (Frame::Head(head, _), _) => current = Some((head, BytesMut::new())),
                 (Frame::Data(data), Some((head, mut body))) => {
@@ -144,7 +165,7 @@
                     let rested = rests_since.map(|since| since.elapsed());
                     let seen = Seen { head, body: body.freeze(), rested };
                     let before = self.seen.borrow().len();
-                    let actions = if seen.is_health_question() && !self.is_odd {
+                    let actions = if seen.is_health_question() && !self.conduct.scripts_health {
                         health_answer(script(&seen, before))
                     } else {
                         self.seen.borrow_mut().push(seen.clone());
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! The whole path with real sockets: clients, nodes, instances and a source on loopback.
 
 mod answers;
+mod asking;
 mod calls;
 mod client;
 mod configuration;
--- a/crates/sidecar/tests/path/replaced.rs
+++ b/crates/sidecar/tests/path/replaced.rs
@@ -21,7 +21,7 @@
 use rstest::rstest;
 
 use crate::client::{Client, get, post};
-use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::instance::{Action, Conduct, Seen, TestInstance, answer};
 use crate::support::{Fleet, configuration, route, run};
 
 const BOOKS: &str = "books";
@@ -238,7 +238,8 @@
             true => reply.clone(),
             false => vec![Action::Send(answer(200, &seen.id(), "body"))],
         };
-        TestInstance::start_odd(fleet.instance_address(2), script).await;
+        let conduct = Conduct { scripts_health: true, ..Conduct::default() };
+        TestInstance::start_with(fleet.instance_address(2), conduct, script).await;
         Fleet::ready(&fleet.start(2, BOOKS).await).await;
         Fleet::ready(&fleet.start(EDGE, "desk").await).await;
         for number in 0..AT_ONCE {
