--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 
-use super::record::{Call, CallEnd, CallPurpose, Leaving, Promised, Record, Run};
+use super::record::{Call, CallEnd, CallPurpose, Disturbance, Leaving, Promised, Record, Run};
 
 /// Part of the requests of the last seconds that have to be served.
 const RECOVERED_PART: f64 = 0.9;
@@ -132,16 +132,33 @@
     Violation { promise, subject: run.id.clone(), at_s: run.at_s, detail }
 }
 
-/// Where and when a request ran.
-fn places_of(runs: &[&Run]) -> String {
-    let places: Vec<String> = runs
-        .iter()
-        .map(|run| format!("{} at {:.3} s on machine {}", run.instance, run.at_s, run.machine))
-        .collect();
-    format!("ran as {}", places.join(", "))
-}
-
 impl Case<'_> {
+    /// Where and when a request ran, and what had disturbed those machines by then.
+    fn places_of(&self, runs: &[&Run]) -> String {
+        let place = |run: &&Run| {
+            let Run { instance, machine, at_s, .. } = run;
+            format!("{instance} at {at_s:.3} s on machine {machine} ({})", self.disturbances_before(run))
+        };
+        format!("ran as {}", runs.iter().map(place).collect::<Vec<String>>().join(", "))
+    }
+
+    fn disturbances_before(&self, run: &Run) -> String {
+        let is_recent = |disturbance: &&Disturbance| {
+            let from_s = run.at_s - self.promised.contact_s;
+            disturbance.machine == Some(run.machine)
+                && disturbance.from_s <= run.at_s
+                && disturbance.until_s >= from_s
+        };
+        let recent: Vec<String> = self
+            .record
+            .disturbances
+            .iter()
+            .filter(is_recent)
+            .map(|disturbance| format!("disturbed {:.3} to {:.3} s", disturbance.from_s, disturbance.until_s))
+            .collect();
+        if recent.is_empty() { "calm".into() } else { recent.join(", ") }
+    }
+
     fn runs_of(&self, call: &Call) -> &[&Run] {
         self.runs.get(call.id.as_str()).map_or(&[], Vec::as_slice)
     }
@@ -170,10 +187,10 @@
         for call in &self.record.calls {
             let runs = self.runs_of(call);
             if runs.len() > 1 && !call.repeatable {
-                violations.push(of_call(Promise::AtMostOnce, call, places_of(runs)));
+                violations.push(of_call(Promise::AtMostOnce, call, self.places_of(runs)));
             }
             if runs.len() > call.attempts as usize {
-                let detail = format!("{}, {} allowed", places_of(runs), call.attempts);
+                let detail = format!("{}, {} allowed", self.places_of(runs), call.attempts);
                 violations.push(of_call(Promise::AttemptsBounded, call, detail));
             }
             let is_told_not_run =
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -10,6 +10,7 @@
 //! - [`tenants`]: whose requests they are.
 //! - [`lateness`]: whether the soak itself keeps up.
 //! - [`judge_lives`]: who was refused although an instance lived; pure.
+//! - [`traces`]: what the programs' logs say of a broken promise.
 //! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`]: what was seen, and which promise was broken; pure.
 
 pub mod entries;
@@ -27,6 +28,7 @@
 pub mod senders;
 pub mod strike;
 pub mod tenants;
+pub mod traces;
 pub mod world;
 
 use std::path::{Path, PathBuf};
@@ -83,6 +85,7 @@
     let out: PathBuf = arguments.value_from_str("--out").map_err(usage)?;
     let only: Option<String> = arguments.opt_value_from_str("--only").map_err(usage)?;
     let is_planned_only = arguments.contains("--planned");
+    let kinds: Option<String> = arguments.opt_value_from_str("--kinds").map_err(usage)?;
     let load: f64 = arguments.opt_value_from_str("--load").map_err(usage)?.unwrap_or(USUAL_LOAD);
     let examples: PathBuf =
         arguments.opt_value_from_str("--examples").map_err(usage)?.unwrap_or_else(|| PathBuf::from("examples"));
@@ -98,13 +101,27 @@
     }
     let spec = DeploymentSpec::read(&examples.join(&deployment).join("deployment.toml"))?;
     let machines = spec.services.iter().map(|service| service.instances).sum();
-    let mut plan = Plan::draw(seed, seconds, machines, is_planned_only);
+    let mut plan = match kinds {
+        Some(names) => plan_of_kinds(seed, seconds, machines, &names)?,
+        None => Plan::draw(seed, seconds, machines, is_planned_only),
+    };
     if let Some(only) = only {
         plan = plan.only(&numbers(&only)?);
     }
     Soak { spec, seed, plan, load, out }.run()
 }
 
+fn plan_of_kinds(seed: u64, seconds: f64, machines: usize, names: &str) -> Result<Plan, BenchError> {
+    let names: Vec<String> = names.split(',').map(|name| name.trim().to_string()).collect();
+    let plan = Plan::draw_kinds(seed, seconds, machines, &names);
+    if plan.faults.is_empty() {
+        return Err(BenchError::Usage(format!(
+            "--kinds takes kinds of faults such as Pause,Link(Silent, not '{names:?}'"
+        )));
+    }
+    Ok(plan)
+}
+
 fn numbers(text: &str) -> Result<Vec<usize>, BenchError> {
     let number = |part: &str| part.trim().parse();
     text.split(',')
@@ -151,6 +168,8 @@
         let lines: Vec<String> = violations.iter().map(ToString::to_string).collect();
         write_lines(&self.out.join("plan.txt"), &faults)?;
         write_lines(&self.out.join("violations.txt"), &lines)?;
+        let subjects: Vec<&str> = violations.iter().map(|violation| violation.subject.as_str()).collect();
+        write_lines(&self.out.join("traces.txt"), &traces::lines_about(&self.out, &subjects))?;
         println!(
             "deployment={} seed={} seconds={} faults={} requests={} runs={} ended_by_requests={} leavings={} last_run_after_leaving_s={:.3} \
              late_part={:.3} late_part_at_end={:.3} violations={}",
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -230,15 +230,7 @@
         let is_wanted = |(kind, _): &(FaultKind, u32)| kind.is_planned() || !is_planned_only;
         let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(is_wanted).collect();
         let mut faults = Vec::new();
-        let mut at_s = CALM_START_S;
-        while at_s < length_s - CALM_END_S {
-            let drawn = kinds.choose_weighted(&mut random, |(_, weight)| *weight);
-            let Ok((kind, _)) = drawn.copied() else { break };
-            let for_s = random.random_range(DURATION_S).min(length_s - CALM_END_S - at_s).max(0.1);
-            let machine = random.random_range(0..machines.max(1));
-            faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
-            at_s += random.random_range(0.0..2.0 * MEAN_GAP_S);
-        }
+        draw_usual(&mut faults, &kinds, &mut random, length_s, machines);
         if !is_planned_only {
             draw_deadly(&mut faults, seed, length_s, machines);
             draw_restored(&mut faults, seed, length_s, machines);
@@ -247,6 +239,17 @@
         Plan { faults, length_s }
     }
 
+    /// Draws faults of the kinds whose names begin with one of `names`, such as `Pause` or
+    /// `Link(Silent`, and no others: many of one kind overlap.
+    pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String]) -> Self {
+        let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
+        let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(|(kind, _)| is_named(kind)).collect();
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        draw_usual(&mut faults, &kinds, &mut random, length_s, machines);
+        Plan { faults, length_s }
+    }
+
     /// The plan with these faults only.
     pub fn only(mut self, numbers: &[usize]) -> Self {
         self.faults.retain(|fault| numbers.contains(&fault.number));
@@ -254,6 +257,25 @@
     }
 }
 
+/// Draws one fault after the other from `kinds`, with their weights.
+fn draw_usual(
+    faults: &mut Vec<Fault>,
+    kinds: &[(FaultKind, u32)],
+    random: &mut StdRng,
+    length_s: f64,
+    machines: usize,
+) {
+    let mut at_s = CALM_START_S;
+    while at_s < length_s - CALM_END_S {
+        let drawn = kinds.choose_weighted(random, |(_, weight)| *weight);
+        let Ok((kind, _)) = drawn.copied() else { break };
+        let for_s = random.random_range(DURATION_S).min(length_s - CALM_END_S - at_s).max(0.1);
+        let machine = random.random_range(0..machines.max(1));
+        faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
+        at_s += random.random_range(0.0..2.0 * MEAN_GAP_S);
+    }
+}
+
 /// Draws the contents that end instances.
 fn draw_deadly(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
     let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -2,10 +2,11 @@
 
 use olivegate_bench::soak::PROMISED;
 use olivegate_bench::soak::judge::{Promise, judge, last_run_after_leaving_s};
-use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Fault, FaultKind, Plan};
+use olivegate_bench::soak::plan::{CALM_END_S, CALM_START_S, Fault, FaultKind, LinkFault, Plan};
 use olivegate_bench::soak::record::{
     Call, CallEnd, CallPurpose, Crash, Disturbance, Lateness, Leaving, Life, Record, Run, Stop,
 };
+use olivegate_bench::soak::traces::lines_about;
 use rstest::rstest;
 
 const LENGTH_S: f64 = 60.0;
@@ -26,6 +27,35 @@
     assert!(plan.faults.iter().all(|fault| fault.kind.is_planned()) && plan.faults.len() > 20);
 }
 
+#[rstest]
+fn faults_of_some_kinds_can_be_drawn_alone() {
+    let plan = Plan::draw_kinds(7, 300.0, 12, &["Pause".into(), "Link(Silent".into()]);
+    let is_named = |fault: &Fault| matches!(fault.kind, FaultKind::Pause | FaultKind::Link(LinkFault::Silent));
+    assert!(plan.faults.iter().all(is_named) && plan.faults.len() > 20, "{plan:?}");
+    assert!(plan.faults.iter().any(|fault| fault.kind == FaultKind::Pause), "{plan:?}");
+    assert!(Plan::draw_kinds(7, 300.0, 12, &["Nothing".into()]).faults.is_empty());
+}
+
+/// The lines of the request with which a promise was broken, and no others, each with its machine.
+#[rstest]
+fn what_logs_say_of_a_broken_promise_is_found() {
+    let directory = std::env::temp_dir().join(format!("olivegate-traces-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    let lines = "event=offered request=r-1 route=a\nevent=offered request=r-11 route=a\n";
+    std::fs::write(directory.join("node-2.log"), lines).unwrap();
+    std::fs::write(directory.join("node-1.log"), "event=started request=r-1 instance=i\n").unwrap();
+    std::fs::write(directory.join("plan.txt"), "request=r-1 \n").unwrap();
+    let found = lines_about(&directory, &["r-1"]);
+    std::fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(
+        found,
+        [
+            "subject=r-1 log=node-1 event=started request=r-1 instance=i",
+            "subject=r-1 log=node-2 event=offered request=r-1 route=a",
+        ]
+    );
+}
+
 #[rstest]
 fn a_plan_can_be_made_smaller() {
     let plan = Plan::draw(7, LENGTH_S, 12, false);
