--- a/crates/overload/src/admission/level_table.rs
+++ b/crates/overload/src/admission/level_table.rs
@@ -36,6 +36,23 @@
     }
 }
 
+/// A level below 1 that binds a class, and the report that moved it last.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BindingLevel {
+    /// The class.
+    pub class: ClassKey,
+    /// The level in force, at most 1.
+    pub level: f64,
+    /// Service that reported it.
+    pub service: ServiceName,
+    /// Hop of the call that it was reported for.
+    pub hop: u8,
+    /// Level held after the last report.
+    pub held: f64,
+    /// Age of the last report.
+    pub age: Duration,
+}
+
 /// Levels by class, reporting service and hop of the call; the smallest one binds.
 ///
 /// The hop keeps reports from circling: a gate passes on only what it learnt from
@@ -109,11 +126,30 @@
         self.levels.retain(|class, _| keeps(class));
     }
 
+    /// The level that binds each class, where it is below 1, in order of classes; for log lines.
+    pub fn binding(&self, now: Moment) -> Vec<BindingLevel> {
+        let mut binding: Vec<BindingLevel> =
+            self.levels.iter().filter_map(|(class, learnt)| self.binding_of(class, learnt, now)).collect();
+        binding.sort_by(|left, right| left.class.cmp(&right.class));
+        binding
+    }
+
+    fn binding_of(&self, class: &ClassKey, learnt: &[Learnt], now: Moment) -> Option<BindingLevel> {
+        let level_of = |entry: &Learnt| entry.level_at(self.hold, now);
+        let lowest = learnt.iter().min_by(|left, right| level_of(left).total_cmp(&level_of(right)))?;
+        let level = level_of(lowest);
+        (level < FULL_LEVEL).then(|| BindingLevel {
+            class: class.clone(),
+            level,
+            service: lowest.service.clone(),
+            hop: lowest.hop,
+            held: lowest.level,
+            age: now.since(lowest.at),
+        })
+    }
+
     /// Levels below 1, for status.
     pub fn entries(&self, now: Moment) -> Vec<(ClassKey, f64)> {
-        let mut entries: Vec<_> = self.levels.keys().map(|key| (key.clone(), self.level(key, 0, now))).collect();
-        entries.retain(|(_, level)| *level < FULL_LEVEL);
-        entries.sort_by(|left, right| left.0.cmp(&right.0));
-        entries
+        self.binding(now).into_iter().map(|binding| (binding.class, binding.level)).collect()
     }
 }
--- a/crates/overload/src/admission/mod.rs
+++ b/crates/overload/src/admission/mod.rs
@@ -15,7 +15,7 @@
 
 pub use demand_levels::DemandLevels;
 pub use gate_levels::{Arrival, GateLevels};
-pub use level_table::LevelTable;
+pub use level_table::{BindingLevel, LevelTable};
 
 use olivegate_types::{GroupName, Importance, KindName};
 
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod queue;
 pub mod retry_after;
 
-pub use admission::{Arrival, ClassKey, DemandLevels, GateLevels, LevelTable};
+pub use admission::{Arrival, BindingLevel, ClassKey, DemandLevels, GateLevels, LevelTable};
 pub use limit::AdaptiveLimit;
 pub use pressure::{Pace, ProcessPressure};
 pub use queue::{Admission, Demand, InstanceQueue, Settings, TicketId};
--- a/crates/overload/tests/levels.rs
+++ b/crates/overload/tests/levels.rs
@@ -87,3 +87,17 @@
     }
     assert!(retry_after_level(0.2, 0.5) > retry_after_level(0.8, 0.5));
 }
+
+/// What is told of a level that holds requests back: who reported it, how low, and how long ago.
+#[test]
+fn the_report_that_binds_a_class_is_told() {
+    let mut table = LevelTable::with_hold(Duration::from_millis(100));
+    table.on_report(&class(), &ServiceName::new("catalogue"), 0, 0.9, at(0));
+    table.on_report(&class(), &ServiceName::new("stockroom"), 1, 0.2, at(0));
+    let binding = table.binding(at(200));
+    let [lowest] = binding.as_slice() else { panic!("{binding:?}") };
+    assert_eq!((lowest.service.as_str(), lowest.hop, lowest.held), ("stockroom", 1, 0.2));
+    assert_eq!(lowest.age, Duration::from_millis(200));
+    assert!((lowest.level - table.level(&class(), 0, at(200))).abs() < 1e-9);
+    assert!(table.binding(at(2_000)).is_empty(), "it has risen since");
+}
--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -20,6 +20,10 @@
 
 /// Interval of work that no event starts.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Rounds of it after which levels below 1 are logged: once a second.
+const LEVELS_LOGGED_EVERY: u32 = 4;
+/// Levels that are logged at a time.
+const MOST_LEVELS_LOGGED: usize = 4;
 
 /// Interval at which the settings are looked at without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -188,7 +192,7 @@
     let mut interval = tokio::time::interval(HOUSEKEEPING);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut suspension = SuspensionWatch::default();
-    loop {
+    for round in 1_u32.. {
         interval.tick().await;
         if let Some(suspended) = suspension.look(clock::now(), clock::awake()) {
             log::warn!("event=suspended for_ms={}", suspended.as_millis());
@@ -196,5 +200,24 @@
         }
         node.update_directory("expiry", |directory| directory.expire(clock::now()));
         node.gate.quarantine.expire(&node);
+        if round.is_multiple_of(LEVELS_LOGGED_EVERY) {
+            log_levels(&node);
+        }
+    }
+}
+
+/// Tells which levels hold requests back, and what moved them last.
+fn log_levels(node: &Node) {
+    for binding in node.levels.borrow().binding(clock::now()).iter().take(MOST_LEVELS_LOGGED) {
+        log::info!(
+            "event=level_low class={} importance={} level={:.2} service={} hop={} held={:.2} age_ms={}",
+            binding.class.root_kind,
+            binding.class.importance.0,
+            binding.level,
+            binding.service,
+            binding.hop,
+            binding.held,
+            binding.age.as_millis(),
+        );
     }
 }
