Waits end before a look is due, so that only overdue calls cost looks

Each waiting call lasted 0.29 to 0.34 of what is allowed and had one look beside it: two calls of the store in 0.63 s of 2 s allowed, 3.2 a second and reader.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -27,10 +27,10 @@
   olivegate-bench check DIR
       Judge the histories in DIR again.
   olivegate-bench soak --deployment ramdin-freres|cuenca --seconds T --seed N --out DIR
-                       [--only N,N,..] [--planned] [--kinds NAME,..] [--load F] [--examples DIR]
+                       [--only N,N,..] [--planned] [--kinds NAME,..] [--gap T] [--load F] [--examples DIR]
       Run a sidecar process beside each emulated instance under random faults and judge
       the promises. --only keeps these faults of the plan; --planned draws planned work
-      only, --kinds faults of these kinds only, such as Pause. --load is the usual load over what the slots can serve (0.5). Writes plan.txt, violations.txt, traces.txt (log lines of the requests
+      only, --kinds faults of these kinds only, such as Pause, --gap seconds apart in the mean (2). --load is the usual load over what the slots can serve (0.5). Writes plan.txt, violations.txt, traces.txt (log lines of the requests
       that they are about) and the logs; exits 1 on a broken promise.
   olivegate-bench scenarios
       List the scenarios.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -41,7 +41,7 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use self::judge::{Violation, judge, last_run_after_leaving_s, outcomes};
-use self::plan::Plan;
+use self::plan::{MEAN_GAP_S, Plan};
 use self::proxy::DatagramEnd;
 use self::record::{Promised, Record};
 use self::world::World;
@@ -86,6 +86,7 @@
     let only: Option<String> = arguments.opt_value_from_str("--only").map_err(usage)?;
     let is_planned_only = arguments.contains("--planned");
     let kinds: Option<String> = arguments.opt_value_from_str("--kinds").map_err(usage)?;
+    let gap_s: Option<f64> = arguments.opt_value_from_str("--gap").map_err(usage)?;
     let load: f64 = arguments.opt_value_from_str("--load").map_err(usage)?.unwrap_or(USUAL_LOAD);
     let examples: PathBuf =
         arguments.opt_value_from_str("--examples").map_err(usage)?.unwrap_or_else(|| PathBuf::from("examples"));
@@ -102,7 +103,8 @@
     let spec = DeploymentSpec::read(&examples.join(&deployment).join("deployment.toml"))?;
     let machines = spec.services.iter().map(|service| service.instances).sum();
     let mut plan = match kinds {
-        Some(names) => plan_of_kinds(seed, seconds, machines, &names)?,
+        Some(names) => plan_of_kinds(seed, seconds, machines, &names, gap_s.unwrap_or(MEAN_GAP_S))?,
+        None if gap_s.is_some() => return Err(BenchError::Usage("--gap goes with --kinds".into())),
         None => Plan::draw(seed, seconds, machines, is_planned_only),
     };
     if let Some(only) = only {
@@ -111,9 +113,12 @@
     Soak { spec, seed, plan, load, out }.run()
 }
 
-fn plan_of_kinds(seed: u64, seconds: f64, machines: usize, names: &str) -> Result<Plan, BenchError> {
+fn plan_of_kinds(seed: u64, seconds: f64, machines: usize, names: &str, gap_s: f64) -> Result<Plan, BenchError> {
+    if !(0.05..=60.0).contains(&gap_s) {
+        return Err(BenchError::Usage("--gap is from 0.05 to 60 seconds".into()));
+    }
     let names: Vec<String> = names.split(',').map(|name| name.trim().to_string()).collect();
-    let plan = Plan::draw_kinds(seed, seconds, machines, &names);
+    let plan = Plan::draw_kinds(seed, seconds, machines, &names, gap_s);
     if plan.faults.is_empty() {
         return Err(BenchError::Usage(format!(
             "--kinds takes kinds of faults such as Pause,Link(Silent, not '{names:?}'"
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -13,8 +13,8 @@
 pub const CALM_START_S: f64 = 4.0;
 /// Time without faults at the end, in which everything has to recover, in seconds.
 pub const CALM_END_S: f64 = 15.0;
-/// Mean time between two faults, in seconds.
-const MEAN_GAP_S: f64 = 2.0;
+/// Usual mean time between two faults, in seconds.
+pub const MEAN_GAP_S: f64 = 2.0;
 /// Shortest and longest fault, in seconds.
 const DURATION_S: std::ops::Range<f64> = 0.5..5.0;
 
@@ -230,7 +230,7 @@
         let is_wanted = |(kind, _): &(FaultKind, u32)| kind.is_planned() || !is_planned_only;
         let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(is_wanted).collect();
         let mut faults = Vec::new();
-        draw_usual(&mut faults, &kinds, &mut random, length_s, machines);
+        draw_usual(&mut faults, &kinds, &mut random, (length_s, MEAN_GAP_S), machines);
         if !is_planned_only {
             draw_deadly(&mut faults, seed, length_s, machines);
             draw_restored(&mut faults, seed, length_s, machines);
@@ -240,13 +240,13 @@
     }
 
     /// Draws faults of the kinds whose names begin with one of `names`, such as `Pause` or
-    /// `Link(Silent`, and no others: many of one kind overlap.
-    pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String]) -> Self {
+    /// `Link(Silent`, and no others, `mean_gap_s` seconds apart: many of one kind overlap.
+    pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String], mean_gap_s: f64) -> Self {
         let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
         let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(|(kind, _)| is_named(kind)).collect();
         let mut random = StdRng::seed_from_u64(seed);
         let mut faults = Vec::new();
-        draw_usual(&mut faults, &kinds, &mut random, length_s, machines);
+        draw_usual(&mut faults, &kinds, &mut random, (length_s, mean_gap_s), machines);
         Plan { faults, length_s }
     }
 
@@ -257,12 +257,12 @@
     }
 }
 
-/// Draws one fault after the other from `kinds`, with their weights.
+/// Draws one fault after the other from `kinds`, with their weights and this mean gap between them.
 fn draw_usual(
     faults: &mut Vec<Fault>,
     kinds: &[(FaultKind, u32)],
     random: &mut StdRng,
-    length_s: f64,
+    (length_s, mean_gap_s): (f64, f64),
     machines: usize,
 ) {
     let mut at_s = CALM_START_S;
@@ -272,7 +272,7 @@
         let for_s = random.random_range(DURATION_S).min(length_s - CALM_END_S - at_s).max(0.1);
         let machine = random.random_range(0..machines.max(1));
         faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
-        at_s += random.random_range(0.0..2.0 * MEAN_GAP_S);
+        at_s += random.random_range(0.0..2.0 * mean_gap_s);
     }
 }
 
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -29,11 +29,13 @@
 
 #[rstest]
 fn faults_of_some_kinds_can_be_drawn_alone() {
-    let plan = Plan::draw_kinds(7, 300.0, 12, &["Pause".into(), "Link(Silent".into()]);
+    let plan = Plan::draw_kinds(7, 300.0, 12, &["Pause".into(), "Link(Silent".into()], 2.0);
     let is_named = |fault: &Fault| matches!(fault.kind, FaultKind::Pause | FaultKind::Link(LinkFault::Silent));
     assert!(plan.faults.iter().all(is_named) && plan.faults.len() > 20, "{plan:?}");
     assert!(plan.faults.iter().any(|fault| fault.kind == FaultKind::Pause), "{plan:?}");
-    assert!(Plan::draw_kinds(7, 300.0, 12, &["Nothing".into()]).faults.is_empty());
+    let denser = Plan::draw_kinds(7, 300.0, 12, &["Pause".into()], 0.2);
+    assert!(denser.faults.len() > 5 * plan.faults.len(), "{} faults", denser.faults.len());
+    assert!(Plan::draw_kinds(7, 300.0, 12, &["Nothing".into()], 2.0).faults.is_empty());
 }
 
 /// The lines of the request with which a promise was broken, and no others, each with its machine.
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -1,16 +1,15 @@
 //! Waiting for changes, as one of the readers.
 //!
-//! One call waits long, since each costs. What it does not tell is found by looks at the source's
-//! last change meanwhile: a call may wait without a word while changes are made, since its connection
-//! fell silent, or the source drops its history or comes back from an older copy. A look that finds
-//! nothing newer than what is known proves that nothing was missed up to it, and counts as a reading on
-//! which other nodes rely. So does the end of the call, which proves less: it ends without a word also
-//! where calls are told nothing, before its first look if its wait is short.
+//! Each call costs. What one that waits does not tell is found by the next one, or, where it waits on,
+//! by looks at the source's last change meanwhile: a call may wait without a word while changes are
+//! made, since its connection fell silent, or the source drops its history or comes back from an older
+//! copy. A look that finds nothing newer than what is known proves that nothing was missed up to it, and
+//! counts as a reading on which other nodes rely. So does the end of the call, which proves less: it ends
+//! without a word also where calls are told nothing.
 //!
 //! A change that a call on a silent connection misses is known after the interval of looks, three calls
-//! and the way to all nodes: 0.45 s, 0.15 s and 0.3 s where calls take 50 ms; one that falls into a second
-//! in which no waiting call is told anything, after that second, 0.15 s and 0.3 s at the latest. 2 s are
-//! allowed. Where more is allowed, looks are rarer in proportion. By arithmetic.
+//! and the way to all nodes: 0.45 s, 0.15 s and 0.3 s where calls take 50 ms and 2 s are allowed. Where more
+//! is allowed, calls and looks are rarer in proportion. By arithmetic.
 
 use std::convert::Infallible;
 use std::ops::Range;
@@ -27,12 +26,17 @@
 use crate::source::{Changes, Source, SourceError};
 use crate::state::Node;
 
-/// Wait for changes in one call, as parts of the shorter of the time for which a disturbance
-/// counts and the time within which no request goes to an instance that left. Should looks tell of
-/// no change either, a call that begins at the end of a second in which waiting calls are told
-/// nothing still ends in time: a second, the longest wait and 0.3 s to pass it on are 1.98 s of
-/// 2 s and 2.15 s of 2.5 s, by arithmetic.
-const WAIT_PARTS: Range<f64> = 0.29..0.34;
+/// Shortest wait for changes in one call, as a part of the shorter of the time for which a disturbance
+/// counts and the time within which no request goes to an instance that left. A call that ends without
+/// a word is followed by one that tells what it missed, so waits end before a look is due, and only a call
+/// that is overdue costs looks. Should none of them tell, a call that begins at the end of a second in
+/// which waiting calls are told nothing still ends in time: a second, the longest wait and 0.3 s to pass
+/// it on are 1.74 s of 2 s, by arithmetic.
+const WAIT_PART: f64 = 0.2;
+/// Longest wait over the shortest: readers that began together don't go on together.
+const WAIT_SPREAD: f64 = 1.1;
+/// Shortest wait where bounds are so short that calls would follow each other at once.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 /// Interval of looks while a call waits, as a part of the same time.
 const LOOK_PART: f64 = 0.225;
 /// Shortest interval of looks.
@@ -68,8 +72,8 @@
 
 /// Shortest and longest wait for changes in one call.
 pub fn waits(bounds: &Bounds) -> Range<Duration> {
-    let allowed = allowed(bounds);
-    allowed.mul_f64(WAIT_PARTS.start)..allowed.mul_f64(WAIT_PARTS.end)
+    let shortest = allowed(bounds).mul_f64(WAIT_PART).max(SHORTEST_WAIT);
+    shortest..shortest.mul_f64(WAIT_SPREAD)
 }
 
 /// Interval of looks while a call waits.
--- a/crates/sidecar/tests/decisions/waits.rs
+++ b/crates/sidecar/tests/decisions/waits.rs
@@ -50,3 +50,13 @@
     let bounds = bounds(contact_ms, drain_ms);
     assert!(look_interval(&bounds) + THREE_CALLS + PASSED_ON <= bounds.drain / 2, "{:?}", look_interval(&bounds));
 }
+
+/// Calls that end before a look is due need none.
+#[rstest]
+#[case::small(3_000, 2_000)]
+#[case::large(3_000, 2_500)]
+#[case::larger(4_000, 3_000)]
+fn a_call_that_ends_in_time_costs_no_look(#[case] contact_ms: u64, #[case] drain_ms: u64) {
+    let bounds = bounds(contact_ms, drain_ms);
+    assert!(waits(&bounds).end < look_interval(&bounds), "{:?}", waits(&bounds));
+}
