A route that was slow once is tried again, and not refused for good

Cause: a gate refuses at once what has less time than half of the route's expected time, and learns that only from what it lets through. Standstills of its own process counted as the instance's time, too. Evidence: level_low lines (reports of catalogue, 3 to 500 ms old, all from one zone's gate) and its offer_refused reason=deadline-exceeded in_flight=0 left_ms=1499 for one route. Ruled out: old reports, sheds. Change: one request in 0.5 s is let through as a trial; rare samples weigh more; the time of a run counts up to what the instance was given; wanted slot time is at most the time left. The module is shared with the older node, which refused in the same way.

--- a/crates/node/src/gate/dispatch.rs
+++ b/crates/node/src/gate/dispatch.rs
@@ -108,7 +108,8 @@
         return refused(reason);
     }
     let arrived = clock::now();
-    let expected = gate.expected(&call.kind.name, Duration::from_millis(u64::from(call.kind.expected_ms)));
+    let unseen = Duration::from_millis(u64::from(call.kind.expected_ms));
+    let expected = gate.expected(&call.kind.name, unseen, call.deadline.since(arrived));
     let demand = Demand {
         importance: call.context.importance,
         group: call.context.group.clone(),
--- a/crates/node/src/gate/slots.rs
+++ b/crates/node/src/gate/slots.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use olivegate_overload::{
-    AdaptiveLimit, Admission, Arrival, ClassKey, Demand, GateLevels, InstanceQueue, Settings, TicketId,
+    AdaptiveLimit, Admission, Arrival, ClassKey, Demand, ExpectedTimes, GateLevels, InstanceQueue, Settings,
+    TicketId,
 };
 use olivegate_types::{KindName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
@@ -17,8 +18,6 @@
 
 /// A wait may be this much longer than the longest one accepted in prediction.
 const WAIT_TOLERANCE: f64 = 1.25;
-/// Weight of a new observation of a kind's service time.
-const SERVICE_TIME_WEIGHT: f64 = 0.1;
 
 type Grant = Result<(), RefusalReason>;
 
@@ -26,7 +25,7 @@
     queue: InstanceQueue,
     waiters: HashMap<TicketId, oneshot::Sender<Grant>>,
     levels: GateLevels,
-    service_times: HashMap<KindName, Duration>,
+    service_times: ExpectedTimes,
     max_wait: Duration,
 }
 
@@ -83,7 +82,7 @@
             queue: InstanceQueue::new(settings, AdaptiveLimit::new(slots, false)),
             waiters: HashMap::new(),
             levels: GateLevels::default(),
-            service_times: HashMap::new(),
+            service_times: ExpectedTimes::default(),
             max_wait: settings.max_wait,
         };
         InstanceGate { address, state: Mutex::new(state), connections: Arc::new(ConnectionPool::new(address)) }
@@ -126,9 +125,10 @@
         lock(&self.state).levels.level(class)
     }
 
-    /// Observed service time of a kind; `default` before the first observation.
-    pub fn expected(&self, kind: &KindName, default: Duration) -> Duration {
-        lock(&self.state).service_times.get(kind).copied().unwrap_or(default)
+    /// Expected service time of a kind, as a call with this time left is judged by; `unseen` before the
+    /// first observation.
+    pub fn expected(&self, kind: &KindName, unseen: Duration, time_left: Duration) -> Duration {
+        lock(&self.state).service_times.for_request(kind.as_str(), unseen, time_left, clock::now())
     }
 
     /// Notes that the instance answered a call of `kind` after `service`.
@@ -136,8 +136,7 @@
         let mut state = lock(&self.state);
         let in_flight = state.queue.in_flight();
         state.queue.limit_mut().on_success(in_flight);
-        let mean = state.service_times.entry(kind.clone()).or_insert(service);
-        *mean = mean.mul_f64(1.0 - SERVICE_TIME_WEIGHT) + service.mul_f64(SERVICE_TIME_WEIGHT);
+        state.service_times.note(kind.as_str(), service, clock::now());
     }
 
     /// Notes that the instance refused before starting.
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -4,16 +4,19 @@
 //!   sharing between groups and refusal by predicted wait.
 //! - [`limit`]: the adaptive concurrency limit of one instance.
 //! - [`admission`]: admission levels, measured at gates and applied at the root.
+//! - [`expected_times`]: how long requests are expected to take.
 //! - [`pressure`]: whether the process itself keeps up.
 //! - [`retry_after`]: when a refused caller should come back.
 
 pub mod admission;
+pub mod expected_times;
 pub mod limit;
 pub mod pressure;
 pub mod queue;
 pub mod retry_after;
 
 pub use admission::{Arrival, BindingLevel, ClassKey, DemandLevels, GateLevels, LevelTable};
+pub use expected_times::ExpectedTimes;
 pub use limit::AdaptiveLimit;
 pub use pressure::{Pace, ProcessPressure};
 pub use queue::{Admission, Demand, InstanceQueue, Settings, TicketId};
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -225,19 +225,21 @@
         Err(_) => Err(Failure::unknown(FailureReason::TimedOut)),
     };
     let used = clock::now().since(started);
+    // What goes beyond is a standstill of this process: the instance had no longer.
+    let taken = used.min(time_left);
     match result {
         Ok(mut answer) => {
             note_alive(node, &offer, &slots, doubts);
             answer.fault = node.lineage.borrow_mut().fault_of(parent.key, answer.head.status, clock::now());
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
-            slot.note_answer(&offer, answer.fault, used);
+            slot.note_answer(&offer, answer.fault, taken);
             node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
             GateReply::Answered(slots::holding(watched.on_answer(answer), slot))
         }
         Err(mut failure) => {
             failure.reason = watched.on_failure(failure.reason).await;
             node.metrics.exchanges.with_label_values(&[failure.reason.as_str()]).inc();
-            slot.note_failure(&offer, failure, used);
+            slot.note_failure(&offer, failure, taken);
             if failure.reason == FailureReason::RefusedByInstance {
                 node.gate.repeats.on_shed(node, &offer, clock::now());
             }
@@ -324,7 +326,7 @@
         hop: offer.hop,
         rank: offer.root.rank,
         deadline,
-        expected: slots.expected(offer),
+        expected: slots.expected_within(offer, deadline.since(clock::now())),
         longest_wait: Some(Duration::from_millis(u64::from(offer.longest_wait_ms))),
     }
 }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use olivegate_overload::{
-    AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, InstanceQueue, Pace, Settings, TicketId,
+    AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, ExpectedTimes, InstanceQueue, Pace, Settings,
+    TicketId,
 };
 use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
@@ -42,7 +43,7 @@
 pub struct InstanceSlots {
     queue: RefCell<InstanceQueue>,
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Result<(), Refusal>>>>,
-    expected: RefCell<HashMap<String, Duration>>,
+    expected: RefCell<ExpectedTimes>,
     slowness: RefCell<f64>,
     failing: Cell<f64>,
     closes_in_a_row: Cell<u32>,
@@ -66,6 +67,10 @@
     served: bool,
 }
 
+fn unseen_time(offer: &Offer) -> Duration {
+    Duration::from_millis(u64::from(offer.target_latency_ms)).mul_f64(UNSEEN_PART)
+}
+
 fn used_slots(slots: u32) -> u32 {
     ((f64::from(slots) * USED_FRACTION) as u32).max(1)
 }
@@ -182,14 +187,19 @@
 
     /// Expected time of an offer in the instance.
     pub fn expected(&self, offer: &Offer) -> Duration {
-        let target = Duration::from_millis(u64::from(offer.target_latency_ms));
-        let known = self.expected.borrow().get(&offer.route).copied();
-        known.unwrap_or_else(|| target.mul_f64(UNSEEN_PART))
+        self.expected.borrow().of(&offer.route, unseen_time(offer))
+    }
+
+    /// Expected time of an offer in the instance, as it is judged by with this time left: now and then one
+    /// that is too short is let through, to see whether it still is.
+    pub fn expected_within(&self, offer: &Offer, time_left: Duration) -> Duration {
+        self.expected.borrow_mut().for_request(&offer.route, unseen_time(offer), time_left, clock::now())
     }
 
     /// Notes that an offer asks for a slot.
     pub fn note_demand(&self, offer: &Offer, now: Moment) {
-        let slot_time = self.expected(offer);
+        // No request takes longer than the time that it has left.
+        let slot_time = self.expected(offer).min(Duration::from_millis(u64::from(offer.time_left_ms)));
         self.demand.borrow_mut().note(&offer.root.class(), slot_time, f64::from(offer.root.admitted), now);
         self.sheds.note_demand(offer, now);
     }
@@ -306,13 +316,7 @@
     }
 
     fn note_time(&self, offer: &Offer, used: Duration) {
-        let mut expected = self.slots.expected.borrow_mut();
-        match expected.get_mut(&offer.route) {
-            Some(mean) => *mean = mean.mul_f64(1.0 - SAMPLE_WEIGHT) + used.mul_f64(SAMPLE_WEIGHT),
-            None => {
-                expected.insert(offer.route.clone(), used);
-            }
-        }
+        self.slots.expected.borrow_mut().note(&offer.route, used, clock::now());
         let target = f64::from(offer.target_latency_ms.max(1)) / 1_000.0;
         let mut slowness = self.slots.slowness.borrow_mut();
         *slowness = *slowness * (1.0 - SAMPLE_WEIGHT) + used.as_secs_f64() / target * SAMPLE_WEIGHT;
--- /dev/null
+++ b/crates/sidecar/tests/path/deadlines.rs
@@ -0,0 +1,59 @@
+//! Requests whose time is short against what their route was seen to take.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use olivegate_sidecar::model::RepeatSafety::Safe;
+use rstest::rstest;
+
+use crate::client::Client;
+use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::support::{Fleet, configuration, route, run};
+
+/// Time that a slow instance takes, and the time that clients then give.
+const SLOW_MS: u64 = 1_600;
+const SHORT_MS: u64 = 600;
+/// Requests that come after the instance is quick again, and the pause between them.
+const REQUESTS: usize = 30;
+const PAUSE: Duration = Duration::from_millis(100);
+/// The last of them, of which all are to be served.
+const LAST: usize = 10;
+
+fn request(id: &str, time_ms: u64) -> String {
+    format!("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: {time_ms}\r\n\r\n")
+}
+
+/// Guards against a gate that goes on refusing a route for want of time since nothing that it lets
+/// through could show that the instance is quick again.
+#[rstest]
+fn a_route_that_was_slow_is_served_again_in_short_time() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(2, "books-1", "books");
+        let is_slow = Rc::new(Cell::new(true));
+        let slow = is_slow.clone();
+        let script = move |seen: &Seen, _: usize| {
+            let whole = Action::Send(answer(200, &seen.id(), "body"));
+            if slow.get() { vec![Action::Sleep(SLOW_MS), whole] } else { vec![whole] }
+        };
+        TestInstance::start(fleet.instance_address(2), script).await;
+        for (machine, service) in [(2, "books"), (1, "desk")] {
+            Fleet::ready(&fleet.start(machine, service).await).await;
+        }
+        let ask = |id: String, time_ms: u64| {
+            let edge = fleet.outbound(1);
+            async move { Client::connect(edge).await.ask(&request(&id, time_ms)).await.head.status }
+        };
+        assert_eq!(ask("slow".into(), 2_000).await, 200);
+        is_slow.set(false);
+        let mut served = Vec::new();
+        for number in 0..REQUESTS {
+            served.push(ask(format!("r{number}"), SHORT_MS).await == 200);
+            tokio::time::sleep(PAUSE).await;
+        }
+        let last = served.iter().rev().take(LAST).filter(|served| **served).count();
+        assert_eq!(last, LAST, "of the last {LAST} requests: {served:?}");
+    });
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod connections;
 mod crashing;
+mod deadlines;
 mod failing;
 mod gates;
 mod instance;
