--- a/crates/sidecar/tests/path/crashing.rs
+++ b/crates/sidecar/tests/path/crashing.rs
@@ -22,6 +22,7 @@
 
 use crate::client::{Client, get, post};
 use crate::instance::{Action, Seen, TestInstance, answer};
+use crate::lateness::since_start;
 use crate::support::{Fleet, configuration, route, run};
 
 /// Machines with an instance of the service.
@@ -194,12 +195,14 @@
 async fn ask_deadly(fleet: &Fleet, form: Form, tries: usize) -> Option<u16> {
     let mut last = None;
     for number in 0..tries {
+        let asked = since_start();
         let mut client = Client::connect(fleet.outbound(EDGES[number % EDGES.len()])).await;
         client.send(&form.request(number)).await;
         let patience = if form == Form::Leaving { PAUSE / 10 } else { PAUSE * 20 };
         let answer = tokio::time::timeout(patience, client.answer()).await;
         drop(client);
         last = answer.ok().flatten().map(|answer| answer.head.status);
+        println!("{form:?} {number}: {last:?}, asked {asked:?} after the start of the test");
         tokio::time::sleep(PAUSE).await;
     }
     last
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod gates;
 mod instance;
 mod keys;
+mod lateness;
 mod quotas;
 mod replaced;
 mod requests;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -22,7 +22,9 @@
 use olivegate_sidecar::state::Node;
 use olivegate_sidecar::{SidecarSettings, Vocabulary};
 use olivegate_types::{InstanceName, NodeName, ServiceName, TenantName, ZoneName};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
+
+use crate::lateness::OwnLateness;
 
 pub const VOCABULARY: Vocabulary = Vocabulary {
     request_id: "x-id",
@@ -64,40 +66,6 @@
     parts.into_iter().find_map(owned).expect("other processes of these tests hold all addresses")
 });
 
-/// Interval at which a test looks whether its thread keeps up.
-const LOOK_INTERVAL: Duration = Duration::from_millis(10);
-
-/// The worst lateness of a test's own thread, printed when the test fails: all nodes, instances and clients
-/// share the thread, and one that is starved looks like any of them being late.
-struct OwnLateness(Rc<Cell<(Duration, Duration)>>);
-
-impl OwnLateness {
-    fn watch() -> Self {
-        let worst: Rc<Cell<(Duration, Duration)>> = Rc::default();
-        let (seen, started) = (worst.clone(), tokio::time::Instant::now());
-        spawn_local(async move {
-            loop {
-                let due = tokio::time::Instant::now() + LOOK_INTERVAL;
-                tokio::time::sleep_until(due).await;
-                let late = due.elapsed();
-                if late > seen.get().0 {
-                    seen.set((late, due - started));
-                }
-            }
-        });
-        OwnLateness(worst)
-    }
-}
-
-impl Drop for OwnLateness {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            let (late, at) = self.0.get();
-            eprintln!("the test's own thread was late by {late:?} at most, {at:?} after its start");
-        }
-    }
-}
-
 /// Runs a test on one thread, with an end of its own.
 pub fn run<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
