--- a/crates/bench/src/soak/judge_access.rs
+++ b/crates/bench/src/soak/judge_access.rs
@@ -1,5 +1,7 @@
 //! Judges the promises about keys, tenants and quotas. Pure.
 
+use std::collections::HashSet;
+
 use super::judge::{Case, Promise, Violation, of_run};
 use super::record::{CallPurpose, Run};
 use super::tenants::{GUESTS, LIMIT, LIMITED, MEMBERS, TOLERANCE};
@@ -57,17 +59,18 @@
             let call = self.calls.get(run.id.as_str());
             call.is_some_and(|call| call.purpose == CallPurpose::Limited)
         };
-        let mut times: Vec<f64> = self.record.runs.iter().filter(of_limited).map(|run| run.at_s).collect();
-        times.sort_by(f64::total_cmp);
+        let mut runs: Vec<&Run> = self.record.runs.iter().filter(of_limited).collect();
+        runs.sort_by(|left, right| left.at_s.total_cmp(&right.at_s));
         let allowed = LIMIT.most_in_window(&TOLERANCE) as usize;
         let window_s = TOLERANCE.window.as_secs_f64();
-        let begins = times.iter().enumerate();
-        let counted = begins.map(|(first, at_s)| {
-            let end = times.partition_point(|time| *time < at_s + window_s);
-            (end - first, *at_s)
+        let windows = runs.iter().enumerate().map(|(first, run)| {
+            let end = runs.partition_point(|other| other.at_s < run.at_s + window_s);
+            &runs[first..end]
         });
-        let (most, at_s) = counted.max_by_key(|(count, _)| *count)?;
-        let detail = format!("{most} of {allowed} ran in {window_s} s");
+        let fullest = windows.max_by_key(|window| window.len())?;
+        let (most, at_s) = (fullest.len(), fullest.first()?.at_s);
+        let requests: HashSet<&str> = fullest.iter().map(|run| run.id.as_str()).collect();
+        let detail = format!("{most} of {allowed} ran in {window_s} s, of {} requests", requests.len());
         let subject = LIMITED.to_string();
         (most > allowed).then_some(Violation { promise: Promise::QuotaKept, subject, at_s, detail })
     }
