--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -229,8 +229,8 @@
         let mut random = StdRng::seed_from_u64(seed);
         let is_wanted = |(kind, _): &(FaultKind, u32)| kind.is_planned() || !is_planned_only;
         let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(is_wanted).collect();
-        let mut faults = Vec::new();
-        draw_usual(&mut faults, &kinds, &mut random, (length_s, MEAN_GAP_S), machines);
+        let timing = Timing { length_s, mean_gap_s: MEAN_GAP_S };
+        let mut faults = draw_usual(&kinds, &mut random, timing, machines);
         if !is_planned_only {
             draw_deadly(&mut faults, seed, length_s, machines);
             draw_restored(&mut faults, seed, length_s, machines);
@@ -245,8 +245,7 @@
         let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
         let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(|(kind, _)| is_named(kind)).collect();
         let mut random = StdRng::seed_from_u64(seed);
-        let mut faults = Vec::new();
-        draw_usual(&mut faults, &kinds, &mut random, (length_s, mean_gap_s), machines);
+        let faults = draw_usual(&kinds, &mut random, Timing { length_s, mean_gap_s }, machines);
         Plan { faults, length_s }
     }
 
@@ -257,23 +256,27 @@
     }
 }
 
-/// Draws one fault after the other from `kinds`, with their weights and this mean gap between them.
-fn draw_usual(
-    faults: &mut Vec<Fault>,
-    kinds: &[(FaultKind, u32)],
-    random: &mut StdRng,
-    (length_s, mean_gap_s): (f64, f64),
-    machines: usize,
-) {
+/// How long a soak is and how far apart its faults are in the mean, in seconds.
+#[derive(Debug, Clone, Copy)]
+struct Timing {
+    length_s: f64,
+    mean_gap_s: f64,
+}
+
+/// Draws one fault after the other from `kinds`, with their weights.
+fn draw_usual(kinds: &[(FaultKind, u32)], random: &mut StdRng, timing: Timing, machines: usize) -> Vec<Fault> {
+    let end_s = timing.length_s - CALM_END_S;
+    let mut faults = Vec::new();
     let mut at_s = CALM_START_S;
-    while at_s < length_s - CALM_END_S {
+    while at_s < end_s {
         let drawn = kinds.choose_weighted(random, |(_, weight)| *weight);
         let Ok((kind, _)) = drawn.copied() else { break };
-        let for_s = random.random_range(DURATION_S).min(length_s - CALM_END_S - at_s).max(0.1);
+        let for_s = random.random_range(DURATION_S).min(end_s - at_s).max(0.1);
         let machine = random.random_range(0..machines.max(1));
         faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
-        at_s += random.random_range(0.0..2.0 * mean_gap_s);
+        at_s += random.random_range(0.0..2.0 * timing.mean_gap_s);
     }
+    faults
 }
 
 /// Draws the contents that end instances.
--- a/crates/sidecar/src/follow/watch.rs
+++ b/crates/sidecar/src/follow/watch.rs
@@ -65,7 +65,7 @@
     Failed(SourceError),
 }
 
-/// The time in which all that a reader does is to make a change known.
+/// Time within which a change is to be known.
 fn allowed(bounds: &Bounds) -> Duration {
     bounds.contact.min(bounds.drain)
 }
--- a/crates/sidecar/src/gate/instance_connection.rs
+++ b/crates/sidecar/src/gate/instance_connection.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
-use crate::gate::rest_closes::RestCloses;
+use crate::gate::idle_closes::IdleCloses;
 use crate::gate::rest_trust::RestTrust;
 use crate::model::RepeatSafety;
 use crate::transport;
@@ -50,7 +50,7 @@
 pub struct InstanceConnections {
     resting: RefCell<Vec<Resting>>,
     trust: Cell<RestTrust>,
-    closes: Cell<RestCloses>,
+    closes: Cell<IdleCloses>,
     /// One that rested was found closed in a way that is a sign of an end.
     shows_end: Cell<bool>,
 }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -13,7 +13,7 @@
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`quarantine`]: requests with which instances end.
-//! - [`rest_closes`]: which closes of kept connections are a sign of an end.
+//! - [`idle_closes`]: which closes of idle connections are a sign of an end.
 //! - [`rest_trust`]: how long a kept connection may have rested.
 //! - [`confirmation`]: the second step of an offer that may run only once.
 //! - [`serve`]: offers of other nodes.
@@ -22,12 +22,12 @@
 pub mod confirmation;
 pub mod exchange;
 pub mod identity;
+pub mod idle_closes;
 pub mod instance_connection;
 pub mod instance_end;
 pub mod presence;
 pub mod quarantine;
 pub mod repeats;
-pub mod rest_closes;
 pub mod rest_trust;
 pub mod serve;
 pub mod sheds;
