Test: a standstill of its own thread is told apart from an answer that did not come

Explained by a run (scratch copy): with the thread of all nodes, instances and clients standing still for 30 ms right after the last request was sent, the old test fails each of three times with that symptom (left None, right Some(503)); 30 ms before its client began to wait, never (three times). The client's timer has then run out before any node could read. Ruled out before: the question who is there (health 15 ms late: 4 of 4 passed). The check, its 10 ms and 503 stand; where the thread stood still within the request it is asked again. With the same standstill the new test passes three of three, by asking again once. With the old test and the standstills printed 12 of 12 runs passed at a load average of 19 to 26. The entry leaves the list.

--- a/crates/sidecar/tests/path/crashing.rs
+++ b/crates/sidecar/tests/path/crashing.rs
@@ -22,7 +22,7 @@
 
 use crate::client::{Client, get, post};
 use crate::instance::{Action, Seen, TestInstance, answer};
-use crate::lateness::since_start;
+use crate::lateness::{since_start, stood_still};
 use crate::support::{Fleet, configuration, route, run};
 
 /// Machines with an instance of the service.
@@ -38,6 +38,8 @@
 /// Tries of the deadly request, and the pause between them.
 const TRIES: usize = 40;
 const PAUSE: Duration = Duration::from_millis(100);
+/// Times that the last request is asked at most, where the test's own thread stands still.
+const MOST_ASKED_AGAIN: usize = 30;
 
 /// What happened to the instances, and those that live.
 #[derive(Default)]
@@ -191,23 +193,47 @@
     (fleet, history)
 }
 
-/// Asks the deadly request again and again by both edges; the status of the last answer.
+/// Asks the deadly request again and again by both edges; the status of the last answer. A client that
+/// leaves soon shows nothing where the test's own thread stood still meanwhile: the last one asks again then.
 async fn ask_deadly(fleet: &Fleet, form: Form, tries: usize) -> Option<u16> {
-    let mut last = None;
-    for number in 0..tries {
-        let asked = since_start();
-        let mut client = Client::connect(fleet.outbound(EDGES[number % EDGES.len()])).await;
-        client.send(&form.request(number)).await;
-        let patience = if form == Form::Leaving { PAUSE / 10 } else { PAUSE * 20 };
-        let answer = tokio::time::timeout(patience, client.answer()).await;
-        drop(client);
-        last = answer.ok().flatten().map(|answer| answer.head.status);
-        println!("{form:?} {number}: {last:?}, asked {asked:?} after the start of the test");
-        tokio::time::sleep(PAUSE).await;
+    for number in 0..tries - 1 {
+        ask_deadly_once(fleet, form, number).await;
+    }
+    for _ in 0..MOST_ASKED_AGAIN {
+        let asked = ask_deadly_once(fleet, form, tries - 1).await;
+        let is_disturbed = form == Form::Leaving && stood_still(asked.from, asked.until);
+        if !is_disturbed {
+            return asked.status;
+        }
+        println!("the thread stood still, asked again");
     }
-    last
+    None
+}
+
+/// One request: when it was asked and had ended, from the start of the test, and the status of its answer,
+/// if that came before the client left.
+struct Asked {
+    from: Duration,
+    until: Duration,
+    status: Option<u16>,
+}
+
+/// Asks once, and pauses.
+async fn ask_deadly_once(fleet: &Fleet, form: Form, number: usize) -> Asked {
+    let from = since_start();
+    let mut client = Client::connect(fleet.outbound(EDGES[number % EDGES.len()])).await;
+    client.send(&form.request(number)).await;
+    let patience = if form == Form::Leaving { PAUSE / 10 } else { PAUSE * 20 };
+    let answer = tokio::time::timeout(patience, client.answer()).await;
+    drop(client);
+    let until = since_start();
+    let status = answer.ok().flatten().map(|answer| answer.head.status);
+    tokio::time::sleep(PAUSE).await;
+    println!("{form:?} {number}: {status:?}, asked {from:?} after the start of the test");
+    Asked { from, until, status }
 }
 
+/// Guards against a content that goes on ending instances, since what is known of it hangs on one try.
 #[rstest]
 #[case::plain(Form::Plain, Some(503))]
 #[case::with_a_body(Form::Body, Some(503))]
