Tests: the lesson of a rest is asked for with the rests that were asked for before

The change of rest_trust had replaced a second lost rest of 200 ms (120 ms trusted) by one of 100 ms (60 ms). The first is asked for again, with the stricter 100 ms, and the second in a test of its own. The decision tests of rests pass. A doc comment no longer names its user.

--- a/crates/olivegate/src/lib.rs
+++ b/crates/olivegate/src/lib.rs
@@ -1,4 +1,4 @@
-//! The `olivegate` command as a library, so that the bench can run a node from its own program.
+//! The `olivegate` command as a library, so that other programs can run a node of their own.
 //!
 //! - [`command`]: which command was asked for; usage errors.
 //! - [`node_command`]: `node` and `settings check`.
--- a/crates/sidecar/tests/decisions/rest_trust.rs
+++ b/crates/sidecar/tests/decisions/rest_trust.rs
@@ -15,11 +15,18 @@
     assert_eq!(trust.longest(Safe, Moment::from_millis(0)), Duration::MAX);
     trust.on_broken(REST, Moment::from_millis(1_000));
     assert_eq!(trust.longest(Safe, Moment::from_millis(2_000)), Duration::from_millis(100));
-    trust.on_broken(Duration::from_millis(100), Moment::from_millis(2_000));
-    assert_eq!(trust.longest(Safe, Moment::from_millis(11_000)), Duration::from_millis(60));
+    trust.on_broken(Duration::from_millis(200), Moment::from_millis(2_000));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(11_000)), Duration::from_millis(100));
     assert_eq!(trust.longest(Safe, Moment::from_millis(13_000)), Duration::MAX);
 }
 
+#[rstest]
+fn a_lesson_of_a_short_rest_trusts_a_part_of_it() {
+    let mut trust = RestTrust::default();
+    trust.on_broken(Duration::from_millis(100), Moment::from_millis(1_000));
+    assert_eq!(trust.longest(Safe, Moment::from_millis(2_000)), Duration::from_millis(60));
+}
+
 #[rstest]
 fn a_longer_rest_teaches_nothing_that_a_shorter_one_did_not() {
     let mut trust = RestTrust::default();
