--- a/crates/sidecar/tests/path/deadlines.rs
+++ b/crates/sidecar/tests/path/deadlines.rs
@@ -57,3 +57,34 @@
         assert_eq!(last, LAST, "of the last {LAST} requests: {served:?}");
     });
 }
+
+/// Time for which the process of a gate stands still, and the time that its clients give.
+const STANDS_STILL: Duration = Duration::from_secs(5);
+const LONG_MS: u64 = 2_000;
+
+/// Guards against a gate that takes a standstill of its own process for the time of its instance, and then
+/// refuses what has less time than that.
+#[rstest]
+fn a_standstill_of_the_gate_is_none_of_the_instances_time() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(2, "books-1", "books");
+        let script =
+            |seen: &Seen, _: usize| vec![Action::Sleep(50), Action::Send(answer(200, &seen.id(), "body"))];
+        TestInstance::start(fleet.instance_address(2), script).await;
+        for (machine, service) in [(2, "books"), (1, "desk")] {
+            Fleet::ready(&fleet.start(machine, service).await).await;
+        }
+        let ask = |id: &'static str| {
+            let edge = fleet.outbound(1);
+            async move { Client::connect(edge).await.ask(&request(id, LONG_MS)).await.head.status }
+        };
+        let standing_still = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            std::thread::sleep(STANDS_STILL);
+        };
+        futures::join!(ask("at-work"), standing_still);
+        assert_eq!(ask("next").await, 200);
+    });
+}
