Sight: what instances declare about their rate is read, logged and shown

Gates log now each change of the declared rate (event=rate_declared, with the start of the instance, both values, the request and the status of the answer that told it), a value that is no rate once (event=rate_unreadable), and show it as a gauge. What an answer says of its instance (rate, leaving, close, idle time-out) is one pure part. Nothing is decided by it yet.

--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -13,11 +13,14 @@
 use futures::StreamExt;
 use olivegate_http1::head::{write_chunk, write_last_chunk};
 use olivegate_http1::{BodyLength, DecodeError, Frame, RequestHead, ResponseHead};
+use olivegate_overload::DeclaredRate;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use crate::event::shown;
 use crate::gate::instance_connection::{InstanceConnection, InstanceConnections};
-use crate::gate::slots::InstanceSlots;
+use crate::gate::notice::Notice;
+use crate::gate::slots::{InstanceSlots, RateNews};
 use crate::hop::Offer;
 use crate::reply::{Answer, AnswerFault, Body, BodyBroken, Failure, FailureReason};
 use crate::state::Node;
@@ -25,6 +28,9 @@
 /// An answer up to this size is read whole before it is passed on.
 const WHOLE_ANSWER_BYTES: usize = 64 * 1024;
 
+/// Status with which an instance rejects what is meant for another one.
+const OTHER_INSTANCE: u16 = 421;
+
 /// A head that belongs to the request.
 struct MatchedHead {
     head: ResponseHead,
@@ -56,9 +62,12 @@
             return Err(failure);
         }
     };
-    slots.note_close(!matched.head.keeps_connection());
-    let reusable = matched.request_sent && matched.head.keeps_connection();
-    let rest = named_rest(&matched.head);
+    let notice = Notice::of(&matched.head, &node.vocabulary);
+    slots.note_close(notice.closes);
+    if matched.head.status != OTHER_INSTANCE {
+        take_notice(node, slots, offer, &notice, matched.head.status);
+    }
+    let reusable = matched.request_sent && !notice.closes;
     let whole_length = match matched.length {
         BodyLength::Known(length) => Some(length),
         _ => None,
@@ -70,7 +79,7 @@
     let body = match first {
         FirstPart::Whole(bytes) => {
             if reusable && matched.length != BodyLength::UntilClose {
-                connections.keep(connection, rest, slots.limit());
+                connections.keep(connection, notice.idle_timeout, slots.limit());
             }
             Body::Whole(bytes)
         }
@@ -79,6 +88,32 @@
     Ok(Answer { head: answer_head, body, fault: AnswerFault::None })
 }
 
+/// Takes in what the instance says of itself.
+fn take_notice(node: &Node, slots: &InstanceSlots, offer: &Offer, notice: &Notice, status: u16) {
+    match slots.note_rate(notice.rate) {
+        RateNews::None => {}
+        RateNews::Changed(change) => {
+            log::info!(
+                "event=rate_declared instance={} before={} now={} request={} status={status}",
+                slots.start_name(&offer.instance),
+                shown_rate(change.before),
+                shown_rate(change.now),
+                shown(&offer.request_id),
+            );
+            node.metrics.set_declared_rate(change.now);
+        }
+        RateNews::Unreadable(error) => log::warn!(
+            "event=rate_unreadable instance={} error={error} request={} status={status}",
+            slots.start_name(&offer.instance),
+            shown(&offer.request_id),
+        ),
+    }
+}
+
+fn shown_rate(rate: Option<DeclaredRate>) -> String {
+    rate.map_or_else(|| "none".into(), |rate| rate.to_string())
+}
+
 async fn connect(node: &Node, connections: &InstanceConnections) -> Result<InstanceConnection, Failure> {
     node.metrics.connections.with_label_values(&["instance"]).inc();
     let connecting = connections.connect(node.settings().instance);
@@ -225,7 +260,7 @@
 
 /// What the instance says about not having run the request.
 fn refusal_of(node: &Node, head: &ResponseHead) -> Result<(), Failure> {
-    if head.status == 421 {
+    if head.status == OTHER_INSTANCE {
         if let Some(present) = head.fields.text(node.vocabulary.instance) {
             super::meet_instance(node, present);
         }
@@ -235,13 +270,6 @@
     if is_refusal { Err(Failure::not_run(FailureReason::RefusedByInstance)) } else { Ok(()) }
 }
 
-/// The time that the instance keeps an idle connection, where it names one.
-fn named_rest(head: &ResponseHead) -> Option<Duration> {
-    let value = head.fields.text("keep-alive")?;
-    let named = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
-    named.and_then(|seconds| seconds.trim().parse().ok()).map(Duration::from_secs)
-}
-
 /// The beginning of a body.
 enum FirstPart {
     /// It is all there is.
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -10,6 +10,7 @@
 //! - [`identity`]: which instance is known to be there.
 //! - [`presence`]: whether the instance that is meant is there.
 //! - [`exchange`]: one request and its answer on such a connection.
+//! - [`notice`]: what an instance says of itself in an answer.
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`quarantine`]: requests with which instances end.
@@ -25,6 +26,7 @@
 pub mod idle_closes;
 pub mod instance_connection;
 pub mod instance_end;
+pub mod notice;
 pub mod presence;
 pub mod quarantine;
 pub mod repeats;
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use olivegate_overload::{
-    AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, ExpectedTimes, InstanceQueue, Pace, Settings,
-    TicketId,
+    AdaptiveLimit, Admission, ClassKey, Demand, DemandLevels, ExpectedTimes, InstanceQueue, Pace, RateChange,
+    RateError, RateRecord, Settings, TicketId,
 };
 use olivegate_types::{InstanceName, Moment, Refusal, RefusalReason};
 use tokio::sync::oneshot;
 
 use crate::gate::instance_connection::InstanceConnections;
 use crate::gate::instance_end::InstanceEnd;
+use crate::gate::notice::RateNotice;
 use crate::gate::sheds::Sheds;
 use crate::hop::Offer;
 use crate::model::{Incarnation, Instance};
@@ -49,11 +50,24 @@
     closes_in_a_row: Cell<u32>,
     demand: RefCell<DemandLevels>,
     sheds: Sheds,
+    declared: Cell<RateRecord>,
+    is_rate_unreadable: Cell<bool>,
     connections: InstanceConnections,
     end: InstanceEnd,
     incarnation: Cell<Incarnation>,
 }
 
+/// What is new about the rate that an instance declares.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RateNews {
+    /// Nothing.
+    None,
+    /// It has changed.
+    Changed(RateChange),
+    /// What stands in its place is no rate; told once for each start of an instance.
+    Unreadable(RateError),
+}
+
 /// A slot in use; dropped when the exchange has ended, whichever way.
 pub struct Slot {
     slots: Rc<InstanceSlots>,
@@ -90,6 +104,8 @@
             closes_in_a_row: Cell::new(0),
             demand: RefCell::new(DemandLevels::new(LEAST_SHARE)),
             sheds: Sheds::default(),
+            declared: Cell::default(),
+            is_rate_unreadable: Cell::new(false),
             connections: InstanceConnections::default(),
             end: InstanceEnd::default(),
             incarnation: Cell::default(),
@@ -132,6 +148,22 @@
         &self.end
     }
 
+    /// Notes what an answer says of the rate that the instance takes.
+    pub fn note_rate(&self, notice: RateNotice) -> RateNews {
+        let rate = match notice {
+            RateNotice::Unlimited => None,
+            RateNotice::Limited(rate) => Some(rate),
+            RateNotice::Unreadable(error) => {
+                let was_told = self.is_rate_unreadable.replace(true);
+                return if was_told { RateNews::None } else { RateNews::Unreadable(error) };
+            }
+        };
+        let mut declared = self.declared.get();
+        let change = declared.on_answer(rate);
+        self.declared.set(declared);
+        change.map_or(RateNews::None, RateNews::Changed)
+    }
+
     /// Notes whether an answer closes its connection.
     pub fn note_close(&self, closes: bool) {
         self.closes_in_a_row.set(if closes { self.closes_in_a_row.get() + 1 } else { 0 });
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,11 +4,12 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use olivegate_overload::DeclaredRate;
 use olivegate_types::TenantName;
 
 use prometheus::{
-    Counter, Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Counter, Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets, in seconds.
@@ -19,6 +20,8 @@
 /// Label of the tenants beyond them.
 const OTHER_TENANTS: &str = "(other)";
 
+const NO_LABELS: &[&str] = &[];
+
 /// All metrics of a sidecar. docs/OPERATIONS.md explains each.
 pub struct Metrics {
     registry: Registry,
@@ -46,6 +49,8 @@
     pub source_calls: IntCounterVec,
     /// Suspensions of the machine that were seen.
     pub suspensions: IntCounter,
+    /// Requests a second that the instance declares to take; no value where it declares none.
+    declared_rate: GaugeVec,
     /// Values of the moment: configuration version, directory revision, queue, limit.
     pub state: IntGaugeVec,
 }
@@ -63,6 +68,14 @@
     metric
 }
 
+fn rate_gauge(registry: &Registry) -> GaugeVec {
+    let options =
+        Opts::new("olivegate_sidecar_declared_rate", "Requests a second that the instance declares to take");
+    let metric = GaugeVec::new(options, &[]).expect("constant metric names are valid");
+    registry.register(Box::new(metric.clone())).expect("metric names are distinct");
+    metric
+}
+
 fn seconds_counter(registry: &Registry, name: &str, help: &str) -> Counter {
     let metric = Counter::new(name, help).expect("constant metric names are valid");
     registry.register(Box::new(metric.clone())).expect("metric names are distinct");
@@ -131,6 +144,7 @@
                 &["result"],
             ),
             suspensions: suspension_counter(&registry),
+            declared_rate: rate_gauge(&registry),
             state,
             registry,
         }
@@ -162,6 +176,14 @@
         tenant.as_str()
     }
 
+    /// Tells the rate that the instance beside this node declares.
+    pub fn set_declared_rate(&self, rate: Option<DeclaredRate>) {
+        match rate {
+            Some(rate) => self.declared_rate.with_label_values(NO_LABELS).set(rate.per_second()),
+            None => self.declared_rate.reset(),
+        }
+    }
+
     /// Sets a value of the moment.
     pub fn set_state(&self, value: &str, number: u64) {
         self.state.with_label_values(&[value]).set(i64::try_from(number).unwrap_or(i64::MAX));
--- a/crates/sidecar/src/vocabulary.rs
+++ b/crates/sidecar/src/vocabulary.rs
@@ -13,6 +13,10 @@
     pub instance: &'static str,
     /// Present on an instance's refusal when it did not run the request.
     pub not_run: &'static str,
+    /// Requests a second that an instance takes from all callers together, in its answers.
+    pub declared_rate: &'static str,
+    /// Marks the answers of an instance that is about to end.
+    pub leaving: &'static str,
     /// Service on whose machine the request began.
     pub caller_service: &'static str,
     /// Key by which a client shows whose it is; goes no further than the edge.
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -32,6 +32,8 @@
     expected_instance: "x-expected",
     instance: "x-instance",
     not_run: "x-not-run",
+    declared_rate: "x-rate",
+    leaving: "x-leaving",
     caller_service: "x-caller",
     credential: "x-key",
     tenant: "x-holder",
