Test, failing: an instance gets more than the rate that it names in its answers

What callers of an instance in need saw was reproduced on loopback: two edges with eight clients each, two instances, one of which names 13, 2.8, 0.2 or 0 requests a second.

--- /dev/null
+++ b/crates/sidecar/tests/path/load.rs
@@ -0,0 +1,67 @@
+//! Clients that keep on asking, and what they and an instance saw.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use tokio::time::Instant;
+
+use crate::client::{Client, get};
+
+/// Time from an answer to the next request of the same client.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// One answer to a client.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub status: u16,
+    /// When to come back, in seconds, where the answer says that.
+    pub come_back: Option<f64>,
+    pub after: Duration,
+}
+
+/// So many clients of each of `edges` ask for `path` one request after the other for so long.
+pub async fn ask_for(edges: &[SocketAddr], clients: usize, path: &str, span: Duration) -> Vec<Seen> {
+    let until = Instant::now() + span;
+    let one = |edge: SocketAddr, number: usize| async move {
+        let mut seen = Vec::new();
+        for count in 0.. {
+            if Instant::now() >= until {
+                break;
+            }
+            let asked = Instant::now();
+            let mut client = Client::connect(edge).await;
+            let answer = client.ask(&get(path, &format!("{}-{number}-{count}-{asked:?}", edge.ip()))).await;
+            let come_back = answer.field("retry-after").and_then(|seconds| seconds.parse().ok());
+            seen.push(Seen { status: answer.head.status, come_back, after: asked.elapsed() });
+            tokio::time::sleep(PAUSE).await;
+        }
+        seen
+    };
+    let all = edges.iter().flat_map(|edge| (0..clients).map(|number| one(*edge, number)));
+    join_all(all).await.into_iter().flatten().collect()
+}
+
+/// When requests came to an instance.
+#[derive(Clone, Default)]
+pub struct Arrivals(Rc<RefCell<Vec<Instant>>>);
+
+impl Arrivals {
+    pub fn note(&self) {
+        self.0.borrow_mut().push(Instant::now());
+    }
+
+    /// Those in `[from, until)`.
+    pub fn between(&self, from: Instant, until: Instant) -> usize {
+        self.0.borrow().iter().filter(|at| (from..until).contains(at)).count()
+    }
+
+    /// The most in a span of this length that begins at `from` or later.
+    pub fn most_within(&self, span: Duration, from: Instant) -> usize {
+        let arrivals = self.0.borrow();
+        let begins = arrivals.iter().filter(|at| **at >= from);
+        begins.map(|begin| self.between(*begin, *begin + span)).max().unwrap_or_default()
+    }
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -13,6 +13,8 @@
 mod instance;
 mod keys;
 mod lateness;
+mod limits;
+mod load;
 mod quotas;
 mod replaced;
 mod requests;
