A gate that starts again is reminded of the declared rate by the edges that were told it

Only a restart of the machine where a request begins excuses; the edges had been told.

Cause: the limit lived in the gate's process alone, as quotas and crash records did. Class: what one process knows and loses.

The mend: edges keep what gates told them (rate, start of the instance, number of the change) and send it with their offers. A gate that has read no answer yet goes by the latest of these before the first request goes in, with an empty bucket; one that has read an answer goes by that, and its word becomes the later one. The word of one start holds for no other. Edges remember it as long as the directory knows the instance in any way. Who is asked by the health path is counted, and a rate that it names is taken; that it names none there ends nothing.

Decisions by example in decisions/declared.rs.

Cost without the fault: one empty option in each offer.

--- a/crates/sidecar/src/declared/mod.rs
+++ b/crates/sidecar/src/declared/mod.rs
@@ -1,7 +1,8 @@
 //! The rates that instances declare in their answers, as nodes know them.
 //!
 //! The gate of an instance reads its answers and paces what it sends; it tells what it knows with each of
-//! its replies. Edges remember that. Nothing here reads a clock or performs I/O.
+//! its replies. Edges remember that, and remind a gate with their offers: one that has started again has
+//! forgotten it, and the instance has not taken its word back. Nothing here reads a clock or performs I/O.
 //!
 //! - [`record`]: what is known of one start of an instance.
 
@@ -38,6 +39,11 @@
         self.records.get(instance).and_then(|record| record.rate)
     }
 
+    /// What its gate is to be told with an offer, should it have forgotten; `None` where that is nothing.
+    pub fn reminder_for(&self, instance: &InstanceName) -> Option<RateRecord> {
+        self.records.get(instance).filter(|record| record.rate.is_some()).copied()
+    }
+
     /// Forgets instances of which `keeps` is false.
     pub fn retain(&mut self, keeps: impl Fn(&InstanceName) -> bool) {
         self.records.retain(|instance, _| keeps(instance));
--- a/crates/sidecar/src/declared/record.rs
+++ b/crates/sidecar/src/declared/record.rs
@@ -44,6 +44,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct RateWitness {
     record: RateRecord,
+    /// It has read an answer itself; before that it goes by what others were told.
+    has_heard: bool,
 }
 
 impl RateWitness {
@@ -57,8 +59,25 @@
         self.record.incarnation = incarnation;
     }
 
+    /// An edge was told `told` by the gate, perhaps by the process before this one. The change that this
+    /// makes, if it does.
+    pub fn on_told(&mut self, told: RateRecord) -> Option<RateChange> {
+        if told.incarnation.differs_from(self.record.incarnation) || !told.is_later_than(&self.record) {
+            return None;
+        }
+        if self.has_heard {
+            // What was read since is news to that edge.
+            self.record.sequence = told.sequence + 1;
+            return None;
+        }
+        let before = self.record.rate;
+        self.record = RateRecord { incarnation: self.record.incarnation, ..told };
+        (before != told.rate).then_some(RateChange { before, now: told.rate })
+    }
+
     /// An answer declared `rate`, or none. The change that this makes, if it does.
     pub fn on_answer(&mut self, rate: Option<DeclaredRate>) -> Option<RateChange> {
+        self.has_heard = true;
         let before = self.record.rate;
         if before == rate {
             return None;
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -13,14 +13,13 @@
 use futures::StreamExt;
 use olivegate_http1::head::{write_chunk, write_last_chunk};
 use olivegate_http1::{BodyLength, DecodeError, Frame, RequestHead, ResponseHead};
-use olivegate_overload::DeclaredRate;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use crate::event::shown;
+use crate::gate::declared_rate::{self, LearntBy};
 use crate::gate::instance_connection::{InstanceConnection, InstanceConnections};
 use crate::gate::notice::Notice;
-use crate::gate::slots::{InstanceSlots, RateNews};
+use crate::gate::slots::InstanceSlots;
 use crate::hop::Offer;
 use crate::reply::{Answer, AnswerFault, Body, BodyBroken, Failure, FailureReason};
 use crate::state::Node;
@@ -65,7 +64,8 @@
     let notice = Notice::of(&matched.head, &node.vocabulary);
     slots.note_close(notice.closes);
     if matched.head.status != OTHER_INSTANCE {
-        take_notice(node, slots, offer, &notice, matched.head.status);
+        let by = LearntBy::Answer { request: &offer.request_id, status: matched.head.status };
+        declared_rate::take_notice(slots, &offer.instance, notice.rate, by, &node.metrics);
     }
     let reusable = matched.request_sent && !notice.closes;
     let whole_length = match matched.length {
@@ -88,32 +88,6 @@
     Ok(Answer { head: answer_head, body, fault: AnswerFault::None })
 }
 
-/// Takes in what the instance says of itself.
-fn take_notice(node: &Node, slots: &Rc<InstanceSlots>, offer: &Offer, notice: &Notice, status: u16) {
-    match slots.note_rate(notice.rate) {
-        RateNews::None => {}
-        RateNews::Changed(change) => {
-            log::info!(
-                "event=rate_declared instance={} before={} now={} request={} status={status}",
-                slots.start_name(&offer.instance),
-                shown_rate(change.before),
-                shown_rate(change.now),
-                shown(&offer.request_id),
-            );
-            node.metrics.set_declared_rate(change.now);
-        }
-        RateNews::Unreadable(error) => log::warn!(
-            "event=rate_unreadable instance={} error={error} request={} status={status}",
-            slots.start_name(&offer.instance),
-            shown(&offer.request_id),
-        ),
-    }
-}
-
-fn shown_rate(rate: Option<DeclaredRate>) -> String {
-    rate.map_or_else(|| "none".into(), |rate| rate.to_string())
-}
-
 async fn connect(node: &Node, connections: &InstanceConnections) -> Result<InstanceConnection, Failure> {
     node.metrics.connections.with_label_values(&["instance"]).inc();
     let connecting = connections.connect(node.settings().instance);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -9,6 +9,7 @@
 //! - [`instance_end`]: whether the instance has ended.
 //! - [`identity`]: which instance is known to be there.
 //! - [`presence`]: whether the instance that is meant is there.
+//! - [`declared_rate`]: the rate that the instance declares.
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`notice`]: what an instance says of itself in an answer.
 //! - [`sheds`]: which chains may begin while the instance sheds.
@@ -21,6 +22,7 @@
 
 pub mod admission;
 pub mod confirmation;
+pub mod declared_rate;
 pub mod exchange;
 pub mod identity;
 pub mod idle_closes;
@@ -52,6 +54,7 @@
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use confirmation::Confirmation;
+use declared_rate::LearntBy;
 use identity::{Doubts, InstanceIdentity};
 use olivegate_clock as clock;
 use presence::reply_for_absent;
@@ -155,6 +158,10 @@
         return count_refusal(node, &offer, GateReply::Refused { refusal, successor });
     }
     let slots = node.gate.slots_of(node, &offer.instance);
+    if let Some(told) = offer.declared {
+        let by = LearntBy::Edge { request: &offer.request_id };
+        declared_rate::take_reminder(&slots, &offer.instance, told, by, &node.metrics);
+    }
     if !node.gate.repeats.allows(node, &offer, arrived) {
         return count_refusal(node, &offer, refused(RefusalReason::RepeatBudget, SHORT_RETRY_AFTER));
     }
--- a/crates/sidecar/src/gate/presence.rs
+++ b/crates/sidecar/src/gate/presence.rs
@@ -15,8 +15,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::task::spawn_local;
 
+use super::declared_rate::{self, LearntBy};
 use super::identity::{Asking, Found, patience};
 use super::instance_connection::InstanceConnection;
+use super::notice::{Notice, RateNotice};
 use super::slots::InstanceSlots;
 use super::{SHORT_RETRY_AFTER, meet_instance, successor_of};
 use crate::hop::Offer;
@@ -97,7 +99,7 @@
     }
 }
 
-async fn question(node: &Node, expected: &InstanceName, slots: &InstanceSlots) -> Found {
+async fn question(node: &Node, expected: &InstanceName, slots: &Rc<InstanceSlots>) -> Found {
     let Some(path) = health_path(node) else { return Found::Untold };
     let address = node.settings().instance;
     node.metrics.connections.with_label_values(&["instance"]).inc();
@@ -107,11 +109,25 @@
         Err(_) => return Found::Untold,
     };
     let head = question_head(node, path, address, expected);
+    slots.count_question();
     let Some(answer) = exchange(&mut connection, &head).await else { return Found::Untold };
     if answer.keeps_connection() {
         slots.connections().keep(connection, None, slots.limit());
     }
-    found_by(node, &answer, expected)
+    let found = found_by(node, &answer, expected);
+    if found == Found::Expected {
+        take_notice(node, expected, slots, &answer);
+    }
+    found
+}
+
+/// Takes in what the instance says of itself. That it names no rate here shows no end of its need: it may
+/// name it to callers only.
+fn take_notice(node: &Node, expected: &InstanceName, slots: &Rc<InstanceSlots>, answer: &ResponseHead) {
+    let notice = Notice::of(answer, &node.vocabulary);
+    if matches!(notice.rate, RateNotice::Limited(_)) {
+        declared_rate::take_notice(slots, expected, notice.rate, LearntBy::Question, &node.metrics);
+    }
 }
 
 /// The path by which instances of this machine's service are asked whether they are healthy.
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
-use crate::declared::{RateChange, RateWitness};
+use crate::declared::{RateChange, RateRecord, RateWitness};
 use crate::gate::instance_connection::InstanceConnections;
 use crate::gate::instance_end::InstanceEnd;
 use crate::gate::notice::RateNotice;
@@ -170,6 +170,23 @@
         let mut declared = self.declared.get();
         let change = declared.on_answer(rate);
         self.declared.set(declared);
+        self.follow_rate(change)
+    }
+
+    /// Counts the question who is there in the pace of the instance.
+    pub fn count_question(&self) {
+        self.queue.borrow_mut().pacer_mut().count(clock::now());
+    }
+
+    /// Notes what an edge was told of the rate that the instance takes.
+    pub fn note_reminder(self: &Rc<Self>, told: RateRecord) -> RateNews {
+        let mut declared = self.declared.get();
+        let change = declared.on_told(told);
+        self.declared.set(declared);
+        self.follow_rate(change)
+    }
+
+    fn follow_rate(self: &Rc<Self>, change: Option<RateChange>) -> RateNews {
         let Some(change) = change else { return RateNews::None };
         self.queue.borrow_mut().pacer_mut().declare(change.now, clock::now());
         self.serve_waiting();
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::declared::RateRecord;
 use crate::directory::copy::DirectoryCopy;
 use crate::model::{Configuration, ConfigurationVersion, Instance, RepeatSafety, Revision};
 use crate::peers::AnnouncedReading;
@@ -104,6 +105,8 @@
     pub inherited: f32,
     /// True when it may run only once the edge has confirmed it.
     pub needs_confirmation: bool,
+    /// The rate that the instance declares, as the edge was told, where it declares one.
+    pub declared: Option<RateRecord>,
 }
 
 /// What a node knows, to compare with what another one knows.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -16,8 +16,8 @@
 
 use crate::access::Access;
 use crate::declared::DeclaredRates;
-use crate::directory::Directory;
 use crate::directory::hold::HoldPolicy;
+use crate::directory::{Directory, Standing};
 use crate::edge::hop_pool::HopPool;
 use crate::event::{LineBudgets, LineClass};
 use crate::gate::Gate;
@@ -233,7 +233,9 @@
         let is_same = |name: &InstanceName| !restarted.contains(name);
         let is_listed = |name: &InstanceName| knowledge.directory.instance(name).is_some();
         self.balancer.borrow_mut().retain(|name| is_listed(name) && is_same(name));
-        self.declared_rates.borrow_mut().retain(|name| is_listed(name) && is_same(name));
+        // One whose entry has gone may still live, and come back with what it said in force.
+        let is_known = |name: &InstanceName| knowledge.directory.standing(name) != Standing::Unknown;
+        self.declared_rates.borrow_mut().retain(|name| is_known(name) && is_same(name));
         drop(knowledge);
         self.knowledge_changed.notify_waiters();
     }
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Decisions without I/O, by example and against simple oracles.
 
 mod attempts;
+mod declared;
 mod directory;
 mod epochs;
 mod events;
--- a/crates/sidecar/tests/decisions/sheds.rs
+++ b/crates/sidecar/tests/decisions/sheds.rs
@@ -46,6 +46,7 @@
         ended: Vec::new(),
         inherited: 0.0,
         needs_confirmation: false,
+        declared: None,
     }
 }
 
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -180,5 +180,6 @@
         ended: Vec::new(),
         inherited: 0.0,
         needs_confirmation: true,
+        declared: None,
     }
 }
--- a/crates/sidecar/tests/path/limits.rs
+++ b/crates/sidecar/tests/path/limits.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_sidecar::model::Instance;
 use olivegate_sidecar::model::RepeatSafety::Safe;
 use rstest::rstest;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use crate::instance::{Action, Seen, TestInstance, answer};
-use crate::load::{Answered, Arrivals, ask_for};
+use crate::load::{Answered, Arrivals, Killable, ask_for};
 use crate::support::{Fleet, configuration, route, run};
 
 const BOOKS: &str = "books";
@@ -28,11 +30,20 @@
 /// Time within which the end of a limit is noticed.
 const BACK_WITHIN: Duration = Duration::from_secs(4);
 
+/// Time that an instance works on a request, in milliseconds.
+const WORK_MS: u64 = 10;
+/// The same of a slow one: many more would arrive before its first answer.
+const SLOW_WORK_MS: u64 = 300;
+
 /// The rate that an instance names in its answers, where it names one.
 type Named = Rc<Cell<Option<&'static str>>>;
 
-/// Answers after 10 ms, with the rate where one is named.
+/// Answers after [`WORK_MS`], with the rate where one is named.
 fn naming(named: Named, arrivals: Arrivals) -> impl Fn(&Seen, usize) -> Vec<Action> {
+    naming_after(WORK_MS, named, arrivals)
+}
+
+fn naming_after(work_ms: u64, named: Named, arrivals: Arrivals) -> impl Fn(&Seen, usize) -> Vec<Action> {
     move |seen, _| {
         arrivals.note();
         let plain = answer(200, &seen.id(), "body");
@@ -40,7 +51,7 @@
             Some(rate) => plain.replacen("\r\n\r\n", &format!("\r\nx-rate: {rate}\r\n\r\n"), 1),
             None => plain,
         };
-        vec![Action::Sleep(10), Action::Send(text)]
+        vec![Action::Sleep(work_ms), Action::Send(text)]
     }
 }
 
@@ -175,3 +186,36 @@
         assert!(own * 2 >= others, "{own} came to it, {others} to the other one");
     });
 }
+
+/// The edges were told, and none of them has started again: they are bound whatever the gate has forgotten.
+#[rstest]
+#[case::once(1)]
+#[case::again_and_again(4)]
+fn a_gate_that_starts_again_keeps_to_the_rate_that_edges_were_told(#[case] restarts: u32) {
+    run(async move {
+        let fleet = Rc::new(Fleet::new());
+        fleet.source.configure(configuration(1, vec![route("/safe/", BOOKS, Safe)]));
+        let (limited, named) = (Arrivals::default(), Rc::new(Cell::new(Some("2"))));
+        let listed = fleet.list(2, "books-1", BOOKS);
+        fleet.source.list(Instance { slots: 40, ..listed });
+        let script = naming_after(SLOW_WORK_MS, named, limited.clone());
+        TestInstance::start(fleet.instance_address(2), script).await;
+        let mut gate = Killable::start(&fleet, 2, BOOKS).await;
+        for machine in EDGES {
+            Fleet::ready(&fleet.start(machine, "desk").await).await;
+        }
+        let edges = EDGES.map(|edge| fleet.outbound(edge));
+        ask_for(&edges, 2, "/safe/a", Duration::from_secs(1)).await;
+        let begun = Instant::now();
+        let asking = spawn_local(async move { ask_for(&edges, 12, "/safe/a", WINDOW).await });
+        for _ in 0..restarts {
+            gate.kill().await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            gate = Killable::start(&fleet, 2, BOOKS).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
+        }
+        asking.await.unwrap();
+        let most = limited.most_within(WINDOW, begun);
+        assert!(most <= allowed(2.0), "{most} in {WINDOW:?}, {} allowed", allowed(2.0));
+    });
+}
--- a/crates/sidecar/tests/path/load.rs
+++ b/crates/sidecar/tests/path/load.rs
@@ -1,14 +1,16 @@
 //! Clients that keep on asking, and what they and an instance saw.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::future::join_all;
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
 use crate::client::{Client, get};
+use crate::support::Fleet;
 
 /// Time from an answer to the next request of the same client.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -19,7 +21,6 @@
     pub status: u16,
     /// When to come back, in seconds, where the answer says that.
     pub come_back: Option<f64>,
-    pub after: Duration,
 }
 
 /// So many clients of each of `edges` ask for `path` one request after the other for so long.
@@ -35,7 +36,7 @@
             let mut client = Client::connect(edge).await;
             let answer = client.ask(&get(path, &format!("{}-{number}-{count}-{asked:?}", edge.ip()))).await;
             let come_back = answer.field("retry-after").and_then(|seconds| seconds.parse().ok());
-            seen.push(Answered { status: answer.head.status, come_back, after: asked.elapsed() });
+            seen.push(Answered { status: answer.head.status, come_back });
             tokio::time::sleep(PAUSE).await;
         }
         seen
@@ -65,3 +66,32 @@
         begins.map(|begin| self.between(*begin, *begin + span)).max().unwrap_or_default()
     }
 }
+
+/// A node that can be ended as by a kill: all its tasks and connections at once.
+pub struct Killable {
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Killable {
+    /// Starts the node of `machine` and waits until it is ready.
+    pub async fn start(fleet: &Rc<Fleet>, machine: u8, service: &'static str) -> Self {
+        let is_ready: Rc<Cell<bool>> = Rc::default();
+        let (fleet, told) = (fleet.clone(), is_ready.clone());
+        let task = spawn_local(async move {
+            let node = async {
+                Fleet::ready(&fleet.start(machine, service).await).await;
+                told.set(true);
+                std::future::pending::<()>().await;
+            };
+            LocalSet::new().run_until(node).await;
+        });
+        crate::support::eventually("the node is ready", || is_ready.get()).await;
+        Killable { task }
+    }
+
+    /// Ends it.
+    pub async fn kill(self) {
+        self.task.abort();
+        let _ = self.task.await;
+    }
+}
