An instance that says in its answers that it leaves gets nothing new

What callers saw: requests were sent on to an instance until it was gone, where its entry still said that it takes requests, or the store could not be read; those that came last were broken off.

Cause: the word stands in a field of the answers that nobody read (found while looking for the limit's cause elsewhere); leaving was known from the store's entry alone.

The mend: the gate reads it, tells edges with each reply, and every directory that hears it takes the start of the instance for leaving, before whatever the source or another gate's attestation says. The edge where a request begins remembers it by itself, so a gate that starts again changes nothing. It ends with that start: one that starts again under its name has not said so. Connection: close alone says nothing, and a 421 speaks of another instance.

A restart under the same name is served again.

Cost without the fault: a look-up by name for each reply.

--- a/crates/sidecar/src/directory/belief.rs
+++ b/crates/sidecar/src/directory/belief.rs
@@ -10,7 +10,7 @@
 
 use super::hold::{Hold, HoldReason, SourceHealth};
 use super::{Directory, Entry, MACHINE_MEMORY, Standing};
-use crate::model::{Instance, InstanceState, Revision};
+use crate::model::{Incarnation, Instance, InstanceState, Revision};
 
 /// An attestation that lasts longer by this much is news.
 const NEWS_OF_HOLD: Duration = Duration::from_secs(1);
@@ -44,6 +44,8 @@
     /// Ends holds whose time is over; call every second or so. True when anything changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         self.forget_old_removals(now);
+        let (entries, gone) = (&self.entries, &self.gone);
+        self.said_leaving.forget(now, |name| entries.contains_key(name) || gone.contains_key(name));
         let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
         let source = self.source;
@@ -89,6 +91,12 @@
         self.finish(self.revision, changed)
     }
 
+    /// This start of an instance has said in an answer that it leaves. True when that changes anything.
+    pub fn note_leaving(&mut self, name: &InstanceName, incarnation: Incarnation, now: Moment) -> bool {
+        let changed = self.said_leaving.note(name, incarnation, now);
+        self.finish(self.revision, changed)
+    }
+
     /// An instance was met on its own machine before the source lists it. It is believed for
     /// as long as that may take.
     pub fn observe(&mut self, instance: Instance, now: Moment) -> bool {
@@ -104,7 +112,7 @@
     /// The gate on its machine attests until `until` that an instance lives whose entry is
     /// gone. True when that is news which is to be passed on.
     pub fn attest(&mut self, instance: Instance, until: Moment, now: Moment) -> bool {
-        if self.left_as_draining(&instance) {
+        if self.left_as_draining(&instance) || self.is_leaving(&instance) {
             return false;
         }
         let removed = self.removal_of(&instance.name);
@@ -159,11 +167,12 @@
     pub fn unlisted_at(&self, address: SocketAddr) -> Option<Rc<Instance>> {
         let known = self.entries.values().filter(|entry| entry.instance.address == address);
         if let Some(entry) = known.max_by_key(|entry| entry.revision) {
-            return entry.hold.is_some().then(|| entry.instance.clone());
+            let may_live = entry.hold.is_some() && !self.is_leaving(&entry.instance);
+            return may_live.then(|| entry.instance.clone());
         }
         let removed = self.gone.values().filter(|tombstone| tombstone.instance.address == address);
         let last = removed.max_by_key(|tombstone| tombstone.since)?;
-        (!last.is_seen && last.instance.state == InstanceState::Ready).then(|| last.instance.clone())
+        (!last.is_seen && !self.is_leaving(&last.instance)).then(|| last.instance.clone())
     }
 
     /// The gate of an instance whose entry went away says that it is gone. True when anything
--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -18,12 +18,14 @@
 //! - `update`: taking over what the source says.
 //! - `belief`: what is believed beside that, and when it ends.
 //! - [`hold`]: how long an instance that is not listed is believed.
+//! - `leaving`: instances that say themselves that they leave.
 //! - `prior`: what was known of an instance that is listed anew.
 //! - [`copy`]: what nodes pass on.
 
 mod belief;
 pub mod copy;
 pub mod hold;
+mod leaving;
 mod prior;
 mod update;
 
@@ -34,9 +36,10 @@
 
 use olivegate_types::{InstanceName, Moment, ServiceName, ZoneName};
 
-use crate::model::{Epoch, Instance, InstanceState, Revision};
+use crate::model::{Epoch, Incarnation, Instance, InstanceState, Revision};
 use crate::source::ListedInstance;
 use hold::{Hold, HoldPolicy, SourceHealth};
+use leaving::SaidLeaving;
 
 /// How long machines are remembered after their last entry.
 const MACHINE_MEMORY: Duration = Duration::from_secs(60);
@@ -94,6 +97,7 @@
     gone: HashMap<InstanceName, Tombstone>,
     /// Removals after this one are all in `gone`.
     gone_since: Revision,
+    said_leaving: SaidLeaving,
     machines: HashMap<IpAddr, Machine>,
     source: SourceHealth,
     /// When the present epoch was met, unless it is the source's first.
@@ -112,6 +116,7 @@
             entries: BTreeMap::new(),
             gone: HashMap::new(),
             gone_since: Revision::default(),
+            said_leaving: SaidLeaving::default(),
             machines: HashMap::new(),
             source: SourceHealth::default(),
             epoch_met: None,
@@ -138,7 +143,7 @@
     /// What is known about one instance.
     pub fn standing(&self, name: &InstanceName) -> Standing {
         match self.entries.get(name) {
-            Some(entry) if entry.instance.state == InstanceState::Draining => Standing::Draining,
+            Some(entry) if self.is_leaving(&entry.instance) => Standing::Draining,
             Some(entry) if entry.doubted_until.is_some() => Standing::Gone,
             Some(_) => Standing::Ready,
             None if self.gone.contains_key(name) => Standing::Gone,
@@ -146,6 +151,16 @@
         }
     }
 
+    /// True when the source or the instance itself says that it leaves.
+    fn is_leaving(&self, instance: &Instance) -> bool {
+        instance.state == InstanceState::Draining || self.has_said_leaving(&instance.name, instance.incarnation)
+    }
+
+    /// True when this start of an instance, or a later one, has said that it leaves.
+    pub fn has_said_leaving(&self, name: &InstanceName, incarnation: Incarnation) -> bool {
+        self.said_leaving.holds_for(name, incarnation)
+    }
+
     /// A listed instance.
     pub fn instance(&self, name: &InstanceName) -> Option<Rc<Instance>> {
         self.entries.get(name).map(|entry| entry.instance.clone())
@@ -210,7 +225,7 @@
     fn rebuild(&mut self) {
         let mut ready: HashMap<ServiceName, Vec<Rc<Instance>>> = HashMap::new();
         for entry in self.entries.values() {
-            if entry.instance.state == InstanceState::Ready && entry.doubted_until.is_none() {
+            if !self.is_leaving(&entry.instance) && entry.doubted_until.is_none() {
                 ready.entry(entry.instance.service.clone()).or_default().push(entry.instance.clone());
             }
         }
--- a/crates/sidecar/src/directory/update.rs
+++ b/crates/sidecar/src/directory/update.rs
@@ -106,6 +106,7 @@
         if has_restarted {
             self.restarted.push(name.clone());
         }
+        self.said_leaving.learn_start(&instance);
         let doubted_until = (taken == Taken::Doubted).then(|| now + self.policy.lapses_within);
         let is_same = |entry: &Entry| *entry.instance == instance && entry.doubted_until == doubted_until;
         let changed = !self.entries.get(name).is_some_and(is_same);
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -197,7 +197,7 @@
         };
         sent.observation = observation_of(&reply);
         if let Some(load) = load {
-            self.note_load(&name, load);
+            self.note_load(instance, load);
         }
         reply
     }
@@ -288,8 +288,12 @@
         self.node.update_directory("gate", |directory| directory.drop_held(&instance.name, now));
     }
 
-    fn note_load(&self, name: &InstanceName, load: Load) {
+    fn note_load(&self, instance: &Instance, load: Load) {
         let now = clock::now();
+        let name = &instance.name;
+        if load.is_leaving {
+            self.node.note_leaving(name, load.declared.incarnation.or(instance.incarnation), "gate");
+        }
         let mut balancer = self.node.balancer.borrow_mut();
         balancer.on_report(name, f64::from(load.occupancy), now);
         let health = Health { slowness: f64::from(load.slowness), failing: f64::from(load.failing) };
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -66,6 +66,9 @@
     if matched.head.status != OTHER_INSTANCE {
         let by = LearntBy::Answer { request: &offer.request_id, status: matched.head.status };
         declared_rate::take_notice(slots, &offer.instance, notice.rate, by, &node.metrics);
+        if notice.is_leaving {
+            node.note_leaving(&offer.instance, slots.incarnation(), "instance");
+        }
     }
     let reusable = matched.request_sent && !notice.closes;
     let whole_length = match matched.length {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -139,6 +139,8 @@
         let mut load = slots.map(|slots| slots.load(&class, self.repeats_for(node, &slots))).unwrap_or_default();
         let deeper = node.levels.borrow().room(&class, hop.saturating_add(1), clock::now());
         load.level = load.level.min(deeper as f32);
+        let directory = &node.knowledge.borrow().directory;
+        load.is_leaving = directory.has_said_leaving(name, load.declared.incarnation);
         if node.stop.is_stopping() {
             load.occupancy += STOPPING_OCCUPANCY;
         }
@@ -347,7 +349,7 @@
     let knowledge = node.knowledge.borrow();
     let directory = &knowledge.directory;
     let present = directory.instance_at(settings.instance)?;
-    let takes_its_place = present.name != *meant && present.state == InstanceState::Ready;
+    let takes_its_place = present.name != *meant && directory.standing(&present.name) == Standing::Ready;
     takes_its_place.then(|| Box::new(Instance::clone(&present)))
 }
 
--- a/crates/sidecar/src/gate/presence.rs
+++ b/crates/sidecar/src/gate/presence.rs
@@ -128,6 +128,9 @@
     if matches!(notice.rate, RateNotice::Limited(_)) {
         declared_rate::take_notice(slots, expected, notice.rate, LearntBy::Question, &node.metrics);
     }
+    if notice.is_leaving {
+        node.note_leaving(expected, slots.incarnation(), "instance");
+    }
 }
 
 /// The path by which instances of this machine's service are asked whether they are healthy.
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -132,6 +132,11 @@
         true
     }
 
+    /// Start of the instance, where it is told.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.get()
+    }
+
     /// Name of the present start of the instance `name`.
     pub fn start_name(&self, name: &InstanceName) -> InstanceName {
         self.incarnation.get().start_name(name)
@@ -239,6 +244,7 @@
             failing: self.failing.get() as f32,
             level: by_slots.min(by_repeats) as f32,
             declared: self.declared.get().record(),
+            is_leaving: false,
             return_after: Millis::of(return_after),
         }
     }
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -72,6 +72,11 @@
         self != Incarnation::UNKNOWN
     }
 
+    /// This start where it is told, else `other`.
+    pub fn or(self, other: Incarnation) -> Incarnation {
+        if self.is_told() { self } else { other }
+    }
+
     /// Name of this start of the instance `name`, where one that starts again is another.
     pub fn start_name(self, name: &InstanceName) -> InstanceName {
         if self.is_told() { InstanceName::new(format!("{name}@{}", self.0)) } else { name.clone() }
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -179,6 +179,8 @@
     pub level: f32,
     /// The rate that the instance declares.
     pub declared: RateRecord,
+    /// The instance says that it leaves.
+    pub is_leaving: bool,
     /// Time for which the edge is to prefer other instances, since this one's declared rate is used up.
     pub return_after: Millis,
 }
@@ -191,6 +193,7 @@
             failing: 0.0,
             level: 1.0,
             declared: RateRecord::default(),
+            is_leaving: false,
             return_after: Millis::default(),
         }
     }
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -24,7 +24,7 @@
 use crate::hop::KnownState;
 use crate::lineage::Lineage;
 use crate::metrics::Metrics;
-use crate::model::Configuration;
+use crate::model::{Configuration, Incarnation};
 use crate::peers::attestation::Attestation;
 use crate::peers::freshness::Freshness;
 use crate::peers::suspects::ServiceMachines;
@@ -240,6 +240,15 @@
         self.knowledge_changed.notify_waiters();
     }
 
+    /// This start of an instance has said that it leaves; `from` tells who has heard it.
+    pub fn note_leaving(&self, name: &InstanceName, incarnation: Incarnation, from: &str) {
+        if self.knowledge.borrow().directory.has_said_leaving(name, incarnation) {
+            return;
+        }
+        log::info!("event=instance_leaving instance={} from={from}", incarnation.start_name(name));
+        self.update_directory(from, |directory| directory.note_leaving(name, incarnation, clock::now()));
+    }
+
     fn note_service_machines(&self) {
         let instances = self.knowledge.borrow().directory.ready_instances(&self.settings().service);
         let machines = instances.iter().map(|instance| instance.address.ip());
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -13,6 +13,7 @@
 mod instance;
 mod keys;
 mod lateness;
+mod leaving;
 mod limits;
 mod load;
 mod quotas;
