Soak: instances name rates and say that they leave, and both are judged

Instances of the soak name rates in their answers (0, 0.2, 2.8, 5, 13; another one halfway; then none) or say by answers alone that they leave while their entry stands, and the processes beside them are killed, paused, stopped, cut or reset in series meanwhile.

--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -22,7 +22,7 @@
 
 use super::exchange::{answer_body, is_deadly, request_body, signature};
 use super::plan::InstanceFault;
-use super::record::{CallEnd, CallPurpose, Run};
+use super::record::{Arrival, CallEnd, CallPurpose, NamedRate, Notice, Run};
 use super::senders::{Order, Senders};
 use super::strike;
 use super::world::World;
@@ -59,6 +59,8 @@
     queued: Cell<u32>,
     most_queued: u32,
     is_leaving: Cell<bool>,
+    says_leaving: Cell<bool>,
+    named_rate: Cell<Option<f64>>,
     ended: Notify,
 }
 
@@ -74,6 +76,8 @@
             queued: Cell::new(0),
             most_queued: slots * QUEUE_PER_SLOT,
             is_leaving: Cell::new(false),
+            says_leaving: Cell::new(false),
+            named_rate: Cell::new(None),
             ended: Notify::new(),
         }
     }
@@ -88,6 +92,27 @@
         self.is_leaving.set(true);
     }
 
+    /// It says by a field of its answers that it leaves from now on, and takes requests as before.
+    pub fn say_leaving(&self) {
+        self.says_leaving.set(true);
+    }
+
+    /// It names this rate in its answers from now on, or none.
+    pub fn name_rate(&self, world: &World, rate: Option<f64>) {
+        self.named_rate.set(rate);
+        let named = NamedRate { instance: self.start_name(), rate, at_s: world.now_s() };
+        world.record.borrow_mut().rates.push(named);
+    }
+
+    /// Notes what an answer to `request` says of it.
+    fn note_notice(&self, world: &World, request: &str) {
+        let (rate, is_leaving) = (self.named_rate.get(), self.says_leaving.get());
+        if rate.is_some() || is_leaving {
+            let notice = Notice { request: request.to_string(), instance: self.start_name(), rate, is_leaving };
+            world.record.borrow_mut().notices.push(notice);
+        }
+    }
+
     /// Ends it at once, with all its connections.
     pub fn end(&self) {
         self.ended.notify_one();
@@ -179,6 +204,10 @@
     if !is_meant && head.path() != HEALTH_PATH {
         return write(answers, rejection(instance, 421, &id), Bytes::new()).await;
     }
+    if head.path() != HEALTH_PATH {
+        let arrival = Arrival { request: id.clone(), instance: instance.start_name(), at_s: world.now_s() };
+        world.record.borrow_mut().arrivals.push(arrival);
+    }
     let fault = world.faults.of_instance(instance.machine);
     if instance.rejects() || fault == Some(InstanceFault::Hanging) {
         std::future::pending::<()>().await;
@@ -209,6 +238,7 @@
         let (head, body) = answer(instance, world, head, "surplus", 200);
         write(answers, head, body).await;
     }
+    instance.note_notice(world, &id);
     let (head, body) = answer(instance, world, head, &id, status);
     if fault == Some(InstanceFault::BreaksOff) {
         return break_off(answers, head, body).await;
@@ -282,6 +312,12 @@
     if instance.is_leaving.get() {
         fields.add("Connection", "close");
     }
+    if let Some(rate) = instance.named_rate.get() {
+        fields.add(VOCABULARY.declared_rate, rate.to_string());
+    }
+    if instance.says_leaving.get() {
+        fields.add(VOCABULARY.leaving, "1");
+    }
     ResponseHead { status, minor_version: 1, fields }
 }
 
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/bench/src/soak/judge.rs
@@ -53,6 +53,10 @@
     DeadlyContentHeld,
     /// No request is refused for want of an instance while a sound one lives that all nodes can know.
     SoundInstanceTakes,
+    /// An instance gets no more requests a second than it names in its answers.
+    DeclaredRateKept,
+    /// An instance that says in its answers that it leaves gets nothing new.
+    SaidLeavingGetsNothing,
 }
 
 /// A broken promise.
@@ -117,6 +121,7 @@
     violations.extend(case.keys_held());
     violations.extend(case.quota());
     violations.extend(case.deadly());
+    violations.extend(case.declared());
     violations.extend(case.refused_beside_sound_instances());
     violations.sort_by(|left, right| left.at_s.total_cmp(&right.at_s));
     violations
@@ -159,7 +164,7 @@
         if recent.is_empty() { "calm".into() } else { recent.join(", ") }
     }
 
-    fn runs_of(&self, call: &Call) -> &[&Run] {
+    pub(super) fn runs_of(&self, call: &Call) -> &[&Run] {
         self.runs.get(call.id.as_str()).map_or(&[], Vec::as_slice)
     }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -11,7 +11,7 @@
 //! - [`lateness`]: whether the soak itself keeps up.
 //! - [`judge_lives`]: who was refused although an instance lived; pure.
 //! - [`traces`]: what the programs' logs say of a broken promise.
-//! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`]: what was seen, and which promise was broken; pure.
+//! - [`record`], [`mod@judge`], [`judge_access`], [`judge_deadly`], [`judge_declared`]: what was seen, and which promise was broken; pure.
 
 pub mod entries;
 pub mod exchange;
@@ -19,6 +19,7 @@
 pub mod judge;
 pub mod judge_access;
 pub mod judge_deadly;
+pub mod judge_declared;
 pub mod judge_lives;
 pub mod lateness;
 pub mod plan;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -107,6 +107,14 @@
         /// Age of the copy as the store goes away, in milliseconds.
         copy_age_ms: u32,
     },
+    /// The machine's instance names a rate in its answers; halfway it names another one.
+    NamesRate {
+        /// Tenths of a request a second, at first and then.
+        tenths: [u32; 2],
+    },
+    /// The machine's instance says in its answers alone that it leaves, serves on, and another takes its
+    /// place.
+    SaysLeaving,
     /// Requests of one content end each instance of this machine's service that runs them.
     DeadlyRequests {
         /// They have a body and may run once.
@@ -154,6 +162,35 @@
 /// Most deadly contents in a soak; the least is one.
 const MOST_DEADLY: usize = 3;
 
+/// Kinds of what instances say in their answers, which are drawn by themselves.
+const SAID_KINDS: [(FaultKind, u32); 7] = [
+    (FaultKind::NamesRate { tenths: [0, 0] }, 2),
+    (FaultKind::NamesRate { tenths: [2, 28] }, 2),
+    (FaultKind::NamesRate { tenths: [28, 2] }, 2),
+    (FaultKind::NamesRate { tenths: [130, 28] }, 2),
+    (FaultKind::NamesRate { tenths: [50, 130] }, 2),
+    (FaultKind::NamesRate { tenths: [130, 0] }, 1),
+    (FaultKind::SaysLeaving, 4),
+];
+/// Added to the seed for the draw of what instances say.
+const SAID_SEED: u64 = 0x05a1;
+/// Shortest and longest time for which a rate is named, in seconds.
+const SAID_S: std::ops::Range<f64> = 5.0..14.0;
+/// Most of what instances say in a soak; the least is two.
+const MOST_SAID: usize = 5;
+/// What happens to the process beside such an instance meanwhile, with weights.
+const BESIDE_KINDS: [(FaultKind, u32); 5] = [
+    (FaultKind::Kill, 4),
+    (FaultKind::Pause, 3),
+    (FaultKind::Stop, 3),
+    (FaultKind::Link(LinkFault::Silent), 2),
+    (FaultKind::Link(LinkFault::Reset), 2),
+];
+/// Most such faults for each.
+const MOST_BESIDE: usize = 3;
+/// Longest of them, in seconds.
+const BESIDE_S: std::ops::Range<f64> = 0.2..1.5;
+
 /// Added to the seed for the draw of stores that come back from a copy.
 const RESTORED_SEED: u64 = 0x0c0b;
 /// Added to the seed for the draw of stores whose waiting calls are told nothing.
@@ -204,6 +241,8 @@
             FaultKind::Stop
                 | FaultKind::Reload
                 | FaultKind::InstanceLeaves
+                | FaultKind::NamesRate { .. }
+                | FaultKind::SaysLeaving
                 | FaultKind::Configuration
                 | FaultKind::ConfigurationStorm
         )
@@ -235,6 +274,7 @@
             draw_deadly(&mut faults, seed, length_s, machines);
             draw_restored(&mut faults, seed, length_s, machines);
             draw_deaf(&mut faults, seed, length_s, machines);
+            draw_said(&mut faults, seed, length_s, machines);
         }
         Plan { faults, length_s }
     }
@@ -243,7 +283,8 @@
     /// `Link(Silent`, and no others, `mean_gap_s` seconds apart: many of one kind overlap.
     pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String], mean_gap_s: f64) -> Self {
         let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
-        let kinds: Vec<(FaultKind, u32)> = KINDS.into_iter().filter(|(kind, _)| is_named(kind)).collect();
+        let all = KINDS.into_iter().chain(SAID_KINDS);
+        let kinds: Vec<(FaultKind, u32)> = all.filter(|(kind, _)| is_named(kind)).collect();
         let mut random = StdRng::seed_from_u64(seed);
         let faults = draw_usual(&kinds, &mut random, Timing { length_s, mean_gap_s }, machines);
         Plan { faults, length_s }
@@ -327,6 +368,28 @@
     faults.push(Fault { number: faults.len(), at_s, for_s: 0.1, kind: FaultKind::InstanceLeaves, machine });
 }
 
+/// Draws what instances say in their answers, and faults of the processes beside them meanwhile.
+fn draw_said(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
+    let mut random = StdRng::seed_from_u64(seed ^ SAID_SEED);
+    let end_s = length_s - CALM_END_S;
+    for _ in 0..random.random_range(2..=MOST_SAID) {
+        let Ok((kind, _)) = SAID_KINDS.choose_weighted(&mut random, |(_, weight)| *weight).copied() else {
+            return;
+        };
+        let at_s = random.random_range(CALM_START_S..(end_s - SAID_S.start).max(CALM_START_S + 1.0));
+        let for_s = random.random_range(SAID_S).min(end_s - at_s).max(0.1);
+        let machine = random.random_range(0..machines.max(1));
+        faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
+        for _ in 0..random.random_range(0..=MOST_BESIDE) {
+            let beside = BESIDE_KINDS.choose_weighted(&mut random, |(_, weight)| *weight);
+            let Ok((kind, _)) = beside.copied() else { return };
+            let at_s = at_s + random.random_range(0.0..for_s);
+            let for_s = random.random_range(BESIDE_S).min(end_s - at_s).max(0.1);
+            faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Fault { number, at_s, for_s, kind, machine } = self;
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -125,6 +125,63 @@
     pub acknowledged_s: f64,
 }
 
+/// A request that an instance read, run or not.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The request's id.
+    pub request: String,
+    /// The instance.
+    pub instance: String,
+    /// When.
+    pub at_s: f64,
+}
+
+/// What an instance said of itself in an answer.
+#[derive(Debug, Clone)]
+pub struct Notice {
+    /// Id of the request that it answered.
+    pub request: String,
+    /// The instance.
+    pub instance: String,
+    /// The rate that it named, in requests a second.
+    pub rate: Option<f64>,
+    /// It said that it leaves.
+    pub is_leaving: bool,
+}
+
+/// From when on an instance names a rate in its answers.
+#[derive(Debug, Clone)]
+pub struct NamedRate {
+    /// The instance.
+    pub instance: String,
+    /// Requests a second; `None` where it names none from then on.
+    pub rate: Option<f64>,
+    /// When.
+    pub at_s: f64,
+}
+
+/// How a process was kept from its work without being ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutageKind {
+    /// It stood still.
+    Frozen,
+    /// What came to its machine was held back or reset.
+    Cut,
+}
+
+/// A time in which a process was kept from its work.
+#[derive(Debug, Clone, Copy)]
+pub struct Outage {
+    /// Its machine.
+    pub machine: usize,
+    /// How.
+    pub kind: OutageKind,
+    /// Begin.
+    pub from_s: f64,
+    /// End.
+    pub until_s: f64,
+}
+
 /// A planned stop of a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Stop {
@@ -178,6 +235,14 @@
     pub calls: Vec<Call>,
     /// What instances ran.
     pub runs: Vec<Run>,
+    /// Requests that instances read.
+    pub arrivals: Vec<Arrival>,
+    /// Answers in which instances said something of themselves.
+    pub notices: Vec<Notice>,
+    /// Rates that instances named, in order of time.
+    pub rates: Vec<NamedRate>,
+    /// Processes that were kept from their work.
+    pub outages: Vec<Outage>,
     /// Instances that left.
     pub leaving: Vec<Leaving>,
     /// When instances took requests.
--- a/crates/bench/src/soak/strike.rs
+++ b/crates/bench/src/soak/strike.rs
@@ -14,7 +14,7 @@
 use super::exchange::deadly_path;
 use super::instance::Instance;
 use super::plan::{Fault, FaultKind, StoreFault};
-use super::record::{Crash, Disturbance, Stop};
+use super::record::{Crash, Disturbance, Outage, OutageKind, Stop};
 use super::senders::{Order, Senders};
 use super::world::World;
 use crate::error::BenchError;
@@ -62,6 +62,19 @@
         let until_s = world.now_s();
         world.record.borrow_mut().disturbances.push(Disturbance { machine, from_s, until_s });
     }
+    if let Some(kind) = outage_of(fault.kind) {
+        let outage = Outage { machine: fault.machine, kind, from_s, until_s: world.now_s() };
+        world.record.borrow_mut().outages.push(outage);
+    }
+}
+
+/// How a fault keeps a process from its work without ending it.
+fn outage_of(kind: FaultKind) -> Option<OutageKind> {
+    match kind {
+        FaultKind::Pause => Some(OutageKind::Frozen),
+        FaultKind::Link(_) => Some(OutageKind::Cut),
+        _ => None,
+    }
 }
 
 async fn carry_out(world: &Rc<World>, fault: Fault) {
@@ -104,6 +117,8 @@
         }
         FaultKind::InstanceRestarts => instance_restarts(world, machine).await,
         FaultKind::InstanceLeaves => instance_leaves(world, machine).await,
+        FaultKind::NamesRate { tenths } => names_rate(world, machine, tenths, length).await,
+        FaultKind::SaysLeaving => says_leaving(world, machine).await,
         FaultKind::Burst => {
             world.load.set(BURST);
             tokio::time::sleep(length).await;
@@ -318,6 +333,29 @@
     start_instance(world, machine).await;
 }
 
+/// An instance names a rate in its answers, then another one, then none.
+async fn names_rate(world: &Rc<World>, machine: usize, tenths: [u32; 2], length: Duration) {
+    let present = world.instances.borrow()[machine].clone();
+    let Some(instance) = present else { return };
+    for rate in tenths {
+        instance.name_rate(world, Some(f64::from(rate) / 10.0));
+        tokio::time::sleep(length / 2).await;
+    }
+    instance.name_rate(world, None);
+}
+
+/// An instance says in its answers that it leaves, while its entry says nothing; it serves on, and ends;
+/// another takes its address.
+async fn says_leaving(world: &Rc<World>, machine: usize) {
+    let Some(instance) = world.take_instance(machine) else { return };
+    instance.say_leaving();
+    tokio::time::sleep(SERVES_ON * 2).await;
+    instance.end();
+    world.remove_entry(&instance.name);
+    tokio::time::sleep(ADDRESS_RESTS).await;
+    start_instance(world, machine).await;
+}
+
 async fn start_instance(world: &Rc<World>, machine: usize) {
     world.start_instance(machine).await.unwrap_or_else(|error| log_not_started(machine, &error));
 }
