Pace: a limited instance gets what it declares also where few callers ask; forgotten rates are told

With two edges of two clients each and 2.8 a second, 5 requests arrived in 3 s where 8 were allowed: tokens that nobody came for within 0.36 s were lost. A rate that is dropped with its instance's state is logged.

A slot in use and a running request have files of their own; both are handed what they need instead of the node.

--- a/crates/overload/src/pacer.rs
+++ b/crates/overload/src/pacer.rs
@@ -13,6 +13,8 @@
 
 /// Time whose worth of requests may be sent at once.
 const BURST: Duration = Duration::from_millis(250);
+/// Requests that may be sent at once at the least: what nobody came for in time is not lost at once.
+const LEAST_BURST: f64 = 2.0;
 /// Requests a second at the least, to hear whether the instance declares a higher rate by now.
 const PROBE_RATE: f64 = 0.5;
 /// Those that were turned away are asked to return at a rate this much above the one that is paced:
@@ -99,7 +101,7 @@
     }
 
     fn burst(&self) -> f64 {
-        self.requests_per_second().map_or(0.0, |per_second| (per_second * BURST.as_secs_f64()).max(1.0))
+        self.requests_per_second().map_or(0.0, |per_second| (per_second * BURST.as_secs_f64()).max(LEAST_BURST))
     }
 
     fn tokens_at(&self, now: Moment) -> f64 {
--- a/crates/sidecar/src/gate/declared_rate.rs
+++ b/crates/sidecar/src/gate/declared_rate.rs
@@ -65,6 +65,12 @@
     tell(slots, name, slots.note_reminder(told), by, metrics);
 }
 
+/// Tells that the rate of a start of an instance is forgotten, since that has ended or gone.
+pub fn tell_forgotten(start: &InstanceName, metrics: &Metrics) {
+    log::info!("event=rate_forgotten instance={start}");
+    metrics.set_declared_rate(None);
+}
+
 fn tell(slots: &Rc<InstanceSlots>, name: &InstanceName, news: RateNews, by: LearntBy<'_>, metrics: &Metrics) {
     let instance = slots.start_name(name);
     match news {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! is exact. What the gate refuses never arrived, so an edge may offer it elsewhere.
 //!
 //! - [`slots`]: queue and limit of one instance, and waiting for a slot.
+//! - [`slot`]: a slot while a request holds it.
 //! - [`instance_connection`]: kept connections to the instance.
 //! - [`admission`]: which requests of clients may go on to their calls.
 //! - [`instance_end`]: whether the instance has ended.
@@ -12,6 +13,7 @@
 //! - [`declared_rate`]: the rate that the instance declares.
 //! - [`exchange`]: one request and its answer on such a connection.
 //! - [`notice`]: what an instance says of itself in an answer.
+//! - [`running`]: a request for as long as the instance runs it.
 //! - [`sheds`]: which chains may begin while the instance sheds.
 //! - [`repeats`]: how many repeats are let through.
 //! - [`quarantine`]: requests with which instances end.
@@ -33,8 +35,10 @@
 pub mod quarantine;
 pub mod repeats;
 pub mod rest_trust;
+pub mod running;
 pub mod serve;
 pub mod sheds;
+pub mod slot;
 pub mod slots;
 
 use std::cell::RefCell;
@@ -49,7 +53,6 @@
 use crate::event::{LineClass, shown};
 use crate::hop::{ONE_GROUP, Offer, Root};
 use crate::lateness;
-use crate::lineage::{RunningKey, RunningRequest};
 use crate::model::{Incarnation, Instance, InstanceState};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
@@ -62,6 +65,7 @@
 use quarantine::watched_run::WatchedRun;
 use quarantine::{Entry, GateQuarantine};
 use repeats::GateRepeats;
+use running::Running;
 use slots::InstanceSlots;
 
 /// Slots assumed for an instance that the directory does not list yet.
@@ -106,7 +110,11 @@
         self.instances.borrow_mut().retain(|name, slots| {
             let is_same = knowledge.directory.instance(name).is_none_or(|instance| slots.follow(&instance));
             let is_of_use = knowledge.directory.standing(name) != Standing::Gone || slots.in_use();
-            is_same && is_of_use
+            let is_kept = is_same && is_of_use;
+            if !is_kept && slots.is_limited() {
+                declared_rate::tell_forgotten(&slots.start_name(name), &node.metrics);
+            }
+            is_kept
         });
     }
 
@@ -206,7 +214,7 @@
     offer: Offer,
     body: Body,
     (content, entry): (RunContent, Entry),
-    mut slot: slots::Slot,
+    mut slot: slot::Slot,
     deadline: Moment,
 ) -> GateReply {
     let started = clock::now();
@@ -227,7 +235,7 @@
     }
     let doubts = node.gate.identity.doubts();
     log_start(node, &offer, time_left);
-    let parent = Running::begin(node, &offer, started + time_left);
+    let parent = Running::begin(&node.lineage, &offer, started + time_left);
     let mut watched = WatchedRun::begin(node, &offer, content, entry, slots.clone());
     slot.note_sent();
     let running = exchange::run(node, &slots, connection, &offer, body, time_left);
@@ -242,11 +250,11 @@
     match result {
         Ok(mut answer) => {
             note_alive(node, &offer, &slots, doubts);
-            answer.fault = node.lineage.borrow_mut().fault_of(parent.key, answer.head.status, clock::now());
+            answer.fault = node.lineage.borrow_mut().fault_of(parent.key(), answer.head.status, clock::now());
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_answer(&offer, answer.fault, taken);
             node.gate.repeats.on_answer(node, &offer, answer.fault, clock::now());
-            GateReply::Answered(slots::holding(watched.on_answer(answer), slot))
+            GateReply::Answered(slot::holding(watched.on_answer(answer), slot))
         }
         Err(mut failure) => {
             failure.reason = watched.on_failure(failure.reason).await;
@@ -292,33 +300,6 @@
     }
 }
 
-/// A request that the instance runs, for as long as it does.
-struct Running<'a> {
-    node: &'a Node,
-    key: RunningKey,
-}
-
-impl<'a> Running<'a> {
-    fn begin(node: &'a Node, offer: &Offer, deadline: Moment) -> Self {
-        let repeat = if offer.is_repeat { 1.0 } else { f64::from(offer.inherited) };
-        let request = RunningRequest {
-            id: offer.request_id.clone(),
-            deadline,
-            repeat,
-            hop: offer.hop,
-            root: offer.root.clone(),
-        };
-        let key = node.lineage.borrow_mut().begin(request);
-        Running { node, key }
-    }
-}
-
-impl Drop for Running<'_> {
-    fn drop(&mut self) {
-        self.node.lineage.borrow_mut().end(self.key, clock::now());
-    }
-}
-
 /// Why the instance may not get a request now.
 fn obstacle(node: &Node, name: &InstanceName) -> Option<RefusalReason> {
     if node.stop.is_closing() {
--- /dev/null
+++ b/crates/sidecar/src/gate/running.rs
@@ -0,0 +1,42 @@
+//! A request for as long as the instance runs it: calls that the instance makes meanwhile may be its own.
+
+use std::cell::RefCell;
+
+use olivegate_types::Moment;
+
+use crate::hop::Offer;
+use crate::lineage::{Lineage, RunningKey, RunningRequest};
+use olivegate_clock as clock;
+
+/// A request that the instance runs; dropped when it does no more.
+pub struct Running<'a> {
+    lineage: &'a RefCell<Lineage>,
+    key: RunningKey,
+}
+
+impl<'a> Running<'a> {
+    /// The instance begins to run the request of `offer`.
+    pub fn begin(lineage: &'a RefCell<Lineage>, offer: &Offer, deadline: Moment) -> Self {
+        let repeat = if offer.is_repeat { 1.0 } else { f64::from(offer.inherited) };
+        let request = RunningRequest {
+            id: offer.request_id.clone(),
+            deadline,
+            repeat,
+            hop: offer.hop,
+            root: offer.root.clone(),
+        };
+        let key = lineage.borrow_mut().begin(request);
+        Running { lineage, key }
+    }
+
+    /// What names it among those that run.
+    pub fn key(&self) -> RunningKey {
+        self.key
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.lineage.borrow_mut().end(self.key, clock::now());
+    }
+}
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -18,9 +18,10 @@
 use crate::gate::instance_end::InstanceEnd;
 use crate::gate::notice::RateNotice;
 use crate::gate::sheds::Sheds;
+use crate::gate::slot::Slot;
 use crate::hop::Offer;
 use crate::model::{Incarnation, Instance, Millis};
-use crate::reply::{Answer, AnswerFault, Body, Failure, FailureReason, Load};
+use crate::reply::Load;
 use olivegate_clock as clock;
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
@@ -30,7 +31,7 @@
 /// Part of the used slots that admission levels count on.
 const LEVEL_SLOTS: f64 = 1.0;
 /// Weight of a new sample in moving averages.
-const SAMPLE_WEIGHT: f64 = 0.1;
+pub(super) const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of one exchange in the fraction that fails.
 const FAILING_WEIGHT: f64 = 0.04;
 /// Expected time in the instance of a route that was never seen, as a part of its target
@@ -44,14 +45,14 @@
 
 /// Queue, limit and connections of one instance.
 pub struct InstanceSlots {
-    queue: RefCell<InstanceQueue>,
+    pub(super) queue: RefCell<InstanceQueue>,
     waiting: RefCell<HashMap<TicketId, oneshot::Sender<Result<(), Refusal>>>>,
-    expected: RefCell<ExpectedTimes>,
-    slowness: RefCell<f64>,
+    pub(super) expected: RefCell<ExpectedTimes>,
+    pub(super) slowness: RefCell<f64>,
     failing: Cell<f64>,
     closes_in_a_row: Cell<u32>,
     demand: RefCell<DemandLevels>,
-    sheds: Sheds,
+    pub(super) sheds: Sheds,
     declared: Cell<RateWitness>,
     is_waking: Cell<bool>,
     is_rate_unreadable: Cell<bool>,
@@ -71,14 +72,6 @@
     Unreadable(RateError),
 }
 
-/// A slot in use; dropped when the exchange has ended, whichever way.
-pub struct Slot {
-    slots: Rc<InstanceSlots>,
-    ticket: TicketId,
-    /// The request was sent to the instance, or may have been.
-    is_sent: bool,
-}
-
 /// A place in the queue; dropped when the wait has ended, whichever way.
 struct Place {
     slots: Rc<InstanceSlots>,
@@ -178,6 +171,11 @@
         self.follow_rate(change)
     }
 
+    /// True when the instance declares a rate.
+    pub fn is_limited(&self) -> bool {
+        self.declared.get().record().rate.is_some()
+    }
+
     /// Counts the question who is there in the pace of the instance.
     pub fn count_question(&self) {
         self.queue.borrow_mut().pacer_mut().count(clock::now());
@@ -213,7 +211,7 @@
         self.note_failing(true);
     }
 
-    fn note_failing(&self, failed: bool) {
+    pub(super) fn note_failing(&self, failed: bool) {
         let sample = f64::from(u8::from(failed));
         let failing = self.failing.get();
         self.failing.set(failing + (sample - failing) * FAILING_WEIGHT);
@@ -321,6 +319,18 @@
         }
     }
 
+    /// A slot is free again; its request was sent to the instance, or was not.
+    pub(super) fn release(self: &Rc<Self>, ticket: TicketId, is_sent: bool) {
+        let mut queue = self.queue.borrow_mut();
+        if is_sent {
+            queue.finish(ticket, clock::now());
+        } else {
+            queue.withdraw(ticket, clock::now());
+        }
+        drop(queue);
+        self.serve_waiting();
+    }
+
     /// Gives free slots to those that wait.
     fn serve_waiting(self: &Rc<Self>) {
         loop {
@@ -360,86 +370,7 @@
         let was_waiting = self.slots.queue.borrow_mut().cancel(self.ticket);
         if !was_waiting {
             // The slot was given just as the wait was given up.
-            self.slots.queue.borrow_mut().withdraw(self.ticket, clock::now());
-            self.slots.serve_waiting();
-        }
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let mut queue = self.slots.queue.borrow_mut();
-        if self.is_sent {
-            queue.finish(self.ticket, clock::now());
-        } else {
-            queue.withdraw(self.ticket, clock::now());
+            self.slots.release(self.ticket, false);
         }
-        drop(queue);
-        self.slots.serve_waiting();
-    }
-}
-
-impl Slot {
-    /// The slots that this one belongs to.
-    pub fn slots(&self) -> &Rc<InstanceSlots> {
-        &self.slots
-    }
-
-    /// The request is sent to the instance from now on.
-    pub fn note_sent(&mut self) {
-        self.is_sent = true;
-    }
-
-    /// Learns from an answer.
-    pub fn note_answer(&mut self, offer: &Offer, fault: AnswerFault, used: Duration) {
-        self.slots.note_failing(fault == AnswerFault::Instance);
-        self.slots.sheds.note(false, clock::now());
-        self.note_time(offer, used);
-        let mut queue = self.slots.queue.borrow_mut();
-        let in_flight = queue.in_flight();
-        queue.limit_mut().on_success(in_flight);
     }
-
-    /// Learns from an exchange without an answer.
-    pub fn note_failure(&mut self, offer: &Offer, failure: Failure, used: Duration) {
-        let now = clock::now();
-        let is_instances_fault =
-            !matches!(failure.reason, FailureReason::RequestBroken | FailureReason::RefusedByInstance);
-        if is_instances_fault {
-            self.slots.note_failing(true);
-        }
-        match failure.reason {
-            // The gate never gives it more than it has slots for: it refuses for a reason of its
-            // own, and would refuse as many with fewer requests in it.
-            FailureReason::RefusedByInstance => self.slots.sheds.note(true, now),
-            FailureReason::TimedOut => {
-                self.note_time(offer, used);
-                self.slots.queue.borrow_mut().limit_mut().on_failure(now);
-            }
-            _ => {}
-        }
-    }
-
-    fn note_time(&self, offer: &Offer, used: Duration) {
-        self.slots.expected.borrow_mut().note(&offer.route, used, clock::now());
-        let target = f64::from(offer.target_latency_ms.max(1)) / 1_000.0;
-        let mut slowness = self.slots.slowness.borrow_mut();
-        *slowness = *slowness * (1.0 - SAMPLE_WEIGHT) + used.as_secs_f64() / target * SAMPLE_WEIGHT;
-    }
-}
-
-/// The answer, with the slot kept until a body that is still to be read has ended.
-pub fn holding(answer: Answer, slot: Slot) -> Answer {
-    let Answer { head, body, fault } = answer;
-    let body = match body {
-        Body::Whole(bytes) => Body::Whole(bytes),
-        Body::Stream(pieces, length) => {
-            let held = futures::StreamExt::map(pieces, move |piece| {
-                let _slot = &slot;
-                piece
-            });
-            Body::Stream(Box::pin(held), length)
-        }
-    };
-    Answer { head, body, fault }
 }
--- a/crates/sidecar/tests/path/limits.rs
+++ b/crates/sidecar/tests/path/limits.rs
@@ -87,15 +87,22 @@
 #[case::few("2.8", 2.8)]
 #[case::hardly_any("0.2", 0.2)]
 #[case::none("0", 0.0)]
-fn an_instance_gets_no_more_than_the_rate_that_it_names(#[case] named: &'static str, #[case] rate: f64) {
+fn an_instance_gets_no_more_than_the_rate_that_it_names(
+    #[case] named: &'static str,
+    #[case] rate: f64,
+    #[values(2, CLIENTS)] clients: usize,
+) {
     run(async move {
         let (fleet, [limited, _]) = fleet_naming([Rc::new(Cell::new(Some(named))), Named::default()]).await;
         start_gates(&fleet).await;
         let begun = Instant::now();
         let edges = EDGES.map(|edge| fleet.outbound(edge));
-        let seen = ask_for(&edges, CLIENTS, "/safe/a", Duration::from_millis(5_000)).await;
+        let seen = ask_for(&edges, clients, "/safe/a", Duration::from_millis(5_000)).await;
         let most = limited.most_within(WINDOW, begun + fleet.contact);
         assert!(most <= allowed(rate), "{most} in {WINDOW:?}, {} allowed", allowed(rate));
+        let used = limited.between(begun + WINDOW / 4, begun + WINDOW);
+        let wanted = USED_PART * rate * WINDOW.as_secs_f64() * 0.75;
+        assert!(used as f64 >= wanted.floor(), "only {used} arrived, {wanted:.1} at the least");
         let unserved: Vec<&Answered> = seen.iter().filter(|answer| answer.status != 200).collect();
         assert!(unserved.is_empty(), "{} of {}: {unserved:?}", unserved.len(), seen.len());
     });
