--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -46,7 +46,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_overload::{Demand, Pace};
+use olivegate_overload::{ClassKey, Demand, Pace};
 use olivegate_types::{GroupName, InstanceName, Moment, Refusal, RefusalReason};
 
 use crate::directory::Standing;
@@ -138,17 +138,20 @@
         if slots.shed_part() > 0.0 { self.repeats.rate(node, clock::now()) } else { f64::MAX }
     }
 
+    fn load_of(&self, node: &Node, name: &InstanceName, slots: &InstanceSlots, class: &ClassKey) -> Load {
+        let is_leaving = node.knowledge.borrow().directory.has_said_leaving(name, slots.incarnation());
+        Load { word: slots.word(is_leaving), ..slots.load(class, self.repeats_for(node, slots)) }
+    }
+
     /// Load of one instance, to be told to the edge of an offer made for `root` at `hop`: with the
     /// level of its class here and further down. A node that stops seems busy, so that it
     /// is chosen only where nothing else is left.
     pub fn load(&self, node: &Node, name: &InstanceName, root: &Root, hop: u8) -> Load {
         let class = root.class();
         let slots = self.instances.borrow().get(name).cloned();
-        let mut load = slots.map(|slots| slots.load(&class, self.repeats_for(node, &slots))).unwrap_or_default();
+        let mut load = slots.map(|slots| self.load_of(node, name, &slots, &class)).unwrap_or_default();
         let deeper = node.levels.borrow().room(&class, hop.saturating_add(1), clock::now());
         load.level = load.level.min(deeper as f32);
-        let directory = &node.knowledge.borrow().directory;
-        load.is_leaving = directory.has_said_leaving(name, load.declared.incarnation);
         if node.stop.is_stopping() {
             load.occupancy += STOPPING_OCCUPANCY;
         }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -21,7 +21,7 @@
 use crate::gate::slot::Slot;
 use crate::hop::Offer;
 use crate::model::{Incarnation, Instance, Millis};
-use crate::reply::Load;
+use crate::reply::{InstanceWord, Load};
 use olivegate_clock as clock;
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
@@ -235,18 +235,25 @@
         let now = clock::now();
         let by_slots = self.demand.borrow().level(class, slots, now);
         let by_repeats = self.sheds.level(class, repeats, now);
-        let return_after = self.return_after(now);
         Load {
             occupancy: self.queue.borrow().occupancy() as f32,
             slowness: *self.slowness.borrow() as f32,
             failing: self.failing.get() as f32,
             level: by_slots.min(by_repeats) as f32,
-            declared: self.declared.get().record(),
-            is_leaving: false,
-            return_after: Millis::of(return_after),
+            word: None,
         }
     }
 
+    /// What the instance has said of itself, and whether it leaves by what its node knows.
+    pub fn word(&self, is_leaving: bool) -> Option<InstanceWord> {
+        let declared = self.declared.get().record();
+        let has_said = is_leaving || declared.was_ever_limited();
+        has_said.then(|| {
+            let return_after = Millis::of(self.return_after(clock::now()));
+            InstanceWord { declared, is_leaving, return_after }
+        })
+    }
+
     /// Time after which an edge may offer again, where the declared rate is used up.
     fn return_after(&self, now: Moment) -> Duration {
         let mut queue = self.queue.borrow_mut();
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -177,25 +177,24 @@
     /// Fraction of new requests of the root's class that may begin; above 1 where there is room
     /// for more.
     pub level: f32,
-    /// The rate that the instance declares.
+    /// What the instance has said of itself; `None` as long as it has said nothing.
+    pub word: Option<InstanceWord>,
+}
+
+/// What an instance has said of itself in its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Default, BorshSerialize, BorshDeserialize)]
+pub struct InstanceWord {
+    /// The rate that it declares.
     pub declared: RateRecord,
-    /// The instance says that it leaves.
+    /// It leaves.
     pub is_leaving: bool,
-    /// Time for which the edge is to prefer other instances, since this one's declared rate is used up.
+    /// Time for which the edge is to prefer other instances, since the declared rate is used up.
     pub return_after: Millis,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Load {
-            occupancy: 0.0,
-            slowness: 0.0,
-            failing: 0.0,
-            level: 1.0,
-            declared: RateRecord::default(),
-            is_leaving: false,
-            return_after: Millis::default(),
-        }
+        Load { occupancy: 0.0, slowness: 0.0, failing: 0.0, level: 1.0, word: None }
     }
 }
 
