Edges and a gate that has started again agree on the declared rate, whatever each counted before

An edge that remembered that no rate was declared any more (second change) took the gate's first change for older: it did not learn the rate, and would not have reminded the next process of it. Two processes may also give out the same number for different rates.

Edges remind a gate of all that they know of an instance that has ever declared a rate; a gate that has read an answer counts itself later than whatever else an edge was told; of two rates with one number the lower one holds until an answer.

--- a/crates/sidecar/src/declared/mod.rs
+++ b/crates/sidecar/src/declared/mod.rs
@@ -39,9 +39,11 @@
         self.records.get(instance).and_then(|record| record.rate)
     }
 
-    /// What its gate is to be told with an offer, should it have forgotten; `None` where that is nothing.
+    /// What its gate is to be told with an offer, should it have forgotten; `None` where the instance has
+    /// never declared a rate. Also that it declares none any more: a gate that has forgotten would count its
+    /// changes anew, and its word would pass for older than that.
     pub fn reminder_for(&self, instance: &InstanceName) -> Option<RateRecord> {
-        self.records.get(instance).filter(|record| record.rate.is_some()).copied()
+        self.records.get(instance).copied()
     }
 
     /// Forgets instances of which `keeps` is false.
--- a/crates/sidecar/src/declared/record.rs
+++ b/crates/sidecar/src/declared/record.rs
@@ -62,17 +62,32 @@
     /// An edge was told `told` by the gate, perhaps by the process before this one. The change that this
     /// makes, if it does.
     pub fn on_told(&mut self, told: RateRecord) -> Option<RateChange> {
-        if told.incarnation.differs_from(self.record.incarnation) || !told.is_later_than(&self.record) {
+        if told.incarnation.differs_from(self.record.incarnation) {
             return None;
         }
         if self.has_heard {
-            // What was read since is news to that edge.
-            self.record.sequence = told.sequence + 1;
+            self.go_before(told);
             return None;
         }
         let before = self.record.rate;
-        self.record = RateRecord { incarnation: self.record.incarnation, ..told };
-        (before != told.rate).then_some(RateChange { before, now: told.rate })
+        if told.is_later_than(&self.record) || self.is_stricter(told) {
+            self.record = RateRecord { incarnation: self.record.incarnation, ..told };
+        }
+        let now = self.record.rate;
+        (before != now).then_some(RateChange { before, now })
+    }
+
+    /// What was read here is news to an edge that was told something else: it has to count as later.
+    fn go_before(&mut self, told: RateRecord) {
+        if told.rate != self.record.rate && told.sequence >= self.record.sequence {
+            self.record.sequence = told.sequence + 1;
+        }
+    }
+
+    /// Two processes that did not know of each other may have given out the same number.
+    fn is_stricter(&self, told: RateRecord) -> bool {
+        let known = self.record;
+        told.sequence == known.sequence && known.rate.zip(told.rate).is_some_and(|(known, told)| told < known)
     }
 
     /// An answer declared `rate`, or none. The change that this makes, if it does.
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -105,7 +105,7 @@
     pub inherited: f32,
     /// True when it may run only once the edge has confirmed it.
     pub needs_confirmation: bool,
-    /// The rate that the instance declares, as the edge was told, where it declares one.
+    /// The rate that the instance declares, as the edge was told, where it has ever declared one.
     pub declared: Option<RateRecord>,
 }
 
