Test: where a called service names rates, requests are held back before they begin

Two hops, 12 a second named by the only instance of the called service, six clients: four fifths and more of that are served, less than a fifth of what begins fails for want of its call, no 502 or 504.

--- a/crates/sidecar/tests/path/limits.rs
+++ b/crates/sidecar/tests/path/limits.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+use crate::client::call;
 use crate::instance::{Action, Seen, TestInstance, answer};
 use crate::load::{Answered, Arrivals, Killable, ask_for};
 use crate::support::{Fleet, configuration, route, run};
@@ -247,3 +248,34 @@
         }
     });
 }
+
+/// Requests are held back before their calls are made: those that begin have room for them.
+#[rstest]
+fn where_a_called_service_names_rates_requests_are_held_back_at_the_first_node() {
+    run(async move {
+        let fleet = Rc::new(Fleet::new());
+        let routes = vec![route("/front/", "front", Safe), route("/safe/", BOOKS, Safe)];
+        fleet.source.configure(configuration(1, routes));
+        fleet.list(2, "front-1", "front");
+        fleet.list(3, "books-1", BOOKS);
+        let own_node = fleet.outbound(2);
+        let calling = move |seen: &Seen, before: usize| {
+            let request = call("/safe/a", &format!("{}-call-{before}", seen.id()), 1_000);
+            vec![Action::Call(own_node, request)]
+        };
+        TestInstance::start(fleet.instance_address(2), calling).await;
+        let script = naming(Rc::new(Cell::new(Some("12"))), Arrivals::default());
+        TestInstance::start(fleet.instance_address(3), script).await;
+        for (machine, service) in [(1, "desk"), (2, "front"), (3, BOOKS)] {
+            Fleet::ready(&fleet.start(machine, service).await).await;
+        }
+        let edges = [fleet.outbound(1)];
+        ask_for(&edges, CLIENTS, "/front/a", Duration::from_secs(2)).await;
+        let seen = ask_for(&edges, CLIENTS, "/front/a", WINDOW).await;
+        let count = |status: u16| seen.iter().filter(|answer| answer.status == status).count();
+        let (served, failed) = (count(200), count(500));
+        assert!(served as f64 >= USED_PART * 12.0 * WINDOW.as_secs_f64(), "{served} served of {}", seen.len());
+        assert!(failed * 4 <= served, "{failed} began in vain, {served} were served");
+        assert_eq!(count(502) + count(504), 0, "{seen:?}");
+    });
+}
