--- a/crates/sidecar/src/directory/leaving.rs
+++ b/crates/sidecar/src/directory/leaving.rs
@@ -1,7 +1,7 @@
 //! Instances that have said in their answers that they leave.
 //!
-//! Their word goes before the source's, which may hear of it later or never. It ends with the start of
-//! the instance that gave it: one that starts again under its name has not said so.
+//! What they say goes before the source's, which may hear of it later or never. A statement ends with the start of
+//! the instance that made it: one that starts again under its name has not said so.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 const MEMORY: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Clone, Copy)]
-struct Word {
+struct Statement {
     incarnation: Incarnation,
     at: Moment,
 }
@@ -22,7 +22,7 @@
 /// Which instances have said that they leave.
 #[derive(Debug, Default)]
 pub(super) struct SaidLeaving {
-    words: HashMap<InstanceName, Word>,
+    statements: HashMap<InstanceName, Statement>,
 }
 
 impl SaidLeaving {
@@ -31,25 +31,26 @@
         if self.holds_for(name, incarnation) {
             return false;
         }
-        self.words.insert(name.clone(), Word { incarnation, at: now });
+        self.statements.insert(name.clone(), Statement { incarnation, at: now });
         true
     }
 
     /// The start of an instance is told that was not before.
     pub(super) fn learn_start(&mut self, instance: &Instance) {
-        let word = self.words.get_mut(&instance.name).filter(|word| !word.incarnation.is_told());
-        if let Some(word) = word {
-            word.incarnation = instance.incarnation;
+        let statement =
+            self.statements.get_mut(&instance.name).filter(|statement| !statement.incarnation.is_told());
+        if let Some(statement) = statement {
+            statement.incarnation = instance.incarnation;
         }
     }
 
     /// True when this start of the instance `name`, or a later one, has said so.
     pub(super) fn holds_for(&self, name: &InstanceName, incarnation: Incarnation) -> bool {
-        self.words.get(name).is_some_and(|word| !word.incarnation.is_before(incarnation))
+        self.statements.get(name).is_some_and(|statement| !statement.incarnation.is_before(incarnation))
     }
 
     /// Forgets what is old of instances that `is_known` is false of.
     pub(super) fn forget(&mut self, now: Moment, is_known: impl Fn(&InstanceName) -> bool) {
-        self.words.retain(|name, word| is_known(name) || now.since(word.at) < MEMORY);
+        self.statements.retain(|name, statement| is_known(name) || now.since(statement.at) < MEMORY);
     }
 }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -291,19 +291,19 @@
     fn note_load(&self, instance: &Instance, load: Load) {
         let now = clock::now();
         let name = &instance.name;
-        let word = load.word.unwrap_or_default();
-        if word.is_leaving {
-            self.node.note_leaving(name, word.declared.incarnation.or(instance.incarnation), "gate");
+        let report = load.self_report.unwrap_or_default();
+        if report.is_leaving {
+            self.node.note_leaving(name, report.declared.incarnation.or(instance.incarnation), "gate");
         }
         let mut balancer = self.node.balancer.borrow_mut();
         balancer.on_report(name, f64::from(load.occupancy), now);
         let health = Health { slowness: f64::from(load.slowness), failing: f64::from(load.failing) };
         balancer.on_health(name, health, now);
-        balancer.on_away(name, word.return_after.duration(), now);
+        balancer.on_away(name, report.return_after.duration(), now);
         drop(balancer);
-        self.node.declared_rates.borrow_mut().note(name, word.declared);
+        self.node.declared_rates.borrow_mut().note(name, report.declared);
         // What one instance lacks is no lack of the service, as long as others take what comes.
-        if word.declared.rate.is_some() && !self.is_service_limited() {
+        if report.declared.rate.is_some() && !self.is_service_limited() {
             return;
         }
         let class = self.lineage.root.class();
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -140,7 +140,7 @@
 
     fn load_of(&self, node: &Node, name: &InstanceName, slots: &InstanceSlots, class: &ClassKey) -> Load {
         let is_leaving = node.knowledge.borrow().directory.has_said_leaving(name, slots.incarnation());
-        Load { word: slots.word(is_leaving), ..slots.load(class, self.repeats_for(node, slots)) }
+        Load { self_report: slots.self_report(is_leaving), ..slots.load(class, self.repeats_for(node, slots)) }
     }
 
     /// Load of one instance, to be told to the edge of an offer made for `root` at `hop`: with the
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -21,7 +21,7 @@
 use crate::gate::slot::Slot;
 use crate::hop::Offer;
 use crate::model::{Incarnation, Instance, Millis};
-use crate::reply::{InstanceWord, Load};
+use crate::reply::{Load, SelfReport};
 use olivegate_clock as clock;
 
 /// Part of an instance's slots that is used: some instances slow down when nearly full.
@@ -240,17 +240,17 @@
             slowness: *self.slowness.borrow() as f32,
             failing: self.failing.get() as f32,
             level: by_slots.min(by_repeats) as f32,
-            word: None,
+            self_report: None,
         }
     }
 
     /// What the instance has said of itself, and whether it leaves by what its node knows.
-    pub fn word(&self, is_leaving: bool) -> Option<InstanceWord> {
+    pub fn self_report(&self, is_leaving: bool) -> Option<SelfReport> {
         let declared = self.declared.get().record();
         let has_said = is_leaving || declared.was_ever_limited();
         has_said.then(|| {
             let return_after = Millis::of(self.return_after(clock::now()));
-            InstanceWord { declared, is_leaving, return_after }
+            SelfReport { declared, is_leaving, return_after }
         })
     }
 
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -178,12 +178,12 @@
     /// for more.
     pub level: f32,
     /// What the instance has said of itself; `None` as long as it has said nothing.
-    pub word: Option<InstanceWord>,
+    pub self_report: Option<SelfReport>,
 }
 
 /// What an instance has said of itself in its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Default, BorshSerialize, BorshDeserialize)]
-pub struct InstanceWord {
+pub struct SelfReport {
     /// The rate that it declares.
     pub declared: RateRecord,
     /// It leaves.
@@ -194,7 +194,7 @@
 
 impl Default for Load {
     fn default() -> Self {
-        Load { occupancy: 0.0, slowness: 0.0, failing: 0.0, level: 1.0, word: None }
+        Load { occupancy: 0.0, slowness: 0.0, failing: 0.0, level: 1.0, self_report: None }
     }
 }
 
