Review, case 3: a stopping sidecar cuts answers that it has passed on

Cause: after its last answer on a connection, a stopping sidecar drops the socket at once; a pipelined request that is unread or arrives then makes the kernel reset the connection and throw away the rest of the answer.

SIGTERM while large answers are on their way to clients that pipeline and read slowly.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# SIGTERM of a sidecar that returns large answers to pipelining clients; see claim.txt.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
+# disruption out. Needs target/release/olivegate; builds the stand-ins if they aren't there.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -x target/release/olivegate ] || { echo "target/release/olivegate isn't built"; exit 2; }
+[ -x target/review/case ] || review/build.sh || exit 2
+timeout -k 10 100 target/review/case stopping "$here/record.txt"
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
