--- a/review/stand-in/instance.rs
+++ b/review/stand-in/instance.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Head, Reader, Summary, pattern};
 use crate::record::Record;
@@ -15,6 +15,7 @@
     pub id: String,
     pub path: String,
     pub body: Summary,
+    pub began: Instant,
 }
 
 /// How an instance answers.
@@ -46,6 +47,7 @@
     runs: Arc<Mutex<Vec<Run>>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     has_crashed: Arc<AtomicBool>,
+    is_leaving: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -60,6 +62,7 @@
             runs: Arc::default(),
             open: Arc::default(),
             has_crashed: Arc::default(),
+            is_leaving: Arc::default(),
             record: record.clone(),
         };
         let serving = instance.clone();
@@ -88,6 +91,11 @@
         }
     }
 
+    /// Begins to leave: it serves on, and its answers close their connections.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// What it has run so far.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("no holder panics").clone()
@@ -98,9 +106,16 @@
         self.runs().iter().any(|run| run.id == id)
     }
 
-    fn connection(&self, mut stream: TcpStream) {
+    fn connection(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else { return };
+        if let (Ok(reading), Ok(writing)) = (stream.try_clone(), stream.try_clone()) {
+            self.serve_connection(reading, writing);
+        }
+        // `open` holds the connection, too, so it has to be closed explicitly.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn serve_connection(&self, reading: TcpStream, mut stream: TcpStream) {
         let mut reader = Reader::new(reading);
         while let Ok(head) = reader.head() {
             let (body, result) = reader.body(&head);
@@ -139,6 +154,7 @@
             id: id.clone(),
             path: head.word(1).to_string(),
             body,
+            began: Instant::now(),
         });
         std::thread::sleep(self.answer.work);
         let content = pattern(self.answer.length);
@@ -161,10 +177,12 @@
     }
 
     fn send(&self, stream: &mut TcpStream, status: u16, id: &str, fields: &str, body: &[u8]) -> bool {
-        let fields = format!("X-Instance-Id: {}\r\n{fields}", self.name);
+        let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+        let close = if is_leaving { "Connection: close\r\n" } else { "" };
+        let fields = format!("X-Instance-Id: {}\r\n{close}{fields}", self.name);
         let mut message = response_head(status, id, &fields, body.len()).into_bytes();
         message.extend_from_slice(body);
-        stream.write_all(&message).is_ok()
+        stream.write_all(&message).is_ok() && !is_leaving
     }
 }
 
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod store;
 
+mod case_leaving;
 mod case_limits;
 mod case_pipelined;
 mod case_reuse;
@@ -43,6 +44,7 @@
 
 fn run(name: &str, setting: &Setting) -> io::Result<Finding> {
     match name {
+        "leaving" => case_leaving::run(setting),
         "limits" => case_limits::run(setting),
         "stopping" => case_stopping::run(setting),
         "pipelined" => case_pipelined::run(setting),
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -28,6 +28,8 @@
     events: Vec<(u64, String, Option<Item>)>,
     /// It answers no call.
     is_silent: bool,
+    /// Connections that were opened in an earlier generation have fallen silent.
+    generation: u64,
 }
 
 /// A store; clones share its content.
@@ -68,8 +70,14 @@
         self.shared.0.lock().expect("no holder panics").is_silent = is_silent;
     }
 
-    fn is_silent(&self) -> bool {
-        self.shared.0.lock().expect("no holder panics").is_silent
+    /// All open connections fall silent; new ones work.
+    pub fn silence_open(&self) {
+        self.shared.0.lock().expect("no holder panics").generation += 1;
+    }
+
+    fn is_silent(&self, generation: u64) -> bool {
+        let state = self.shared.0.lock().expect("no holder panics");
+        state.is_silent || state.generation != generation
     }
 
     /// Serves at a free port of `ip`.
@@ -89,11 +97,12 @@
     fn connection(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else { return };
+        let generation = self.shared.0.lock().expect("no holder panics").generation;
         let mut reader = Reader::new(reading);
         while let Ok(head) = reader.head() {
             let (status, body) = self.answer(head.word(1));
             std::thread::sleep(ANSWER_TIME);
-            if self.is_silent() {
+            if self.is_silent(generation) {
                 loop {
                     std::thread::sleep(Duration::from_secs(3_600));
                 }
