Fetches between nodes: a counter and a line for those that fail

Neither logs nor metrics told whether such a node does not hear of the version, can't fetch it, could read it itself, or refuses it: a failed fetch was a line at debug level without its connection.

Now fetch_failed is written at info, with the peer, the connection (reused, new, none), the time and the error, and counted in fetches_total{connection,result}.

--- a/crates/sidecar/src/edge/gate_connection_pool.rs
+++ b/crates/sidecar/src/edge/gate_connection_pool.rs
@@ -22,6 +22,21 @@
     since: Instant,
 }
 
+/// A connection to a gate, taken from the pool or opened.
+pub struct GateConnection {
+    /// The connection.
+    pub stream: GateStream,
+    /// True when it was idle in the pool, so that it may have silently failed since its last exchange.
+    pub is_reused: bool,
+}
+
+impl GateConnection {
+    /// Name of its origin in log lines and metrics.
+    pub fn origin(&self) -> &'static str {
+        if self.is_reused { "reused" } else { "new" }
+    }
+}
+
 /// Idle connections by gate.
 #[derive(Default)]
 pub struct GateConnectionPool {
@@ -38,13 +53,19 @@
 
 impl GateConnectionPool {
     /// Takes an idle connection to the gate at `address`, or opens a new one.
-    pub async fn connection(&self, address: SocketAddr) -> std::io::Result<GateStream> {
+    pub async fn connection(&self, address: SocketAddr) -> std::io::Result<GateConnection> {
         match self.take(address) {
-            Some(stream) => Ok(stream),
-            None => Ok(gate_protocol::framed(transport::connect(address, CONNECT_TIMEOUT).await?)),
+            Some(stream) => Ok(GateConnection { stream, is_reused: true }),
+            None => self.connect(address).await,
         }
     }
 
+    /// Opens a new connection to the gate at `address`.
+    pub async fn connect(&self, address: SocketAddr) -> std::io::Result<GateConnection> {
+        let stream = transport::connect(address, CONNECT_TIMEOUT).await?;
+        Ok(GateConnection { stream: gate_protocol::framed(stream), is_reused: false })
+    }
+
     fn take(&self, address: SocketAddr) -> Option<GateStream> {
         let now = Instant::now();
         let mut by_gate = self.idle.borrow_mut();
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -9,6 +9,7 @@
 use olivegate_types::{InstanceName, Refusal};
 use tokio::time::Instant;
 
+use crate::edge::gate_connection_pool::GateConnection;
 use crate::gate_protocol::{self, EdgeMessage, GateMessage, GateStream, Offer, SILENCE_LIMIT, SUSPECT_AFTER};
 use crate::reply::{Body, BodyStream, Failure, FailureReason, GateReply, IncompleteBody, Load, Response};
 use crate::state::Node;
@@ -31,7 +32,7 @@
 /// Offers a request and waits for the reply. A confirmed request that may run only once is not abandoned when
 /// the gate stops responding: it can't be retried, so waiting is the best option.
 pub async fn offer(node: &Rc<Node>, address: SocketAddr, offer: Offer, body: Option<BodyStream>) -> RemoteReply {
-    let Ok(stream) = node.gate_connections.connection(address).await else {
+    let Ok(GateConnection { stream, .. }) = node.gate_connections.connection(address).await else {
         return Failure::not_sent(FailureReason::GateLost).into();
     };
     let instance = offer.instance.clone();
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -47,6 +47,8 @@
     pub connections: IntCounterVec,
     /// Calls of the source, by result.
     pub source_calls: IntCounterVec,
+    /// Fetches of another node's state, by connection (`reused` or `new`) and result.
+    pub fetches: IntCounterVec,
     /// Suspensions of the machine that were detected.
     pub suspensions: IntCounter,
     /// Requests per second that the instance declares to accept; no value if it declares none.
@@ -143,6 +145,12 @@
                 "Calls of the source",
                 &["result"],
             ),
+            fetches: counters(
+                &registry,
+                "olivegate_sidecar_fetches_total",
+                "Fetches of another node's state",
+                &["connection", "result"],
+            ),
             suspensions: suspension_counter(&registry),
             declared_rate: rate_gauge(&registry),
             state,
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -172,23 +172,38 @@
     let (node, fetching) = (node.clone(), fetching.clone());
     tokio::task::spawn_local(async move {
         let peer = sender.ip();
-        let fetched = fetch(&node, peer).await;
+        fetch(&node, peer).await;
         fetching.borrow_mut().remove(&peer);
-        if let Err(error) = fetched {
-            log::debug!("event=fetch_failed peer={peer} error={error}");
-        }
     });
 }
 
-/// Fetches from `peer` what this node lacks.
-pub async fn fetch(node: &Node, peer: IpAddr) -> std::io::Result<()> {
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_from(node, peer)).await;
-    fetched.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+/// Fetches from `peer` what this node lacks. A failure is logged and counted; later announcements cause
+/// further fetches.
+pub async fn fetch(node: &Node, peer: IpAddr) {
+    let began = clock::now();
+    let mut connection_origin = "none";
+    let fetching = fetch_from(node, peer, &mut connection_origin);
+    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetching).await;
+    let result = match fetched.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
+        Ok(()) => "ok",
+        Err(error) => {
+            let after = clock::now().since(began).as_millis();
+            log::info!(
+                "event=fetch_failed peer={peer} connection={connection_origin} after_ms={after} error={:?}",
+                error.to_string()
+            );
+            "failed"
+        }
+    };
+    node.metrics.fetches.with_label_values(&[connection_origin, result]).inc();
 }
 
-async fn fetch_from(node: &Node, peer: IpAddr) -> std::io::Result<()> {
+/// Fetches from `peer` and reports the origin of the connection once there is one.
+async fn fetch_from(node: &Node, peer: IpAddr, connection_origin: &mut &'static str) -> std::io::Result<()> {
     let address = node.settings().inbound_of(peer);
-    let mut stream = node.gate_connections.connection(address).await?;
+    let connection = node.gate_connections.connection(address).await?;
+    *connection_origin = connection.origin();
+    let mut stream = connection.stream;
     stream.send(gate_protocol::encode(&EdgeMessage::Fetch(node.known_state()))).await?;
     let frame = stream.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
     let GateMessage::ClusterUpdate { configuration, directory, reading } = gate_protocol::decode(&frame)? else {
