A node that lacks what was announced does not count the announced reading as its own

Cause: a reading of the source that a node of the same zone announced counted for every node that heard of it, also for one that could not fetch the state that came with it. While announcements arrive each 250 ms, such a node neither reads the source itself nor has the version, for as long as its fetches fail, whatever the reason.

Now a reading counts, and is passed on to the zone, once the node has the state that was announced with it: at once if it is not behind, else after a fetch that brought it. What a fetch brings and the node can't apply doesn't count either. Fetching has a module of its own now.

--- a/crates/sidecar/src/follow/start.rs
+++ b/crates/sidecar/src/follow/start.rs
@@ -79,7 +79,7 @@
         let others = cluster.directory.machines().filter(|machine| *machine != own);
         node.random(|random| others.sample(random, PEERS_PER_ROUND))
     };
-    let fetches = futures::future::join_all(chosen.into_iter().map(|peer| peers::fetch(node, peer)));
+    let fetches = futures::future::join_all(chosen.into_iter().map(|peer| peers::fetch::fetch(node, peer)));
     // Slow peers are ignored; the next attempt picks new ones.
     let _ = tokio::time::timeout(PEER_TIMEOUT, fetches).await;
 }
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -39,7 +39,7 @@
         let is_reusable = match gate_protocol::decode::<EdgeMessage>(&frame) {
             Ok(EdgeMessage::Offer(offer)) => serve_offer(&node, &mut stream, *offer).await,
             Ok(EdgeMessage::Fetch(known)) => {
-                let update = peers::cluster_update_for(&node, known);
+                let update = peers::fetch::cluster_update_for(&node, known);
                 stream.send(gate_protocol::encode(&update)).await.is_ok()
             }
             Ok(EdgeMessage::Data(_) | EdgeMessage::End | EdgeMessage::Confirm) | Err(_) => false,
--- a/crates/sidecar/src/peers/mod.rs
+++ b/crates/sidecar/src/peers/mod.rs
@@ -7,23 +7,24 @@
 
 pub mod access;
 pub mod attestation;
+pub mod fetch;
 pub mod freshness;
 pub mod relay;
 pub mod suspects;
 
+use std::cell::RefCell;
 use std::collections::HashSet;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use futures::{SinkExt, StreamExt};
 use olivegate_quota::UsageReport;
 use olivegate_types::ZoneName;
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 
-use crate::gate_protocol::{self, EdgeMessage, GateMessage, KnownState};
+use crate::gate_protocol::{self, KnownState};
 use crate::model::Millis;
 use crate::state::Node;
 use attestation::Attestation;
@@ -39,8 +40,6 @@
 /// Maximum number of concurrent fetches. More than one, so that an unresponsive peer does not block the
 /// others.
 const MAX_FETCHES: usize = 2;
-/// Time limit of a fetch.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of a datagram in bytes.
 pub const MAX_DATAGRAM: usize = 4_096;
 
@@ -107,7 +106,8 @@
 /// Sends and receives messages until the process ends.
 pub async fn run(node: Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    let fetching: Rc<std::cell::RefCell<HashSet<IpAddr>>> = Rc::default();
+    let follower =
+        Rc::new(AnnouncementFollower { node: node.clone(), socket: socket.clone(), fetching: RefCell::default() });
     tokio::task::spawn_local(announce_changes(node.clone(), socket.clone()));
     tokio::task::spawn_local(announce_readings(node.clone(), socket.clone()));
     tokio::task::spawn_local(attestation::forward(node.clone(), socket.clone()));
@@ -127,10 +127,7 @@
             Ok(PeerMessage::Suspects(update)) => suspects::on_update(&node, &socket, update, sender.ip()).await,
             Ok(PeerMessage::ZoneUsage(usage)) => access::on_zone_usage(&node, &usage, sender),
             Ok(PeerMessage::Announcement(announcement)) => {
-                if on_reading(&node, &announcement) {
-                    announce(&node, &socket, Recipients::Children).await;
-                }
-                on_announcement(&node, &fetching, &announcement, sender);
+                follower.on_announcement(announcement, sender.ip()).await;
             }
             Err(error) => log::debug!("event=announcement_malformed from={sender} error={error}"),
         }
@@ -143,97 +140,58 @@
     other.configuration > known.configuration || other.directory > known.directory
 }
 
-/// Records an announced reading. Returns true if it is one of this zone that is to be forwarded.
-fn on_reading(node: &Node, announcement: &Announcement) -> bool {
-    let Some(reading) = announcement.reading.map(AnnouncedReading::to_reading) else { return false };
-    if node.source_unreachable_since.get().is_some_and(|since| reading.at > since) {
-        node.cluster.borrow_mut().directory.note_source_answered_peer(reading.at);
-    }
-    if announcement.zone == node.settings().zone {
-        return node.freshness.borrow_mut().on_announced(reading);
-    }
-    if !is_newer(node, announcement.known) {
-        node.freshness.borrow_mut().on_other_zone_reading(reading);
-    }
-    false
+/// Follows announcements: fetches what this node lacks, and relies on a reading only once it has the state
+/// that was announced with it.
+struct AnnouncementFollower {
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    /// The peers from which a fetch is in progress.
+    fetching: RefCell<HashSet<IpAddr>>,
 }
 
-fn on_announcement(
-    node: &Rc<Node>,
-    fetching: &Rc<std::cell::RefCell<HashSet<IpAddr>>>,
-    announcement: &Announcement,
-    sender: SocketAddr,
-) {
-    let is_behind = is_newer(node, announcement.known);
-    let has_room = fetching.borrow().len() < MAX_FETCHES;
-    if !is_behind || !has_room || !fetching.borrow_mut().insert(sender.ip()) {
-        return;
+impl AnnouncementFollower {
+    async fn on_announcement(self: &Rc<Self>, announcement: Announcement, sender: IpAddr) {
+        let reading = announcement.reading.map(AnnouncedReading::to_reading);
+        if let Some(reading) = reading {
+            self.note_source_answered(reading);
+        }
+        if !is_newer(&self.node, announcement.known) {
+            self.rely_on(reading, &announcement.zone).await;
+            return;
+        }
+        let has_room = self.fetching.borrow().len() < MAX_FETCHES;
+        if !has_room || !self.fetching.borrow_mut().insert(sender) {
+            return;
+        }
+        let follower = self.clone();
+        tokio::task::spawn_local(async move {
+            fetch::fetch(&follower.node, sender).await;
+            follower.fetching.borrow_mut().remove(&sender);
+            // A node that still lacks the announced state must not take the reading for its own: it would
+            // neither read the source itself nor pass on anything that its zone could use.
+            if !is_newer(&follower.node, announcement.known) {
+                follower.rely_on(reading, &announcement.zone).await;
+            }
+        });
     }
-    let (node, fetching) = (node.clone(), fetching.clone());
-    tokio::task::spawn_local(async move {
-        let peer = sender.ip();
-        fetch(&node, peer).await;
-        fetching.borrow_mut().remove(&peer);
-    });
-}
 
-/// Fetches from `peer` what this node lacks. A failure is logged and counted; later announcements cause
-/// further fetches.
-pub async fn fetch(node: &Node, peer: IpAddr) {
-    let began = clock::now();
-    let mut connection_origin = "none";
-    let fetching = fetch_from(node, peer, &mut connection_origin);
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetching).await;
-    let result = match fetched.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
-        Ok(()) => "ok",
-        Err(error) => {
-            let after = clock::now().since(began).as_millis();
-            log::info!(
-                "event=fetch_failed peer={peer} connection={connection_origin} after_ms={after} error={:?}",
-                error.to_string()
-            );
-            "failed"
+    fn note_source_answered(&self, reading: Reading) {
+        if self.node.source_unreachable_since.get().is_some_and(|since| reading.at > since) {
+            self.node.cluster.borrow_mut().directory.note_source_answered_peer(reading.at);
         }
-    };
-    node.metrics.fetches.with_label_values(&[connection_origin, result]).inc();
-}
-
-/// Fetches from `peer` and reports the origin of the connection once there is one.
-async fn fetch_from(node: &Node, peer: IpAddr, connection_origin: &mut &'static str) -> std::io::Result<()> {
-    let address = node.settings().inbound_of(peer);
-    let connection = node.gate_connections.connection(address).await?;
-    *connection_origin = connection.origin();
-    let mut stream = connection.stream;
-    stream.send(gate_protocol::encode(&EdgeMessage::Fetch(node.known_state()))).await?;
-    let frame = stream.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
-    let GateMessage::ClusterUpdate { configuration, directory, reading } = gate_protocol::decode(&frame)? else {
-        return Err(std::io::ErrorKind::InvalidData.into());
-    };
-    node.gate_connections.keep(address, stream);
-    let from = peer.to_string();
-    if let Some(configuration) = configuration {
-        node.accept_configuration(configuration, &from);
-    }
-    if let Some(copy) = directory {
-        let now = clock::now();
-        node.update_directory(&from, |known| known.apply_update(&copy, now));
-    }
-    if let Some(reading) = reading {
-        node.freshness.borrow_mut().on_other_zone_reading(reading.to_reading());
     }
-    Ok(())
-}
 
-/// Returns the answer to another node's fetch.
-pub fn cluster_update_for(node: &Node, other: KnownState) -> GateMessage {
-    let cluster = node.cluster.borrow();
-    let newer = cluster.configuration.as_ref().filter(|own| own.version > other.configuration);
-    let is_behind = cluster.directory.revision() > other.directory;
-    let directory = is_behind.then(|| cluster.directory.update_since(other.directory, clock::now()));
-    GateMessage::ClusterUpdate {
-        configuration: newer.map(|own| own.as_ref().clone()),
-        directory,
-        reading: latest_reading(node),
+    /// Counts a reading whose result this node has, and forwards it within its zone.
+    async fn rely_on(&self, reading: Option<Reading>, zone: &ZoneName) {
+        let Some(reading) = reading else { return };
+        if *zone != self.node.settings().zone {
+            self.node.freshness.borrow_mut().on_other_zone_reading(reading);
+            return;
+        }
+        let is_forwarded = self.node.freshness.borrow_mut().on_announced(reading);
+        if is_forwarded {
+            announce(&self.node, &self.socket, Recipients::Children).await;
+        }
     }
 }
 
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod restarted;
 mod restored;
+mod silent_connections;
 mod source;
 mod stopping;
 mod support;
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -52,6 +52,10 @@
 const READINESS_PORT: u16 = 18_302;
 const PEERS_PORT: u16 = 18_320;
 
+/// A node behind a link accepts connections of other nodes at the address of the machine with its number
+/// plus this one.
+const LINKED_MACHINES: u8 = 100;
+
 static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
 
 /// Range of the second octet of loopback addresses; each process of these tests takes one value.
@@ -176,6 +180,22 @@
 
     /// Starts a node that reads the fleet's source through this handle.
     pub async fn start_with_source(&self, machine: u8, service: &str, source: TestSource) -> Rc<Node> {
+        self.start_at(machine, service, source, self.inbound(machine)).await
+    }
+
+    /// Starts a node that other nodes can't connect to, except through a forwarder to the
+    /// returned address. Datagrams reach it.
+    pub async fn start_behind_link(
+        &self,
+        machine: u8,
+        service: &str,
+        source: TestSource,
+    ) -> (Rc<Node>, SocketAddr) {
+        let inbound = SocketAddr::new(self.ip(machine + LINKED_MACHINES), INBOUND_PORT);
+        (self.start_at(machine, service, source, inbound).await, inbound)
+    }
+
+    async fn start_at(&self, machine: u8, service: &str, source: TestSource, inbound: SocketAddr) -> Rc<Node> {
         let ip = self.ip(machine);
         let settings = SidecarSettings {
             node: NodeName::new(format!("node-{machine}")),
@@ -184,7 +204,7 @@
             instance: self.instance_address(machine),
             listen: ListenAddresses {
                 outbound: self.outbound(machine),
-                inbound: SocketAddr::new(ip, INBOUND_PORT),
+                inbound,
                 advertised: ip,
                 readiness: self.readiness(machine),
                 peers: SocketAddr::new(ip, PEERS_PORT),
