A body is complete only where its sender says so

No disruption is needed: each upload of over 64 KiB in chunks that goes over the limit or whose framing goes wrong midway ran with what had come till then.

Cause: the channel that passes a body on took the drop of its sender for the end of the body, and the edge dropped it when it rejected the rest, while the request read on. The gate then wrote the last chunk. After that the client got two answers to one request.

Now the end of a body is a message of its own on both hops (body_channel, in place of two channels that were alike); anything else leaves the body broken off. A rejection midway cancels the request and is its only answer.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -17,12 +17,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
 use crate::connection_limit::ConnectionPermit;
 use crate::edge::local_response::LocalResponse;
-use crate::edge::request_assembly::{AssembledRequest, RequestAssembler};
+use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
 use crate::edge::request_handler;
 use crate::lineage::ConnectionEvidence;
 use crate::model::ClientLimits;
@@ -103,6 +104,32 @@
     None
 }
 
+/// Handles a request. If the rest of its body is rejected meanwhile, it is cancelled, and the rejection is its
+/// response.
+async fn respond(
+    node: &Rc<Node>,
+    mut assembled: AssembledRequest,
+    evidence: &Cell<ConnectionEvidence>,
+) -> Response {
+    let request_id = assembled.head.fields.get(node.wire_names.request_id).cloned();
+    let rejection = assembled.rejection.take();
+    tokio::select! {
+        biased;
+        response = request_handler::handle(node, assembled, evidence) => response,
+        rejected = rejection_of(rejection) => rejected.response.to_response(&node.wire_names, request_id.as_ref()),
+    }
+}
+
+/// Waits until the rest of a request's body is rejected; never completes if it is not.
+async fn rejection_of(rejection: Option<oneshot::Receiver<Rejection>>) -> Rejection {
+    if let Some(rejection) = rejection
+        && let Ok(rejection) = rejection.await
+    {
+        return rejection;
+    }
+    futures::future::pending().await
+}
+
 /// Events that a connection waits for.
 enum Event {
     Ready(ReadyResponse),
@@ -153,7 +180,7 @@
             frame = next_frame(&mut self.requests, self.input_ended),
                 if may_read || watches_for_close => Event::Frame(frame),
             Some(ready) = self.pending.next(), if has_pending => Event::Ready(ready),
-            () = self.assembler.forward_pending(), if is_blocked => Event::ChunkForwarded,
+            () = self.assembler.forward_waiting(), if is_blocked => Event::ChunkForwarded,
             () = self.node.stop.closing(), if idle => Event::Close,
             () = self.permit.evicted(), if idle => Event::Close,
             () = tokio::time::sleep_until(tick), if !has_pending => Event::Timer,
@@ -186,7 +213,7 @@
         let evidence = self.evidence.clone();
         let in_flight = node.stop.track_request();
         self.pending.push_back(Box::pin(async move {
-            let response = request_handler::handle(&node, assembled, &evidence).await;
+            let response = respond(&node, assembled, &evidence).await;
             ReadyResponse { response, keep_alive, is_head, _in_flight: in_flight }
         }));
     }
@@ -205,8 +232,11 @@
 
     fn reject_with(&mut self, status: u16, reason: &'static str) {
         self.input_ended = true;
-        self.assembler = RequestAssembler::Idle;
-        let response = LocalResponse::Rejected { status, reason }.to_response(&self.node.wire_names, None);
+        let rejection = LocalResponse::Rejected { status, reason };
+        if self.assembler.reject(rejection) {
+            return;
+        }
+        let response = rejection.to_response(&self.node.wire_names, None);
         let ready = ReadyResponse {
             response,
             keep_alive: false,
@@ -233,7 +263,11 @@
         let ReadyResponse { response, keep_alive, is_head, _in_flight } = ready;
         let is_last =
             self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty();
-        let keep = keep_alive && !(self.node.stop.is_stopping() && is_last) && !self.request_body_unread();
+        let is_after_input = self.input_ended && self.pending.is_empty();
+        let keep = keep_alive
+            && !(self.node.stop.is_stopping() && is_last)
+            && !is_after_input
+            && !self.request_body_unread();
         let limit = self.limits.idle_timeout.duration().max(Duration::from_secs(1));
         let writing = write_response(&mut self.output, response, keep, is_head, limit);
         writing.await.map_err(|_| ClosedBy::Client)?;
@@ -243,7 +277,7 @@
 
     /// True when a request was answered before its body had been read completely.
     fn request_body_unread(&self) -> bool {
-        matches!(self.assembler, RequestAssembler::Streaming { .. }) && self.pending.is_empty()
+        self.assembler.is_streaming() && self.pending.is_empty()
     }
 }
 
--- a/crates/sidecar/src/edge/request_assembly.rs
+++ b/crates/sidecar/src/edge/request_assembly.rs
@@ -1,20 +1,23 @@
 //! Assembles requests from the frames of a connection.
 
-use bytes::{BufMut, Bytes, BytesMut};
-use futures::StreamExt;
+use bytes::{BufMut, BytesMut};
 use olivegate_http1::{BodyLength, Frame, RequestHead};
-use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
-use crate::reply::{Body, BodyStream, IncompleteBody};
+use crate::body_channel::{BodySender, body_channel};
+use crate::edge::local_response::LocalResponse;
+use crate::reply::Body;
 
 /// A body up to this size is buffered completely before the request is handled.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
-/// Maximum number of chunks of a longer body that are queued for sending.
-const MAX_QUEUED_CHUNKS: usize = 4;
 
-/// Sender of a body's chunks; dropping it marks the body as complete. Code that abandons a request must drop
-/// the request before this sender.
-pub type ChunkSender = mpsc::Sender<Result<Bytes, IncompleteBody>>;
+/// The response to a request whose body is rejected while it arrives.
+pub struct Rejection {
+    /// The response.
+    pub response: LocalResponse,
+    /// Keeps the body open until the request is dropped, so that it is cancelled and does not fail.
+    _body: BodySender,
+}
 
 /// A request that is ready to be handled.
 pub struct AssembledRequest {
@@ -22,6 +25,8 @@
     pub head: RequestHead,
     /// Its body, either complete or still arriving.
     pub body: Body,
+    /// Receives the response if the rest of the body is rejected.
+    pub rejection: Option<oneshot::Receiver<Rejection>>,
 }
 
 /// State of assembling one request after the other.
@@ -39,21 +44,18 @@
         /// The part of the body read so far.
         body: BytesMut,
     },
-    /// Passing on a longer body chunk by chunk.
+    /// Passing on a longer body while it arrives.
     Streaming {
-        /// Where the chunks are sent; `None` once the receiver is gone.
-        sender: Option<ChunkSender>,
-        /// A chunk that waits for space in the queue.
-        pending: Option<Bytes>,
+        /// Where the body is sent.
+        body: BodySender,
+        /// Sends the response if the rest of the body is rejected.
+        rejection: oneshot::Sender<Rejection>,
+    },
+    /// The body has arrived completely, and its end waits to be passed on.
+    Ending {
+        /// Where the body is sent.
+        body: BodySender,
     },
-}
-
-/// The chunks from `receiver` as a body.
-pub fn body_stream(receiver: mpsc::Receiver<Result<Bytes, IncompleteBody>>) -> BodyStream {
-    futures::stream::unfold(receiver, |mut receiver| async move {
-        receiver.recv().await.map(|chunk| (chunk, receiver))
-    })
-    .boxed_local()
 }
 
 impl RequestAssembler {
@@ -62,9 +64,17 @@
         matches!(self, RequestAssembler::Idle)
     }
 
-    /// True while a chunk waits for space in the queue; nothing more may be read then.
+    /// True while more of a longer body is to arrive.
+    pub fn is_streaming(&self) -> bool {
+        matches!(self, RequestAssembler::Streaming { .. })
+    }
+
+    /// True while a part of a body waits to be passed on; nothing more may be read then.
     pub fn is_blocked(&self) -> bool {
-        matches!(self, RequestAssembler::Streaming { pending: Some(_), .. })
+        match self {
+            RequestAssembler::Idle | RequestAssembler::Buffering { .. } => false,
+            RequestAssembler::Streaming { body, .. } | RequestAssembler::Ending { body } => body.is_blocked(),
+        }
     }
 
     /// Processes the next frame; returns the request once it can be handled.
@@ -79,7 +89,7 @@
                 None
             }
             (RequestAssembler::Buffering { head, body, .. }, Frame::End) => {
-                Some(AssembledRequest { head, body: Body::Whole(body.freeze()) })
+                Some(AssembledRequest { head, body: Body::Whole(body.freeze()), rejection: None })
             }
             (RequestAssembler::Buffering { head, length, mut body }, Frame::Data(data)) => {
                 body.put_slice(&data);
@@ -87,31 +97,56 @@
                     *self = RequestAssembler::Buffering { head, length, body };
                     return None;
                 }
-                let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-                *self = RequestAssembler::Streaming { sender: Some(sender), pending: Some(body.freeze()) };
-                Some(AssembledRequest { head, body: Body::Stream(body_stream(receiver), length) })
+                Some(self.start_streaming(head, length, body))
+            }
+            (RequestAssembler::Streaming { mut body, rejection }, Frame::Data(data)) => {
+                body.send(data);
+                *self = RequestAssembler::Streaming { body, rejection };
+                None
             }
-            (RequestAssembler::Streaming { sender, .. }, Frame::Data(data)) => {
-                let pending = sender.is_some().then_some(data);
-                *self = RequestAssembler::Streaming { sender, pending };
+            (RequestAssembler::Streaming { mut body, .. }, Frame::End) => {
+                body.finish();
+                if body.is_blocked() {
+                    *self = RequestAssembler::Ending { body };
+                }
                 None
             }
-            // The end of a longer body, and frames that are invalid in this state.
+            // Frames that are invalid in this state.
             _ => None,
         }
     }
 
-    /// Passes on the waiting chunk; never completes when there is none.
-    pub async fn forward_pending(&mut self) {
-        let RequestAssembler::Streaming { sender: Some(sender), pending } = self else {
-            return futures::future::pending().await;
-        };
-        if let Ok(permit) = sender.reserve().await {
-            if let Some(chunk) = pending.take() {
-                permit.send(Ok(chunk));
+    /// Starts to pass on a body that is too long to be buffered.
+    fn start_streaming(&mut self, head: RequestHead, length: Option<u64>, first: BytesMut) -> AssembledRequest {
+        let (mut sender, stream) = body_channel();
+        sender.send(first.freeze());
+        let (rejection, rejected) = oneshot::channel();
+        *self = RequestAssembler::Streaming { body: sender, rejection };
+        AssembledRequest { head, body: Body::Stream(stream, length), rejection: Some(rejected) }
+    }
+
+    /// Abandons the request whose input is rejected. Returns false if none was handed out whose body is still
+    /// arriving; otherwise `response` becomes its response.
+    pub fn reject(&mut self, response: LocalResponse) -> bool {
+        match std::mem::take(self) {
+            RequestAssembler::Streaming { body, rejection } => {
+                // A request that has just been answered takes no other response.
+                let _ = rejection.send(Rejection { response, _body: body });
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Passes on the waiting part of a body; never completes when there is none.
+    pub async fn forward_waiting(&mut self) {
+        match self {
+            RequestAssembler::Idle | RequestAssembler::Buffering { .. } => futures::future::pending().await,
+            RequestAssembler::Streaming { body, .. } => body.forward_waiting().await,
+            RequestAssembler::Ending { body } => {
+                body.forward_waiting().await;
+                *self = RequestAssembler::Idle;
             }
-            return;
         }
-        *self = RequestAssembler::Streaming { sender: None, pending: None };
     }
 }
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use futures::{FutureExt, SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
 
+use crate::body_channel::{BodySender, body_channel};
 use crate::connection_limit::ConnectionPermit;
 use crate::gate::confirmation::{GrantRelay, confirmation};
 use crate::gate::run_offer;
@@ -16,9 +16,6 @@
 use crate::state::Node;
 use crate::transport;
 
-/// Number of pieces of a request body that are buffered for the instance.
-const BODY_BUFFER_PIECES: usize = 4;
-
 /// Accepts connections until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let max_connections = node.settings().machine.max_connections();
@@ -51,22 +48,50 @@
     }
 }
 
-/// Forwarding of body pieces from the connection to the request.
-enum BodyFeed {
-    /// The body is complete, or the request no longer reads it.
-    Closed,
-    /// Pieces are passed to the sender.
-    Open(mpsc::Sender<Result<Bytes, IncompleteBody>>),
-    /// A piece waits for room in the buffer.
-    Full(mpsc::Sender<Result<Bytes, IncompleteBody>>, Bytes),
+/// The body of an offered request as it arrives from the edge.
+struct ArrivingBody {
+    /// `None` if the offer held the whole body.
+    sender: Option<BodySender>,
+    is_complete: bool,
 }
 
-fn body_of(offer: &Offer) -> (Body, BodyFeed) {
-    match &offer.body {
-        OfferedBody::Whole(bytes) => (Body::Whole(bytes.clone()), BodyFeed::Closed),
-        OfferedBody::Streamed(length) => {
-            let (sender, receiver) = mpsc::channel(BODY_BUFFER_PIECES);
-            (Body::Stream(crate::edge::request_assembly::body_stream(receiver), *length), BodyFeed::Open(sender))
+impl ArrivingBody {
+    /// The body of `offer` for the instance, and how its rest arrives.
+    fn of(offer: &Offer) -> (Body, Self) {
+        match &offer.body {
+            OfferedBody::Whole(bytes) => {
+                (Body::Whole(bytes.clone()), ArrivingBody { sender: None, is_complete: true })
+            }
+            OfferedBody::Streamed(length) => {
+                let (sender, stream) = body_channel();
+                (Body::Stream(stream, *length), ArrivingBody { sender: Some(sender), is_complete: false })
+            }
+        }
+    }
+
+    /// True while a part waits to be passed on; nothing more may be read then.
+    fn is_blocked(&self) -> bool {
+        self.sender.as_ref().is_some_and(BodySender::is_blocked)
+    }
+
+    fn add(&mut self, chunk: Bytes) {
+        if let Some(sender) = &mut self.sender {
+            sender.send(chunk);
+        }
+    }
+
+    fn finish(&mut self) {
+        self.is_complete = true;
+        if let Some(sender) = &mut self.sender {
+            sender.finish();
+        }
+    }
+
+    /// Passes on the waiting part; never completes when there is none.
+    async fn forward_waiting(&mut self) {
+        match &mut self.sender {
+            Some(sender) => sender.forward_waiting().await,
+            None => futures::future::pending().await,
         }
     }
 }
@@ -76,27 +101,28 @@
 async fn serve_offer(node: &Rc<Node>, stream: &mut GateStream, offer: Offer) -> bool {
     let _in_flight = node.stop.track_request();
     let (instance, root, hop) = (offer.instance.clone(), offer.root.clone(), offer.hop);
-    let (body, mut feed) = body_of(&offer);
+    let (body, mut arriving) = ArrivingBody::of(&offer);
     let (confirmation, mut relay) = confirmation(offer.needs_confirmation);
     let running = run_offer(node, offer, body, confirmation);
     tokio::pin!(running);
     let mut progress =
         tokio::time::interval_at(tokio::time::Instant::now() + PROGRESS_INTERVAL, PROGRESS_INTERVAL);
     let reply = loop {
-        let is_full = matches!(feed, BodyFeed::Full(..));
+        let is_blocked = arriving.is_blocked();
         tokio::select! {
             biased;
-            frame = stream.next(), if !is_full => match next_feed(feed, frame, &mut relay) {
-                Some(next) => feed = next,
-                None => return false,
-            },
+            frame = stream.next(), if !is_blocked => {
+                if !accept_frame(frame, &mut arriving, &mut relay) {
+                    return false;
+                }
+            }
             () = relay.granted() => {
                 if stream.send(gate_protocol::encode(&GateMessage::Granted)).await.is_err() {
                     return false;
                 }
             }
             reply = &mut running => break reply,
-            next = forward_pending(&mut feed), if is_full => feed = next,
+            () = arriving.forward_waiting(), if is_blocked => {}
             _ = progress.tick() => {
                 if stream.send(gate_protocol::encode(&GateMessage::Progress)).await.is_err() {
                     return false;
@@ -104,41 +130,23 @@
             }
         }
     };
-    let is_request_complete = matches!(feed, BodyFeed::Closed);
-    send_reply(stream, node.gate.load(node, &instance, &root, hop), reply).await && is_request_complete
+    send_reply(stream, node.gate.load(node, &instance, &root, hop), reply).await && arriving.is_complete
 }
 
-/// Applies a frame to the feed; `None` if the edge gave up or violated the protocol.
-fn next_feed(
-    feed: BodyFeed,
+/// Applies a frame of the edge; false if the edge gave up or violated the protocol.
+fn accept_frame(
     frame: Option<std::io::Result<bytes::BytesMut>>,
+    arriving: &mut ArrivingBody,
     relay: &mut GrantRelay,
-) -> Option<BodyFeed> {
-    let frame = frame?.ok()?;
-    match (gate_protocol::decode::<EdgeMessage>(&frame).ok()?, feed) {
-        (EdgeMessage::Confirm, feed) => {
-            relay.confirm();
-            Some(feed)
-        }
-        (EdgeMessage::Data(data), BodyFeed::Open(sender)) => Some(BodyFeed::Full(sender, data)),
-        (EdgeMessage::Data(_), BodyFeed::Closed) => Some(BodyFeed::Closed),
-        (EdgeMessage::End, BodyFeed::Open(_)) => Some(BodyFeed::Closed),
-        (EdgeMessage::End, BodyFeed::Closed) => Some(BodyFeed::Closed),
-        _ => None,
-    }
-}
-
-/// Passes on the waiting piece once there is room. The rest of a body that is no longer read is discarded. An
-/// incomplete body must not look complete, so its end is reported as broken.
-async fn forward_pending(feed: &mut BodyFeed) -> BodyFeed {
-    let BodyFeed::Full(sender, data) = feed else { return futures::future::pending().await };
-    match sender.reserve().await {
-        Ok(permit) => {
-            permit.send(Ok(std::mem::take(data)));
-            BodyFeed::Open(sender.clone())
-        }
-        Err(_) => BodyFeed::Closed,
+) -> bool {
+    let Some(Ok(frame)) = frame else { return false };
+    match gate_protocol::decode::<EdgeMessage>(&frame) {
+        Ok(EdgeMessage::Confirm) => relay.confirm(),
+        Ok(EdgeMessage::Data(chunk)) if !arriving.is_complete => arriving.add(chunk),
+        Ok(EdgeMessage::End) if !arriving.is_complete => arriving.finish(),
+        _ => return false,
     }
+    true
 }
 
 async fn send_reply(stream: &mut GateStream, load: Load, reply: GateReply) -> bool {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 //! I/O:
 //! - [`source`]: the trait through which configuration and instances are read.
 //! - [`follow`]: reads the source, lists first and then changes.
+//! - [`body_channel`]: passes on request bodies while they arrive.
 //! - [`connection_limit`]: limits the connections of a port.
 //! - [`edge`]: connections of callers and the attempts of their requests.
 //! - [`gate`]: the queue in front of the instance and the exchanges with it.
@@ -30,6 +31,7 @@
 
 pub mod access;
 pub mod app;
+pub mod body_channel;
 pub mod connection_limit;
 pub mod declared;
 pub mod directory;
--- a/crates/sidecar/tests/decisions/main.rs
+++ b/crates/sidecar/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Tests of decisions without I/O, by example and against simple models.
 
 mod attempts;
+mod body_channel;
 mod declared;
 mod directory;
 mod epochs;
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -28,3 +28,4 @@
 mod stopping;
 mod support;
 mod thread_stalls;
+mod uploads;
