The limits of a client's connection follow the configuration

The same upload on a new connection is served.

Cause: a connection took its limits once, when it was accepted, and kept them to its end.

Now the decoder reads the limits where it uses them: those in force for each head, and for a body the larger of those in force and those at its start, so that a limit that falls doesn't end an upload on its way. Time limits follow as well. Before there is a configuration bodies have no limit: such requests get 503 without their body being read, where a limit of our own would have said 413.

--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -1,5 +1,8 @@
 //! Decoders of requests and responses.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::{Buf, Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
@@ -169,19 +172,37 @@
     (length > 0).then(|| source.split_to(length).freeze())
 }
 
+/// Size limits of requests, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Maximum size of a head.
+    pub max_head_bytes: usize,
+    /// Maximum size of a body.
+    pub max_body_bytes: u64,
+}
+
 /// Decodes the requests of one connection.
+///
+/// The limits may change at any time. A head is held to those in force; a body to the larger of those in force
+/// and those at its start, so that a limit that falls does not end a body that is arriving.
 #[derive(Debug)]
 pub struct RequestDecoder {
-    max_head_bytes: usize,
+    limits: Rc<Cell<RequestLimits>>,
+    /// Maximum size of the current body when it started, in bytes.
     max_body_bytes: u64,
     body_bytes: u64,
     body: BodyReader,
 }
 
 impl RequestDecoder {
-    /// A decoder with size limits for the head and the body of a request, in bytes.
+    /// A decoder with fixed size limits for the head and the body of a request, in bytes.
     pub fn new(max_head_bytes: usize, max_body_bytes: u64) -> Self {
-        RequestDecoder { max_head_bytes, max_body_bytes, body_bytes: 0, body: BodyReader::new() }
+        RequestDecoder::following(Rc::new(Cell::new(RequestLimits { max_head_bytes, max_body_bytes })))
+    }
+
+    /// A decoder that applies the limits that `limits` holds at the time.
+    pub fn following(limits: Rc<Cell<RequestLimits>>) -> Self {
+        RequestDecoder { limits, max_body_bytes: 0, body_bytes: 0, body: BodyReader::new() }
     }
 
     fn head(&mut self, source: &mut BytesMut) -> Result<Option<Frame<RequestHead>>, DecodeError> {
@@ -189,7 +210,8 @@
         if source.is_empty() {
             return Ok(None);
         }
-        let Some(used) = head_length(source, self.max_head_bytes)? else { return Ok(None) };
+        let limits = self.limits.get();
+        let Some(used) = head_length(source, limits.max_head_bytes)? else { return Ok(None) };
         let bytes = source.split_to(used).freeze();
         let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut storage);
@@ -203,9 +225,10 @@
             fields: to_fields(parsed.headers, &bytes),
         };
         let length = body::request_body_length(&head.fields)?;
-        if matches!(length, BodyLength::Known(length) if length > self.max_body_bytes) {
+        if matches!(length, BodyLength::Known(length) if length > limits.max_body_bytes) {
             return Err(DecodeError::BodyTooLarge);
         }
+        self.max_body_bytes = limits.max_body_bytes;
         self.body_bytes = 0;
         self.body.start(length);
         Ok(Some(Frame::Head(head, length)))
@@ -223,7 +246,7 @@
         let frame = self.body.next(source)?;
         if let Some(Frame::Data(data)) = &frame {
             self.body_bytes += data.len() as u64;
-            if self.body_bytes > self.max_body_bytes {
+            if self.body_bytes > self.max_body_bytes.max(self.limits.get().max_body_bytes) {
                 return Err(DecodeError::BodyTooLarge);
             }
         }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod head;
 
 pub use body::BodyLength;
-pub use decode::{Frame, RequestDecoder, ResponseDecoder};
+pub use decode::{Frame, RequestDecoder, RequestLimits, ResponseDecoder};
 pub use error::DecodeError;
 pub use fields::Fields;
 pub use head::{RequestHead, ResponseHead};
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -1,7 +1,10 @@
 //! Decoding of requests and responses that arrive at once or in pieces.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use bytes::BytesMut;
-use olivegate_http1::{BodyLength, DecodeError, Frame, RequestDecoder, ResponseDecoder};
+use olivegate_http1::{BodyLength, DecodeError, Frame, RequestDecoder, RequestLimits, ResponseDecoder};
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio_util::codec::Decoder;
@@ -61,6 +64,29 @@
     assert!(matches!(requests(chunked.as_bytes()), Err(DecodeError::BodyTooLarge)));
 }
 
+/// A connection kept the limits of its beginning.
+#[rstest]
+#[case::raised_before_the_request(100, 1_000, 1_000, true)]
+#[case::raised_during_the_body(100, 100, 1_000, true)]
+#[case::lowered_before_the_request(1_000, 100, 100, false)]
+#[case::lowered_during_the_body(1_000, 1_000, 100, true)]
+fn limits_that_change_apply_to_the_next_request(
+    #[case] at_connect: u64,
+    #[case] at_head: u64,
+    #[case] in_body: u64,
+    #[case] is_accepted: bool,
+) {
+    let limits_of = |max_body_bytes| RequestLimits { max_head_bytes: 1_024, max_body_bytes };
+    let limits = Rc::new(Cell::new(limits_of(at_connect)));
+    let mut decoder = RequestDecoder::following(limits.clone());
+    limits.set(limits_of(at_head));
+    let mut buffer = BytesMut::from(&b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"[..]);
+    assert!(matches!(decoder.decode(&mut buffer), Ok(Some(Frame::Head(..)))));
+    limits.set(limits_of(in_body));
+    buffer.extend_from_slice(format!("c8\r\n{}\r\n", "a".repeat(200)).as_bytes());
+    assert_eq!(decoder.decode(&mut buffer).is_ok(), is_accepted);
+}
+
 #[rstest]
 fn pipelined_requests_come_one_after_the_other() {
     let text = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n";
--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -26,7 +26,6 @@
 use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
 use crate::edge::request_handler;
 use crate::lineage::ConnectionEvidence;
-use crate::model::ClientLimits;
 use crate::reply::{Body, IncompleteBody, Response};
 use crate::state::Node;
 use crate::stop::InFlightGuard;
@@ -47,7 +46,6 @@
 
 struct Connection {
     node: Rc<Node>,
-    limits: ClientLimits,
     requests: FramedRead<OwnedReadHalf, RequestDecoder>,
     output: OwnedWriteHalf,
     assembler: RequestAssembler,
@@ -71,12 +69,10 @@
 
 /// Serves a connection until it ends.
 pub async fn serve(node: Rc<Node>, stream: TcpStream, permit: ConnectionPermit) {
-    let limits = node.routes().map(|routes| routes.limits()).unwrap_or_default();
     let (input, output) = stream.into_split();
-    let decoder = RequestDecoder::new(limits.max_head_bytes as usize, limits.max_body_bytes);
+    let decoder = RequestDecoder::following(node.request_limits());
     let mut connection = Connection {
         node,
-        limits,
         requests: FramedRead::new(input, decoder),
         output,
         assembler: RequestAssembler::default(),
@@ -173,7 +169,7 @@
         } else {
             self.permit.mark_busy();
         }
-        let tick = Instant::now() + self.limits.head_timeout.duration();
+        let tick = Instant::now() + self.node.client_limits().head_timeout.duration();
         tokio::select! {
             biased;
             // Polled first: a client that has already disconnected must not be served.
@@ -251,9 +247,13 @@
     fn check_timeouts(&mut self) -> Result<(), ClosedBy> {
         let idle_for = self.last_active.elapsed();
         if self.is_idle() {
-            return if idle_for >= self.limits.idle_timeout.duration() { Err(ClosedBy::Node) } else { Ok(()) };
+            return if idle_for >= self.node.client_limits().idle_timeout.duration() {
+                Err(ClosedBy::Node)
+            } else {
+                Ok(())
+            };
         }
-        if idle_for >= self.limits.head_timeout.duration() && self.assembler.is_idle() {
+        if idle_for >= self.node.client_limits().head_timeout.duration() && self.assembler.is_idle() {
             self.reject_with(408, "head-too-slow");
         }
         Ok(())
@@ -264,15 +264,13 @@
         let is_last =
             self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty();
         let is_after_input = self.input_ended && self.pending.is_empty();
-        let keep = keep_alive
-            && !(self.node.stop.is_stopping() && is_last)
-            && !is_after_input
-            && !self.request_body_unread();
-        let limit = self.limits.idle_timeout.duration().max(Duration::from_secs(1));
-        let writing = write_response(&mut self.output, response, keep, is_head, limit);
+        let is_stopping = self.node.stop.is_stopping() && is_last;
+        let closes = !keep_alive || is_stopping || is_after_input || self.request_body_unread();
+        let limit = self.node.client_limits().idle_timeout.duration().max(Duration::from_secs(1));
+        let writing = write_response(&mut self.output, response, !closes, is_head, limit);
         writing.await.map_err(|_| ClosedBy::Client)?;
         self.last_active = Instant::now();
-        if keep { Ok(()) } else { Err(ClosedBy::Node) }
+        if closes { Err(ClosedBy::Node) } else { Ok(()) }
     }
 
     /// True when a request was answered before its body had been read completely.
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use olivegate_authentication::key_table::HashSecret;
+use olivegate_http1::RequestLimits;
 use olivegate_overload::{LevelTable, ProcessPressure};
 use olivegate_routing::balance::Balancer;
 use olivegate_types::{InstanceName, Moment};
@@ -24,7 +25,7 @@
 use crate::gate_protocol::KnownState;
 use crate::lineage::Lineage;
 use crate::metrics::Metrics;
-use crate::model::{Configuration, Incarnation};
+use crate::model::{ClientLimits, Configuration, Incarnation};
 use crate::peers::attestation::Attestation;
 use crate::peers::freshness::Freshness;
 use crate::peers::suspects::ServiceMachines;
@@ -53,6 +54,11 @@
 /// Weight of one request in the moving average of buffered bytes.
 const REQUEST_BYTES_WEIGHT: f64 = 0.02;
 
+/// Size limits before the first configuration. All requests are then refused without reading a long body, so
+/// the body has no limit of its own, whose rejection would be final.
+const UNCONFIGURED_REQUEST_LIMITS: RequestLimits =
+    RequestLimits { max_head_bytes: 64 << 10, max_body_bytes: u64::MAX };
+
 /// The configuration and the directory.
 #[derive(Debug)]
 pub struct ClusterState {
@@ -89,6 +95,8 @@
     pub lateness_sampled: Cell<Moment>,
     /// Tells which requests are calls of the instance beside this node.
     pub lineage: RefCell<Lineage>,
+    /// Size limits of clients' requests, for the decoders of their connections.
+    request_limits: Rc<Cell<RequestLimits>>,
     /// Connections to remote gates.
     pub gate_connections: GateConnectionPool,
     /// The gate of the instance beside this node.
@@ -140,6 +148,7 @@
             pressure: RefCell::default(),
             lateness_sampled: Cell::new(Moment::START),
             lineage: RefCell::default(),
+            request_limits: Rc::new(Cell::new(UNCONFIGURED_REQUEST_LIMITS)),
             gate_connections: GateConnectionPool::default(),
             gate: Gate::default(),
             service_machines: RefCell::default(),
@@ -171,6 +180,17 @@
         self.cluster.borrow().routes.clone()
     }
 
+    /// Returns the limits on clients in force.
+    pub fn client_limits(&self) -> ClientLimits {
+        let cluster = self.cluster.borrow();
+        cluster.routes.as_ref().map(|routes| routes.limits()).unwrap_or_default()
+    }
+
+    /// Returns the size limits of clients' requests, which follow the configuration.
+    pub fn request_limits(&self) -> Rc<Cell<RequestLimits>> {
+        self.request_limits.clone()
+    }
+
     /// Returns the version of the configuration and the revision of the directory.
     pub fn known_state(&self) -> KnownState {
         let cluster = self.cluster.borrow();
@@ -203,6 +223,11 @@
         let is_configured = |name: &str| configuration.routes.iter().any(|route| route.name == name);
         self.levels.borrow_mut().retain(|class| is_configured(class.root_kind.as_str()));
         self.lineage.borrow_mut().retain(is_configured);
+        let limits = configuration.limits;
+        self.request_limits.set(RequestLimits {
+            max_head_bytes: limits.max_head_bytes as usize,
+            max_body_bytes: limits.max_body_bytes,
+        });
         let mut cluster = self.cluster.borrow_mut();
         cluster.routes = Some(Rc::new(RouteTable::new(&configuration)));
         cluster.configuration = Some(Rc::new(configuration));
