Closing a connection waits until its client has received the last response

Cause: a socket was closed as soon as the kernel had taken the response. Where input lies unread then, or comes later, the kernel resets the connection and discards what it holds; so did the end of the process. The same holds for every close by the node: Connection: close, rejected input, idle timeouts, evictions, and the gate's port.

Writing of responses and closing have modules of their own.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -8,34 +8,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesOrdered;
-use olivegate_http1::head::{write_chunk, write_last_chunk};
-use olivegate_http1::{BodyLength, DecodeError, Frame, RequestDecoder, RequestHead};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use olivegate_http1::{DecodeError, Frame, RequestDecoder, RequestHead};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
+use crate::closing::{self, Closing};
 use crate::connection_limit::ConnectionPermit;
 use crate::edge::local_response::LocalResponse;
 use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
 use crate::edge::request_handler;
+use crate::edge::response_writer::write_response;
 use crate::lineage::ConnectionEvidence;
-use crate::reply::{Body, IncompleteBody, Response};
+use crate::reply::Response;
 use crate::state::Node;
 use crate::stop::InFlightGuard;
 
 /// Maximum number of requests of one connection that are read ahead.
 const MAX_PIPELINED: usize = 32;
 
-/// Size of the buffer into which unwanted input is read and discarded.
-const DISCARD_BUFFER_BYTES: usize = 512;
-
 /// A response that is ready to be written.
 struct ReadyResponse {
     response: Response,
@@ -58,13 +55,15 @@
     input_ended: bool,
 }
 
-/// Which side ends a connection.
+/// Why a connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ClosedBy {
+enum End {
     /// The client closed or aborted the connection.
-    Client,
-    /// The node closes it.
-    Node,
+    ClosedByClient,
+    /// The node closes it after a response.
+    AfterResponse,
+    /// The node closes it while it is idle.
+    WhileIdle,
 }
 
 /// Serves a connection until it ends.
@@ -82,7 +81,13 @@
         evidence: Rc::default(),
         input_ended: false,
     };
-    while connection.step().await.is_ok() {}
+    loop {
+        match connection.step().await {
+            Ok(()) => {}
+            Err(End::ClosedByClient) => return,
+            Err(end) => return connection.close(end).await,
+        }
+    }
 }
 
 /// The next frame of a request; `None` when the client has closed. Once no more requests are to be read,
@@ -94,9 +99,7 @@
     if !input_ended {
         return requests.next().await;
     }
-    let input = requests.get_mut();
-    let mut discarded = [0; DISCARD_BUFFER_BYTES];
-    while matches!(input.read(&mut discarded).await, Ok(1..)) {}
+    closing::discard_input(requests.get_mut()).await;
     None
 }
 
@@ -137,7 +140,7 @@
 
 impl Connection {
     /// Waits for one event and handles it.
-    async fn step(&mut self) -> Result<(), ClosedBy> {
+    async fn step(&mut self) -> Result<(), End> {
         match self.next_event().await {
             Event::Ready(ready) => self.write(ready).await,
             Event::Frame(Some(Ok(frame))) => {
@@ -145,12 +148,12 @@
                 self.on_frame(frame).await
             }
             Event::Frame(Some(Err(error))) => self.reject(&error),
-            Event::Frame(None) => Err(ClosedBy::Client),
+            Event::Frame(None) => Err(End::ClosedByClient),
             Event::ChunkForwarded => Ok(()),
             Event::Timer => self.check_timeouts(),
             Event::Close => {
                 if self.is_idle() {
-                    Err(ClosedBy::Node)
+                    Err(End::WhileIdle)
                 } else {
                     Ok(())
                 }
@@ -188,12 +191,12 @@
         self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty()
     }
 
-    async fn on_frame(&mut self, frame: Frame<RequestHead>) -> Result<(), ClosedBy> {
+    async fn on_frame(&mut self, frame: Frame<RequestHead>) -> Result<(), End> {
         if let Frame::Head(head, _) = &frame
             && head.fields.lists_token("expect", "100-continue")
             && self.pending.is_empty()
         {
-            self.output.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| ClosedBy::Client)?;
+            self.output.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| End::ClosedByClient)?;
         }
         if let Some(assembled) = self.assembler.accept(frame) {
             self.start_request(assembled);
@@ -215,9 +218,9 @@
     }
 
     /// Rejects input that cannot be decoded; nothing after it on this connection can be decoded either.
-    fn reject(&mut self, error: &DecodeError) -> Result<(), ClosedBy> {
+    fn reject(&mut self, error: &DecodeError) -> Result<(), End> {
         let (status, reason) = match error {
-            DecodeError::Io(_) | DecodeError::Incomplete => return Err(ClosedBy::Client),
+            DecodeError::Io(_) | DecodeError::Incomplete => return Err(End::ClosedByClient),
             DecodeError::HeadTooLarge => (431, "head-too-large"),
             DecodeError::BodyTooLarge => (413, "body-too-large"),
             DecodeError::Malformed(reason) => (400, *reason),
@@ -244,11 +247,11 @@
 
     /// Closes the connection after its idle timeout, and rejects a request whose head takes too long to
     /// arrive.
-    fn check_timeouts(&mut self) -> Result<(), ClosedBy> {
+    fn check_timeouts(&mut self) -> Result<(), End> {
         let idle_for = self.last_active.elapsed();
         if self.is_idle() {
             return if idle_for >= self.node.client_limits().idle_timeout.duration() {
-                Err(ClosedBy::Node)
+                Err(End::WhileIdle)
             } else {
                 Ok(())
             };
@@ -259,7 +262,7 @@
         Ok(())
     }
 
-    async fn write(&mut self, ready: ReadyResponse) -> Result<(), ClosedBy> {
+    async fn write(&mut self, ready: ReadyResponse) -> Result<(), End> {
         let ReadyResponse { response, keep_alive, is_head, _in_flight } = ready;
         let is_last =
             self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty();
@@ -268,59 +271,31 @@
         let closes = !keep_alive || is_stopping || is_after_input || self.request_body_unread();
         let limit = self.node.client_limits().idle_timeout.duration().max(Duration::from_secs(1));
         let writing = write_response(&mut self.output, response, !closes, is_head, limit);
-        writing.await.map_err(|_| ClosedBy::Client)?;
+        writing.await.map_err(|_| End::ClosedByClient)?;
         self.last_active = Instant::now();
-        if closes { Err(ClosedBy::Node) } else { Ok(()) }
+        if closes { Err(End::AfterResponse) } else { Ok(()) }
     }
 
-    /// True when a request was answered before its body had been read completely.
-    fn request_body_unread(&self) -> bool {
-        self.assembler.is_streaming() && self.pending.is_empty()
-    }
-}
-
-/// Writes a response; each write must complete within `limit`.
-async fn write_response(
-    out: &mut OwnedWriteHalf,
-    response: Response,
-    keep: bool,
-    is_head: bool,
-    limit: Duration,
-) -> Result<(), IncompleteBody> {
-    let Response { head, body, .. } = response;
-    let mut buffer = BytesMut::new();
-    match body {
-        Body::Whole(bytes) => {
-            let length = if bytes.is_empty() { BodyLength::None } else { BodyLength::Known(bytes.len() as u64) };
-            head.write(length, keep, &mut buffer);
-            if !is_head {
-                buffer.put_slice(&bytes);
-            }
-            write_bytes(out, &buffer, limit).await
-        }
-        Body::Stream(mut chunks, length) => {
-            let framing = length.map_or(BodyLength::Chunked, BodyLength::Known);
-            head.write(framing, keep, &mut buffer);
-            while let Some(chunk) = chunks.next().await {
-                let chunk = chunk?;
-                match framing {
-                    BodyLength::Chunked => write_chunk(&chunk, &mut buffer),
-                    _ => buffer.put_slice(&chunk),
-                }
-                write_bytes(out, &buffer, limit).await?;
-                buffer.clear();
-            }
-            if framing == BodyLength::Chunked {
-                write_last_chunk(&mut buffer);
-            }
-            write_bytes(out, &buffer, limit).await
+    /// Closes the connection so that the client receives all that was written. The node does not stop before.
+    async fn close(self, end: End) {
+        let Connection { node, requests, output, permit, pending, assembler, .. } = self;
+        drop((pending, assembler));
+        let Ok(stream) = requests.into_inner().reunite(output) else { return };
+        let mut closing = Closing::new(stream);
+        let delivery = node.stop.track_delivery();
+        permit.mark_busy();
+        closing.send_rest().await;
+        permit.mark_idle();
+        // An idle client may notice the close only with its next request; a stop does not wait for that.
+        let _delivery = (end == End::AfterResponse).then_some(delivery);
+        tokio::select! {
+            () = closing.wait_for_peer() => {}
+            () = permit.evicted() => {}
         }
     }
-}
 
-async fn write_bytes(out: &mut OwnedWriteHalf, bytes: &[u8], limit: Duration) -> Result<(), IncompleteBody> {
-    match tokio::time::timeout(limit, out.write_all(bytes)).await {
-        Ok(Ok(())) => Ok(()),
-        _ => Err(IncompleteBody),
+    /// True when a request was answered before its body had been read completely.
+    fn request_body_unread(&self) -> bool {
+        self.assembler.is_streaming() && self.pending.is_empty()
     }
 }
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! The edge: the outbound proxy for requests that originate on this machine.
 //!
 //! - [`connection`]: one connection of a client or of the instance.
+//! - [`response_writer`]: writes responses to it.
 //! - [`request_assembly`]: assembles requests from the frames of a connection.
 //! - [`request`]: validates the head of a request.
 //! - [`call_context`]: context that a request passes down to its calls.
@@ -26,6 +27,7 @@
 pub mod request;
 pub mod request_assembly;
 pub mod request_handler;
+pub mod response_writer;
 pub mod tenant_checks;
 
 use std::rc::Rc;
--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body_channel::{BodySender, body_channel};
+use crate::closing;
 use crate::connection_limit::ConnectionPermit;
 use crate::gate::confirmation::{GrantRelay, confirmation};
 use crate::gate::run_offer;
@@ -42,7 +43,8 @@
             Ok(EdgeMessage::Data(_) | EdgeMessage::End | EdgeMessage::Confirm) | Err(_) => false,
         };
         if !is_reusable {
-            return;
+            // The edge may still be sending a body that nobody reads any more, and has yet to read the reply.
+            return closing::close(stream.into_inner()).await;
         }
         permit.mark_idle();
     }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`source`]: the trait through which configuration and instances are read.
 //! - [`follow`]: reads the source, lists first and then changes.
 //! - [`body_channel`]: passes on request bodies while they arrive.
+//! - [`closing`]: closes connections without losing what was written to them.
 //! - [`connection_limit`]: limits the connections of a port.
 //! - [`edge`]: connections of callers and the attempts of their requests.
 //! - [`gate`]: the queue in front of the instance and the exchanges with it.
@@ -32,6 +33,7 @@
 pub mod access;
 pub mod app;
 pub mod body_channel;
+pub mod closing;
 pub mod connection_limit;
 pub mod declared;
 pub mod directory;
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! The node first reports itself as not ready. Clients notice this after a few readiness checks and keep
 //! sending until then; each response asks them to close the connection. After the time for clients to leave,
-//! idle connections are closed. The process ends once no request is in flight. Requests of other nodes that
+//! idle connections are closed. The process ends once no request is in flight and the last responses have been
+//! delivered: what a socket still holds is lost if input arrives after the process has ended. Requests of other nodes that
 //! still run count too, because the instance beside the node makes its calls through it.
 
 use std::cell::Cell;
@@ -25,6 +26,7 @@
     stopping: Cell<bool>,
     closing: Cell<bool>,
     in_flight: Cell<usize>,
+    deliveries: Cell<usize>,
     changed: Notify,
 }
 
@@ -32,6 +34,10 @@
 #[derive(Debug)]
 pub struct InFlightGuard(Rc<StopState>);
 
+/// Counts a closing connection until it is dropped, when its client has received the last response.
+#[derive(Debug)]
+pub struct DeliveryGuard(Rc<StopState>);
+
 impl StopState {
     /// Starts the shutdown.
     pub fn begin(&self) {
@@ -67,6 +73,12 @@
         InFlightGuard(self.clone())
     }
 
+    /// Counts a connection whose last response is being delivered until the result is dropped.
+    pub fn track_delivery(self: &Rc<Self>) -> DeliveryGuard {
+        self.deliveries.set(self.deliveries.get() + 1);
+        DeliveryGuard(self.clone())
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -81,8 +93,12 @@
         self.closing.set(true);
         self.changed.notify_waiters();
         let drained = async {
-            while self.in_flight.get() > 0 {
+            loop {
+                // Idle connections with unsent data count only once they have noticed that they are to close.
                 tokio::time::sleep(POLL_INTERVAL).await;
+                if self.in_flight.get() + self.deliveries.get() == 0 {
+                    return;
+                }
             }
         };
         tokio::time::timeout(available.saturating_sub(leave), drained).await.is_ok()
@@ -94,3 +110,9 @@
         self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
 }
+
+impl Drop for DeliveryGuard {
+    fn drop(&mut self) {
+        self.0.deliveries.set(self.0.deliveries.get() - 1);
+    }
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod calls;
 mod client;
+mod closing;
 mod configuration;
 mod connections;
 mod crashing;
