An instance of another service at the address is not taken for one of this service

Cause: a gate that meets another instance beside it takes it for one of the service that the settings named up to 2 s ago. The settings file names the other service by then, but it is read at a signal or each 2 s.

Now the gate reads the settings again whenever it meets an instance that it doesn't know, before it tells anybody of it. Reloading has a module of its own.

Test: an_instance_of_another_service_at_the_address_gets_no_requests_of_this_one, failing before (200 from the foreign instance).

--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -10,6 +10,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::error::SidecarError;
+use crate::reload::{ReadSettings, ReloadTrigger, reload};
 use crate::settings::SidecarSettings;
 use crate::source::Source;
 use crate::state::Node;
@@ -28,9 +29,6 @@
 /// Interval at which the settings are read again without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Reads the settings again; the error says why they cannot be used.
-pub type ReadSettings = Box<dyn Fn() -> Result<SidecarSettings, String>>;
-
 /// How a node stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopOutcome {
@@ -57,8 +55,8 @@
 }
 
 impl<S: Source + 'static> SidecarApp<S> {
-    /// Creates a node with these settings that reads `source`. `read_settings` is called on SIGHUP and
-    /// periodically.
+    /// Creates a node with these settings that reads `source`. `read_settings` is called on SIGHUP,
+    /// periodically, and when another instance is found beside the node.
     pub fn new(settings: SidecarSettings, wire_names: WireNames, source: S, read_settings: ReadSettings) -> Self {
         SidecarApp { settings, wire_names, source, read_settings }
     }
@@ -77,14 +75,15 @@
         let mut interrupt = signal(SignalKind::interrupt()).map_err(SidecarError::Runtime)?;
         let mut hang_up = signal(SignalKind::hangup()).map_err(SidecarError::Runtime)?;
         let node = start(self.settings, self.wire_names, self.source).await?;
+        node.set_settings_reader(self.read_settings);
         let mut settings_poll = tokio::time::interval(SETTINGS_INTERVAL);
         settings_poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hang_up.recv() => reload(&node, &self.read_settings, ReloadTrigger::Signal),
-                _ = settings_poll.tick() => reload(&node, &self.read_settings, ReloadTrigger::Poll),
+                _ = hang_up.recv() => reload(&node, ReloadTrigger::Signal),
+                _ = settings_poll.tick() => reload(&node, ReloadTrigger::Poll),
             }
         }
         log::info!("event=stop_begun in_flight={}", node.stop.in_flight());
@@ -157,38 +156,6 @@
     );
 }
 
-/// Why the settings are read again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ReloadTrigger {
-    /// The operator sent SIGHUP.
-    Signal,
-    /// Periodic check, as the file may change without a signal.
-    Poll,
-}
-
-/// Puts changed settings in force. Sockets that are already bound stay as they are.
-fn reload(node: &Node, read_settings: &ReadSettings, trigger: ReloadTrigger) {
-    match read_settings() {
-        Ok(mut settings) => {
-            let current = node.settings();
-            if settings.listen != current.listen {
-                if trigger == ReloadTrigger::Signal {
-                    log::warn!("event=reload_partial reason=\"listen addresses change only with a restart\"");
-                }
-                settings.listen = current.listen;
-            }
-            let changed = settings != *current;
-            node.replace_settings(settings);
-            if changed || trigger == ReloadTrigger::Signal {
-                log::info!("event=reloaded changed={changed}");
-            }
-        }
-        Err(reason) if trigger == ReloadTrigger::Signal => log::error!("event=reload_failed reason={reason:?}"),
-        // The file may be in the middle of a write; it is read again soon.
-        Err(reason) => log::debug!("event=reload_failed reason={reason:?}"),
-    }
-}
-
 async fn housekeeping(node: Rc<Node>) {
     let mut interval = tokio::time::interval(HOUSEKEEPING_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -55,6 +55,7 @@
 use crate::gate_protocol::{CALLER_GROUP, Offer, RootRequest};
 use crate::lateness;
 use crate::model::{Incarnation, Instance, InstanceState};
+use crate::reload::{ReloadTrigger, reload};
 use crate::reply::{Body, Failure, FailureReason, GateReply, Load, refused};
 use crate::state::Node;
 use confirmation::Confirmation;
@@ -344,13 +345,19 @@
 }
 
 /// Adds the instance beside this node to the directory after it has named itself. The source may not list it
-/// yet if it has just started. It belongs to the service of this machine.
+/// yet if it has just started. It belongs to the service that the settings name now: its address may have been
+/// that of an instance of another service.
 fn observe_instance(node: &Node, name: &str) {
+    let name = InstanceName::new(name);
+    let is_known = node.cluster.borrow().directory.instance(&name).is_some();
+    if !is_known {
+        reload(node, ReloadTrigger::OtherInstance);
+    }
     let settings = node.settings();
     let now = clock::now();
     let slots = node.cluster.borrow().directory.slots_of_service(&settings.service);
     let instance = Instance {
-        name: InstanceName::new(name),
+        name,
         incarnation: Incarnation::UNKNOWN,
         service: settings.service.clone(),
         address: settings.instance,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`gate_protocol`]: messages between edge and gate.
 //! - [`lateness`]: measures whether this process keeps up.
 //! - [`peers`]: messages between nodes.
+//! - [`reload`]: reads the settings again.
 //! - [`status_port`]: readiness and metrics.
 //! - [`app`]: assembles these parts; start, reload and shutdown.
 
@@ -49,6 +50,7 @@
 pub mod metrics;
 pub mod model;
 pub mod peers;
+pub mod reload;
 pub mod reply;
 pub mod routes;
 pub mod settings;
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -29,6 +29,7 @@
 use crate::peers::attestation::Attestation;
 use crate::peers::freshness::Freshness;
 use crate::peers::suspects::ServiceMachines;
+use crate::reload::ReadSettings;
 use crate::routes::{RouteTable, WeightedRoundRobin};
 use crate::settings::SidecarSettings;
 use crate::stop::StopState;
@@ -73,6 +74,8 @@
 /// The shared state of a node.
 pub struct Node {
     settings: RefCell<Rc<SidecarSettings>>,
+    /// Reads the settings again; `None` if they cannot change.
+    settings_reader: RefCell<Option<ReadSettings>>,
     /// Header names of the deployment.
     pub wire_names: WireNames,
     /// The configuration and the directory.
@@ -137,6 +140,7 @@
         let freshness = Freshness::new(settings.ip());
         Node {
             settings: RefCell::new(Rc::new(settings)),
+            settings_reader: RefCell::default(),
             wire_names,
             cluster: RefCell::new(cluster),
             cluster_changed: Notify::new(),
@@ -175,6 +179,16 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Sets how the settings are read again.
+    pub fn set_settings_reader(&self, read_settings: ReadSettings) {
+        *self.settings_reader.borrow_mut() = Some(read_settings);
+    }
+
+    /// Reads the settings again, without putting them in force; `None` if they cannot change.
+    pub fn read_settings(&self) -> Option<Result<SidecarSettings, String>> {
+        self.settings_reader.borrow().as_ref().map(|read| read())
+    }
+
     /// Returns the routes in force; `None` before the first configuration.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.cluster.borrow().routes.clone()
--- a/crates/sidecar/tests/path/replaced.rs
+++ b/crates/sidecar/tests/path/replaced.rs
@@ -16,6 +16,7 @@
 use olivegate_sidecar::model::InstanceState::Ready;
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use olivegate_sidecar::model::{Incarnation, RetrySafety};
+use olivegate_types::ServiceName;
 use rstest::rstest;
 
 use crate::client::{Client, get, post};
@@ -249,3 +250,33 @@
         }
     });
 }
+
+/// The address of an instance that crashed while the source was away went to an instance of another service. The
+/// gate took it for one of its own, and it ran requests of the wrong service under its own name.
+#[rstest]
+fn an_instance_of_another_service_at_the_address_gets_no_requests_of_this_one() {
+    run(async {
+        let fleet = new_fleet();
+        let misdirected = Misdirected::default();
+        fleet.list(2, "books-2-1", BOOKS);
+        let first = serve(&fleet, 2, "books-2-1".to_string(), misdirected.clone()).await;
+        let gate = fleet.start(2, BOOKS).await;
+        Fleet::wait_until_ready(&gate).await;
+        Fleet::wait_until_ready(&fleet.start(EDGE, "desk").await).await;
+        fleet.source.set_down(true);
+        first.crash();
+        // The settings name the other service by then, and no signal has told the node.
+        let mut settings = gate.settings().as_ref().clone();
+        settings.service = ServiceName::new("shelf");
+        gate.set_settings_reader(Box::new(move || Ok(settings.clone())));
+        tokio::time::sleep(RESTART_DELAY).await;
+        let other = serve(&fleet, 2, "shelf-2-1".to_string(), misdirected).await;
+        for number in 0..6 {
+            let status = Client::connect(fleet.outbound(EDGE)).await.request(&request(Unsafe, number)).await;
+            assert_eq!(status.head.status, 503);
+        }
+        let runs = other.received.borrow();
+        let foreign = runs.iter().filter(|request| request.field("x-expected") == "shelf-2-1").count();
+        assert_eq!(foreign, 0, "requests of books that the instance of shelf ran");
+    });
+}
