Shares of weighted routes follow a change of weights at once

Cause: the credits of the rotation stayed, in units of the weights before; on a smaller scale they decide for thousands of requests. A rotation was begun anew only where the number of parts changed. And every node began with the heaviest part, so that on a route with few requests it got nearly all of them.

Now a change of a route's parts or weights begins its rotation anew, at a random position.

Tests: shares_follow_a_change_of_weights_at_once (smaller scale: 40 of 40 to one part; to zero: 1 of 40 to the part without weight) and nodes_do_not_all_begin_with_the_same_service (1,000 of 1,000 with weights of 60 and 40) failed with the code before, put back as a trial. each_service_gets_its_share keeps its bound, now from any start.

--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -64,7 +64,8 @@
     arrived: Moment,
     attempt_log: &mut String,
 ) -> Result<Response, LocalResponse> {
-    let selected = node.weighted_round_robin.borrow_mut().next_service(&request.route);
+    let selected =
+        node.random(|random| node.weighted_round_robin.borrow_mut().next_service(&request.route, random));
     let service = selected.ok_or(LocalResponse::Rejected { status: 404, reason: "no-service" })?;
     let deadline = arrived + request.timeout;
     let body_bytes = body.memory_bytes();
--- a/crates/sidecar/src/routes.rs
+++ b/crates/sidecar/src/routes.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 
 use olivegate_types::ServiceName;
+use rand::{Rng, RngExt};
 
-use crate::model::{ClientLimits, Configuration, ConfigurationVersion, Route};
+use crate::model::{ClientLimits, Configuration, ConfigurationVersion, Route, WeightedService};
 
 /// The routes of one configuration, indexed for lookup. A request uses the same table from its arrival to its
 /// response.
@@ -47,35 +48,75 @@
     }
 }
 
+/// Maximum number of steps by which the start of a rotation is moved.
+const MAX_START_STEPS: i64 = 1_000;
+
 /// Distributes the requests of weighted routes to their services in proportion to the weights, by smooth
 /// weighted round robin: after any number of requests, each service is within one request of its share.
 #[derive(Debug, Default)]
 pub struct WeightedRoundRobin {
-    credits: HashMap<String, Vec<i64>>,
+    rotations: HashMap<String, Rotation>,
 }
 
 impl WeightedRoundRobin {
     /// Selects the service for the next request of `route`.
-    pub fn next_service(&mut self, route: &Route) -> Option<ServiceName> {
+    pub fn next_service(&mut self, route: &Route, random: &mut impl Rng) -> Option<ServiceName> {
         if route.services.len() <= 1 {
             return route.services.first().map(|weighted| weighted.service.clone());
         }
-        let credits = self.credits.entry(route.name.clone()).or_default();
-        if credits.len() != route.services.len() {
-            *credits = vec![0; route.services.len()];
+        let rotation = self.rotations.entry(route.name.clone()).or_default();
+        if rotation.services != route.services {
+            *rotation = Rotation::start(&route.services, random);
+        }
+        rotation.next()
+    }
+
+    /// Drops the state of routes that are no longer configured.
+    pub fn retain(&mut self, configuration: &Configuration) {
+        self.rotations.retain(|name, _| configuration.routes.iter().any(|route| route.name == *name));
+    }
+}
+
+/// The rotation through the services of one route, for one set of weights.
+#[derive(Debug, Default)]
+struct Rotation {
+    services: Vec<WeightedService>,
+    /// How far each service is behind its share, in units of the weights.
+    credits: Vec<i64>,
+}
+
+impl Rotation {
+    /// Starts at a random position, as other nodes do: if all began with the same service, it would get too
+    /// much of a route with few requests.
+    fn start(services: &[WeightedService], random: &mut impl Rng) -> Self {
+        let mut rotation = Rotation { services: services.to_vec(), credits: vec![0; services.len()] };
+        let steps = random.random_range(0..rotation.period().clamp(1, MAX_START_STEPS));
+        for _ in 0..steps {
+            rotation.next();
         }
+        rotation
+    }
+
+    /// Number of steps after which the rotation repeats.
+    fn period(&self) -> i64 {
+        let weights = || self.services.iter().map(|weighted| i64::from(weighted.weight));
+        let divisor = weights().fold(0, greatest_common_divisor);
+        weights().sum::<i64>() / divisor.max(1)
+    }
+
+    fn next(&mut self) -> Option<ServiceName> {
         let mut total = 0;
-        for (credit, weighted) in credits.iter_mut().zip(&route.services) {
+        for (credit, weighted) in self.credits.iter_mut().zip(&self.services) {
             *credit += i64::from(weighted.weight);
             total += i64::from(weighted.weight);
         }
-        let chosen = (0..credits.len()).max_by_key(|&index| (credits[index], std::cmp::Reverse(index)))?;
-        credits[chosen] -= total;
-        Some(route.services[chosen].service.clone())
+        let indices = 0..self.credits.len();
+        let chosen = indices.max_by_key(|&index| (self.credits[index], std::cmp::Reverse(index)))?;
+        self.credits[chosen] -= total;
+        Some(self.services[chosen].service.clone())
     }
+}
 
-    /// Drops the state of routes that are no longer configured.
-    pub fn retain(&mut self, configuration: &Configuration) {
-        self.credits.retain(|name, _| configuration.routes.iter().any(|route| route.name == *name));
-    }
+fn greatest_common_divisor(first: i64, second: i64) -> i64 {
+    if second == 0 { first } else { greatest_common_divisor(second, first % second) }
 }
