A response that stops midway ends at its timeout

Cause: the deadline covered the wait for the head of a response only.

The connection is closed in the way that lets the client receive what was written before, and the body visibly breaks off. A write's time limit holds for each part that the client takes, not for a whole body.

Tests: a_response_that_stops_midway_ends_at_its_timeout (silent, trickling): not ended 0.5 s after the timeout before; a_response_whose_client_reads_slowly_is_not_ended_at_its_timeout held before and after.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -24,7 +24,7 @@
 use crate::edge::local_response::LocalResponse;
 use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
 use crate::edge::request_handler;
-use crate::edge::response_writer::write_response;
+use crate::edge::response_writer::{WriteError, write_response};
 use crate::lineage::ConnectionEvidence;
 use crate::reply::Response;
 use crate::state::Node;
@@ -271,7 +271,10 @@
         let closes = !keep_alive || is_stopping || is_after_input || self.request_body_unread();
         let limit = self.node.client_limits().idle_timeout.duration().max(Duration::from_secs(1));
         let writing = write_response(&mut self.output, response, !closes, is_head, limit);
-        writing.await.map_err(|_| End::ClosedByClient)?;
+        writing.await.map_err(|error| match error {
+            WriteError::BodyIncomplete => End::AfterResponse,
+            WriteError::Connection => End::ClosedByClient,
+        })?;
         self.last_active = Instant::now();
         if closes { Err(End::AfterResponse) } else { Ok(()) }
     }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::edge::outcome::{log_failed_attempt, log_offer};
 use crate::edge::remote;
 use crate::edge::request::ValidatedRequest;
+use crate::edge::silent_body::end_at_deadline;
 use crate::gate;
 use crate::gate::confirmation::Confirmation;
 use crate::gate_protocol::{Offer, OfferedBody};
@@ -95,10 +96,9 @@
         (Err(_), Some(failed)) => Ok(failed),
         (result, _) => result,
     };
-    if let Ok(response) = &result {
-        node.note_request_bytes(body_bytes + response.body.memory_bytes());
-    }
-    result
+    let response = result?;
+    node.note_request_bytes(body_bytes + response.body.memory_bytes());
+    Ok(Response { body: end_at_deadline(response.body, deadline), ..response })
 }
 
 impl Dispatch<'_> {
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -11,6 +11,7 @@
 //! - [`dispatch`]: chooses instances and makes the attempts.
 //! - [`attempts`]: decides whether to retry after an attempt without a response.
 //! - [`remote`], [`gate_connection_pool`] and [`connection_check`]: offers to gates on other machines.
+//! - [`silent_body`]: ends a response whose instance falls silent.
 //! - [`outcome`]: result of a request, and its log lines.
 //! - [`local_response`]: responses that the node generates itself.
 
@@ -28,6 +29,7 @@
 pub mod request_assembly;
 pub mod request_handler;
 pub mod response_writer;
+pub mod silent_body;
 pub mod tenant_checks;
 
 use std::rc::Rc;
--- a/crates/sidecar/src/edge/response_writer.rs
+++ b/crates/sidecar/src/edge/response_writer.rs
@@ -11,14 +11,29 @@
 
 use crate::reply::{Body, IncompleteBody, Response};
 
-/// Writes a response; each write must complete within `limit`.
+/// Why a response was not written completely.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteError {
+    /// The body broke off. The client has to see that, so the connection must be closed.
+    BodyIncomplete,
+    /// The client closed the connection, or took nothing within the time limit.
+    Connection,
+}
+
+impl From<IncompleteBody> for WriteError {
+    fn from(_: IncompleteBody) -> Self {
+        WriteError::BodyIncomplete
+    }
+}
+
+/// Writes a response; the client must take some of it within `limit` each time.
 pub async fn write_response(
     out: &mut OwnedWriteHalf,
     response: Response,
     keep: bool,
     is_head: bool,
     limit: Duration,
-) -> Result<(), IncompleteBody> {
+) -> Result<(), WriteError> {
     let Response { head, body, .. } = response;
     let mut buffer = BytesMut::new();
     match body {
@@ -50,9 +65,13 @@
     }
 }
 
-async fn write_bytes(out: &mut OwnedWriteHalf, bytes: &[u8], limit: Duration) -> Result<(), IncompleteBody> {
-    match tokio::time::timeout(limit, out.write_all(bytes)).await {
-        Ok(Ok(())) => Ok(()),
-        _ => Err(IncompleteBody),
+async fn write_bytes(out: &mut OwnedWriteHalf, mut bytes: &[u8], limit: Duration) -> Result<(), WriteError> {
+    while !bytes.is_empty() {
+        let written = tokio::time::timeout(limit, out.write(bytes)).await;
+        match written {
+            Ok(Ok(count @ 1..)) => bytes = &bytes[count..],
+            _ => return Err(WriteError::Connection),
+        }
     }
+    Ok(())
 }
--- a/crates/sidecar/tests/path/deadlines.rs
+++ b/crates/sidecar/tests/path/deadlines.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_sidecar::model::Millis;
 use olivegate_sidecar::model::RetrySafety::Safe;
 use rstest::rstest;
 
-use crate::client::Client;
+use crate::client::{Client, get};
 use crate::instance::{Action, ReceivedRequest, TestInstance, response};
 use crate::support::{Fleet, configuration, route, run};
 
@@ -24,6 +25,59 @@
     format!("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: {time_ms}\r\n\r\n")
 }
 
+/// Size of a response that is passed on before it is complete.
+const LARGE_RESPONSE_BYTES: usize = 1_500_000;
+
+/// An edge on machine 1, and on machine 2 an instance whose large responses stop after a part for this time.
+async fn start_pausing_instance(pause: Vec<Action>) -> (Fleet, TestInstance) {
+    let fleet = Fleet::new();
+    let mut scans = route("/plates/", "scans", Safe);
+    scans.timeout = Some(Millis(600));
+    fleet.source.configure(configuration(1, vec![scans]));
+    fleet.list(2, "scans-1", "scans");
+    let script = move |request: &ReceivedRequest, _: usize| {
+        let whole = response(200, &request.id(), &"x".repeat(LARGE_RESPONSE_BYTES));
+        let (first, rest) = whole.split_at(100_000);
+        let mut actions = vec![Action::Send(first.to_string())];
+        actions.extend(pause.clone());
+        actions.push(Action::Send(rest.to_string()));
+        actions
+    };
+    let instance = TestInstance::start(fleet.instance_address(2), script).await;
+    for (machine, service) in [(2, "scans"), (1, "desk")] {
+        Fleet::wait_until_ready(&fleet.start(machine, service).await).await;
+    }
+    (fleet, instance)
+}
+
+/// Nothing ended a request at its timeout once a part of its response had been passed on.
+#[rstest]
+#[case::silent(vec![Action::Sleep(10_000)])]
+#[case::trickling((0..10).flat_map(|_| [Action::Sleep(250), Action::Send("x".into())]).collect())]
+fn a_response_that_stops_midway_ends_at_its_timeout(#[case] pause: Vec<Action>) {
+    run(async {
+        let (fleet, instance) = start_pausing_instance(pause).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.send(&get("/plates/", "a")).await;
+        let response = tokio::time::timeout(Duration::from_millis(1_100), client.next_response()).await;
+        assert!(!response.expect("it ends 0.5 s after its timeout").expect("a part").is_complete);
+        crate::support::eventually("the instance is free", || instance.abandoned.get() == 1).await;
+    });
+}
+
+/// The client is the reason that its response takes longer than the timeout.
+#[rstest]
+fn a_response_whose_client_reads_slowly_is_not_ended_at_its_timeout() {
+    run(async {
+        let (fleet, _instance) = start_pausing_instance(Vec::new()).await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        client.send(&get("/plates/", "a")).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let response = client.next_response().await.expect("a response");
+        assert!(response.is_complete, "cut after {} bytes", response.body.len());
+    });
+}
+
 /// Guards against a gate that keeps refusing a route for lack of time because it admits no request that could
 /// show that the instance is fast again.
 #[rstest]
