A long response that breaks off does not take those behind it along

Cause: a response of over 64 KiB is passed on while it arrives, so that its breaking off can only be told by closing the connection, though requests behind it are under way.

If it breaks off, the client gets 502 for it, which promises nothing, and the responses behind it. Without requests behind it, it is passed on as it comes.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -21,12 +21,13 @@
 
 use crate::closing::{self, Closing};
 use crate::connection_limit::ConnectionPermit;
+use crate::edge::held_response::{self, HeldBytesGuard, HeldResponse};
 use crate::edge::local_response::LocalResponse;
 use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
 use crate::edge::request_handler;
 use crate::edge::response_writer::{WriteError, write_response};
 use crate::lineage::ConnectionEvidence;
-use crate::reply::Response;
+use crate::reply::{Body, IncompleteBody, Response};
 use crate::state::Node;
 use crate::stop::InFlightGuard;
 
@@ -38,9 +39,29 @@
     response: Response,
     keep_alive: bool,
     is_head: bool,
+    /// Bytes of a response that was held; `None` if it was not.
+    held_bytes: Option<HeldBytesGuard>,
     _in_flight: InFlightGuard,
 }
 
+impl ReadyResponse {
+    /// True if the response may still break off.
+    fn is_incomplete(&self) -> bool {
+        matches!(self.response.body, Body::Stream(..)) && self.held_bytes.is_none()
+    }
+
+    /// Holds the response until it is complete. If it breaks off, the node responds itself: the request has run,
+    /// and its response is lost.
+    async fn hold(self, node: &Node) -> Self {
+        let request_id = self.response.head.fields.get(node.wire_names.request_id).cloned();
+        let HeldResponse { response, bytes } = held_response::hold(self.response, node.held_bytes.clone()).await;
+        let response = response.unwrap_or_else(|IncompleteBody| {
+            LocalResponse::Unknown.to_response(&node.wire_names, request_id.as_ref())
+        });
+        ReadyResponse { response, held_bytes: Some(bytes), ..self }
+    }
+}
+
 struct Connection {
     node: Rc<Node>,
     requests: FramedRead<OwnedReadHalf, RequestDecoder>,
@@ -142,6 +163,10 @@
     /// Waits for one event and handles it.
     async fn step(&mut self) -> Result<(), End> {
         match self.next_event().await {
+            Event::Ready(ready) if ready.is_incomplete() && self.has_requests_behind(&ready) => {
+                self.hold(ready);
+                Ok(())
+            }
             Event::Ready(ready) => self.write(ready).await,
             Event::Frame(Some(Ok(frame))) => {
                 self.last_active = Instant::now();
@@ -213,7 +238,7 @@
         let in_flight = node.stop.track_request();
         self.pending.push_back(Box::pin(async move {
             let response = respond(&node, assembled, &evidence).await;
-            ReadyResponse { response, keep_alive, is_head, _in_flight: in_flight }
+            ReadyResponse { response, keep_alive, is_head, held_bytes: None, _in_flight: in_flight }
         }));
     }
 
@@ -240,6 +265,7 @@
             response,
             keep_alive: false,
             is_head: false,
+            held_bytes: None,
             _in_flight: self.node.stop.track_request(),
         };
         self.pending.push_back(Box::pin(std::future::ready(ready)));
@@ -262,8 +288,19 @@
         Ok(())
     }
 
+    /// True if responses to further requests are to be written after this one.
+    fn has_requests_behind(&self, ready: &ReadyResponse) -> bool {
+        ready.keep_alive && !self.pending.is_empty()
+    }
+
+    /// Holds a response that may break off. It stays the next one to be written.
+    fn hold(&mut self, ready: ReadyResponse) {
+        let node = self.node.clone();
+        self.pending.push_front(Box::pin(async move { ready.hold(&node).await }));
+    }
+
     async fn write(&mut self, ready: ReadyResponse) -> Result<(), End> {
-        let ReadyResponse { response, keep_alive, is_head, _in_flight } = ready;
+        let ReadyResponse { response, keep_alive, is_head, held_bytes: _held_bytes, _in_flight } = ready;
         let is_last =
             self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty();
         let is_after_input = self.input_ended && self.pending.is_empty();
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`connection`]: one connection of a client or of the instance.
 //! - [`response_writer`]: writes responses to it.
+//! - [`held_response`]: holds a response that others wait behind.
 //! - [`request_assembly`]: assembles requests from the frames of a connection.
 //! - [`request`]: validates the head of a request.
 //! - [`call_context`]: context that a request passes down to its calls.
@@ -22,6 +23,7 @@
 pub mod connection_check;
 pub mod dispatch;
 pub mod gate_connection_pool;
+pub mod held_response;
 pub mod local_response;
 pub mod outcome;
 pub mod remote;
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -59,6 +59,8 @@
 const MEAN_MULTIPLIER: u64 = 4;
 /// Requests in flight may take one part in this many of the memory.
 const REQUEST_MEMORY_DIVISOR: u64 = 4;
+/// Responses that are held while others wait behind them may take one part in this many of the memory.
+const HELD_BYTES_DIVISOR: u64 = 16;
 
 /// Resources that the machine offers the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,6 +79,11 @@
         usize::try_from(left.max(16)).unwrap_or(usize::MAX)
     }
 
+    /// Returns the maximum number of bytes of responses that are held while others wait behind them.
+    pub fn max_held_bytes(&self) -> usize {
+        usize::try_from((self.memory_mb << 20) / HELD_BYTES_DIVISOR).unwrap_or(usize::MAX)
+    }
+
     /// Returns the maximum number of requests in flight, whatever their size.
     pub fn max_requests(&self) -> usize {
         self.max_requests_of(MAX_REQUEST_BYTES)
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -20,6 +20,7 @@
 use crate::directory::retention::RetentionPolicy;
 use crate::directory::{Directory, InstanceStatus};
 use crate::edge::gate_connection_pool::GateConnectionPool;
+use crate::edge::held_response::HeldBytes;
 use crate::event::{LogBudgets, LogClass};
 use crate::gate::Gate;
 use crate::gate_protocol::KnownState;
@@ -102,6 +103,8 @@
     request_limits: Rc<Cell<RequestLimits>>,
     /// Connections to remote gates.
     pub gate_connections: GateConnectionPool,
+    /// Bytes of responses that are held while others wait behind them.
+    pub held_bytes: Rc<HeldBytes>,
     /// The gate of the instance beside this node.
     pub gate: Gate,
     /// Machines with instances of this node's service.
@@ -138,6 +141,7 @@
         };
         let cluster = ClusterState { configuration: None, routes: None, directory: Directory::new(retention) };
         let freshness = Freshness::new(settings.ip());
+        let held_bytes = HeldBytes::new(settings.machine.max_held_bytes());
         Node {
             settings: RefCell::new(Rc::new(settings)),
             settings_reader: RefCell::default(),
@@ -154,6 +158,7 @@
             lineage: RefCell::default(),
             request_limits: Rc::new(Cell::new(UNCONFIGURED_REQUEST_LIMITS)),
             gate_connections: GateConnectionPool::default(),
+            held_bytes,
             gate: Gate::default(),
             service_machines: RefCell::default(),
             pending_gates: RefCell::default(),
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod links;
 mod load;
+mod pipelining;
 mod quotas;
 mod replaced;
 mod requests;
