A client that leaves while a long response is written frees the instance

Cause: while a response was written, nobody read from the connection.

Now the connection reads one frame ahead meanwhile, and ends where the client has.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -5,6 +5,7 @@
 //! while its requests wait or run, and drops them together with the connection.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
 struct Connection {
     node: Rc<Node>,
     requests: FramedRead<OwnedReadHalf, RequestDecoder>,
+    /// A frame that arrived while a response was written.
+    read_ahead: Option<InputFrame>,
     output: OwnedWriteHalf,
     assembler: RequestAssembler,
     pending: FuturesOrdered<LocalBoxFuture<'static, ReadyResponse>>,
@@ -94,6 +97,7 @@
     let mut connection = Connection {
         node,
         requests: FramedRead::new(input, decoder),
+        read_ahead: None,
         output,
         assembler: RequestAssembler::default(),
         pending: FuturesOrdered::new(),
@@ -111,12 +115,24 @@
     }
 }
 
+/// A frame of a request, or why it can't be decoded.
+type InputFrame = Result<Frame<RequestHead>, DecodeError>;
+
+/// True if the connection has ended or failed.
+fn has_client_left(frame: &Option<InputFrame>) -> bool {
+    matches!(frame, None | Some(Err(DecodeError::Io(_) | DecodeError::Incomplete)))
+}
+
 /// The next frame of a request; `None` when the client has closed. Once no more requests are to be read,
 /// further input is discarded and only the end of the connection is reported.
 async fn next_frame(
+    read_ahead: &mut Option<InputFrame>,
     requests: &mut FramedRead<OwnedReadHalf, RequestDecoder>,
     input_ended: bool,
-) -> Option<Result<Frame<RequestHead>, DecodeError>> {
+) -> Option<InputFrame> {
+    if let Some(frame) = read_ahead.take() {
+        return Some(frame);
+    }
     if !input_ended {
         return requests.next().await;
     }
@@ -153,7 +169,7 @@
 /// Events that a connection waits for.
 enum Event {
     Ready(ReadyResponse),
-    Frame(Option<Result<Frame<RequestHead>, DecodeError>>),
+    Frame(Option<InputFrame>),
     ChunkForwarded,
     Timer,
     Close,
@@ -201,7 +217,7 @@
         tokio::select! {
             biased;
             // Polled first: a client that has already disconnected must not be served.
-            frame = next_frame(&mut self.requests, self.input_ended),
+            frame = next_frame(&mut self.read_ahead, &mut self.requests, self.input_ended),
                 if may_read || watches_for_close => Event::Frame(frame),
             Some(ready) = self.pending.next(), if has_pending => Event::Ready(ready),
             () = self.assembler.forward_waiting(), if is_blocked => Event::ChunkForwarded,
@@ -213,7 +229,12 @@
 
     /// True between requests, with nothing buffered and no response outstanding.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty()
+        self.pending.is_empty() && self.has_no_input()
+    }
+
+    /// True if nothing of a further request has arrived.
+    fn has_no_input(&self) -> bool {
+        self.assembler.is_idle() && self.read_ahead.is_none() && self.requests.read_buffer().is_empty()
     }
 
     async fn on_frame(&mut self, frame: Frame<RequestHead>) -> Result<(), End> {
@@ -301,14 +322,26 @@
 
     async fn write(&mut self, ready: ReadyResponse) -> Result<(), End> {
         let ReadyResponse { response, keep_alive, is_head, held_bytes: _held_bytes, _in_flight } = ready;
-        let is_last =
-            self.pending.is_empty() && self.assembler.is_idle() && self.requests.read_buffer().is_empty();
+        let is_last = self.is_idle();
         let is_after_input = self.input_ended && self.pending.is_empty();
         let is_stopping = self.node.stop.is_stopping() && is_last;
         let closes = !keep_alive || is_stopping || is_after_input || self.request_body_unread();
         let limit = self.node.client_limits().idle_timeout.duration().max(Duration::from_secs(1));
-        let writing = write_response(&mut self.output, response, !closes, is_head, limit);
-        writing.await.map_err(|error| match error {
+        let mut writing = pin!(write_response(&mut self.output, response, !closes, is_head, limit));
+        let written = loop {
+            let may_read = self.read_ahead.is_none() && !self.assembler.is_blocked();
+            tokio::select! {
+                biased;
+                written = &mut writing => break written,
+                frame = next_frame(&mut self.read_ahead, &mut self.requests, self.input_ended), if may_read => {
+                    if has_client_left(&frame) {
+                        return Err(End::ClosedByClient);
+                    }
+                    self.read_ahead = frame;
+                }
+            }
+        };
+        written.map_err(|error| match error {
             WriteError::BodyIncomplete => End::AfterResponse,
             WriteError::Connection => End::ClosedByClient,
         })?;
--- a/crates/sidecar/tests/path/requests.rs
+++ b/crates/sidecar/tests/path/requests.rs
@@ -82,6 +82,30 @@
     });
 }
 
+/// While a response was written, nobody watched whether its client was still there.
+#[rstest]
+#[case::beside_the_instance(1)]
+#[case::on_another_machine(2)]
+fn a_client_that_leaves_in_the_middle_of_a_long_response_frees_the_instance(#[case] edge: u8) {
+    run(async {
+        let (fleet, instance) = one_machine(|request: &ReceivedRequest, _| {
+            let whole = response(200, &request.id(), &"x".repeat(200_000));
+            vec![Action::Send(whole[..100_000].to_string()), Action::Sleep(1_500)]
+        })
+        .await;
+        if edge == 2 {
+            Fleet::wait_until_ready(&fleet.start(2, "desk").await).await;
+        }
+        let mut client = Client::connect(fleet.outbound(edge)).await;
+        client.send(&get("/safe/", "a")).await;
+        eventually("the instance runs it", || instance.runs() == 1).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(client);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(instance.abandoned.get(), 1);
+    });
+}
+
 #[rstest]
 fn what_does_not_fit_is_refused_at_once_and_never_runs() {
     run(async {
