An offer that was made again does not forget that the first may have run

Cause: a request may have run on the connection that then fell silent, before its first sign of life. Where the offer was made again and refused, the refusal alone counted.

Now the first offer's failure is recorded with the attempts, as a run that may have happened, and the second one is a retry for the gate's budget.

Test: a_request_that_ran_before_its_connection_fell_silent_is_not_reported_as_not_run, failing before (503, now 502).

--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -165,8 +165,8 @@
         if may_continue { NextStep::TryAnother } else { self.give_up() }
     }
 
-    /// Handles an exchange that gave no response.
-    pub fn on_failed(&mut self, failure: Failure) -> NextStep {
+    /// Records an offer that got no reply and was made again to the same instance.
+    pub fn on_unanswered(&mut self, failure: Failure) {
         self.log_attempt(failure.reason.as_str());
         self.arrivals += u32::from(failure.arrived);
         self.possible_runs += u32::from(failure.may_have_run);
@@ -174,6 +174,11 @@
         if failure.arrived || failure.may_have_run {
             self.record_reached();
         }
+    }
+
+    /// Handles an exchange that gave no response.
+    pub fn on_failed(&mut self, failure: Failure) -> NextStep {
+        self.on_unanswered(failure);
         if self.may_have_run && self.safety == RetrySafety::Unsafe {
             return NextStep::GiveUp(FinalFailure::Unknown);
         }
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -181,7 +181,7 @@
     }
 
     /// Offers the request to the gate of `instance`.
-    async fn offer(&mut self, instance: &Instance, attempts: &Attempts) -> GateReply {
+    async fn offer(&mut self, instance: &Instance, attempts: &mut Attempts) -> GateReply {
         let settings = self.node.settings();
         let is_remote = instance.address.ip() != settings.ip();
         let offer = self.offer_message(instance, is_remote, attempts);
@@ -197,6 +197,10 @@
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(stream, _)| stream);
             let remote = remote::offer(self.node, address, offer, body).await;
+            if let Some(failure) = remote.unanswered {
+                self.record_failure(instance, failure);
+                attempts.on_unanswered(failure);
+            }
             (remote.reply, remote.load)
         };
         sent.observation = observation_of(&reply);
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -22,11 +22,13 @@
     pub reply: GateReply,
     /// The gate's load.
     pub load: Option<Load>,
+    /// The failure of an offer before the one that got the reply, on a connection that had failed silently.
+    pub unanswered: Option<Failure>,
 }
 
 impl From<Failure> for RemoteReply {
     fn from(failure: Failure) -> Self {
-        RemoteReply { reply: GateReply::Failed(failure), load: None }
+        RemoteReply { reply: GateReply::Failed(failure), load: None, unanswered: None }
     }
 }
 
@@ -40,23 +42,26 @@
     let mut exchange = Exchange::new(node, address, &offer, connection, body);
     let mut message = EdgeMessage::Offer(Box::new(offer));
     let mut result = exchange.run(&message).await;
-    if is_silent(&result) && exchange.continue_on_new_connection() {
+    let mut unanswered = None;
+    if let Err(first) = result
+        && first.reason == FailureReason::GateSilent
+        && exchange.continue_on_new_connection()
+    {
         if let EdgeMessage::Offer(offer) = &mut message {
             offer.reduce_time_left(exchange.began.elapsed());
+            offer.is_retry |= first.may_have_run;
         }
+        unanswered = Some(first);
         result = exchange.run(&message).await;
     }
-    match result {
+    let reply = match result {
         Ok(message) => {
             let request_sent = exchange.unsent_body.is_none();
             to_remote_reply(node, address, exchange.stream, message, request_sent)
         }
         Err(failure) => failure.into(),
-    }
-}
-
-fn is_silent(result: &Result<GateMessage, Failure>) -> bool {
-    matches!(result, Err(failure) if failure.reason == FailureReason::GateSilent)
+    };
+    RemoteReply { unanswered, ..reply }
 }
 
 /// Progress of an offer, as known to the edge.
@@ -247,20 +252,20 @@
         GateMessage::Refused { reason, retry_after_ms, successor, load } => {
             keep(stream);
             let refusal = Refusal::new(reason, Duration::from_millis(u64::from(retry_after_ms)));
-            RemoteReply { reply: GateReply::Refused { refusal, successor }, load: Some(load) }
+            RemoteReply { reply: GateReply::Refused { refusal, successor }, load: Some(load), unanswered: None }
         }
         GateMessage::Failed { failure, load } => {
             keep(stream);
-            RemoteReply { reply: GateReply::Failed(failure), load: Some(load) }
+            RemoteReply { reply: GateReply::Failed(failure), load: Some(load), unanswered: None }
         }
         GateMessage::Answered { head, body: Some(bytes), fault, load, .. } => {
             keep(stream);
             let response = Response { head, body: Body::Whole(bytes), fault };
-            RemoteReply { reply: GateReply::Answered(response), load: Some(load) }
+            RemoteReply { reply: GateReply::Answered(response), load: Some(load), unanswered: None }
         }
         GateMessage::Answered { head, body: None, length, fault, load } => {
             let response = Response { head, body: Body::Stream(streamed_body(stream), length), fault };
-            RemoteReply { reply: GateReply::Answered(response), load: Some(load) }
+            RemoteReply { reply: GateReply::Answered(response), load: Some(load), unanswered: None }
         }
         _ => Failure::unknown(FailureReason::GateLost).into(),
     }
--- a/crates/sidecar/tests/path/silent_connections.rs
+++ b/crates/sidecar/tests/path/silent_connections.rs
@@ -58,15 +58,16 @@
 }
 
 impl LinkedGate {
-    async fn start(safety: RetrySafety) -> Self {
+    async fn start(safety: RetrySafety, slots: u32) -> Self {
         let fleet = Fleet::new();
         fleet.source.configure(configuration(1, vec![route("/run/", "books", safety)]));
         fleet.list(1, "desk-1", "desk");
         let mut instance = fleet.list(2, "books-2", "books");
-        instance.slots = 64;
+        instance.slots = slots;
         fleet.source.list(instance);
         let script = |request: &ReceivedRequest, _| {
-            vec![Action::Sleep(100), Action::Send(response(200, &request.id(), "ok"))]
+            let work_ms = if request.id() == "slow" { 1_500 } else { 100 };
+            vec![Action::Sleep(work_ms), Action::Send(response(200, &request.id(), "ok"))]
         };
         TestInstance::start(fleet.instance_address(2), script).await;
         let (gate, inbound) = fleet.start_behind_link(2, "books", fleet.source.clone()).await;
@@ -97,7 +98,7 @@
 #[case::many(30)]
 fn a_change_is_fetched_in_time_while_idle_connections_are_silent(#[case] connections: usize) {
     run(async {
-        let linked = LinkedGate::start(Safe).await;
+        let linked = LinkedGate::start(Safe, 64).await;
         linked.open_connections(connections).await;
         assert!(linked.link.silence_open() >= connections);
         linked.edge_source.set_fault(Fault::Silent);
@@ -114,7 +115,7 @@
 #[case::unsafe_(Unsafe)]
 fn requests_are_served_while_idle_connections_are_silent(#[case] safety: RetrySafety) {
     run(async {
-        let linked = LinkedGate::start(safety).await;
+        let linked = LinkedGate::start(safety, 64).await;
         for round in 0..2 {
             linked.open_connections(12).await;
             assert!(linked.link.silence_open() >= 12);
@@ -125,3 +126,19 @@
         assert_eq!(linked.edge.metrics.silent_connections.get(), 2, "the first request of each round finds out");
     });
 }
+
+/// The request ran when its connection fell silent, and was refused where it was offered again: it must not be
+/// reported as not run.
+#[rstest]
+fn a_request_that_ran_before_its_connection_fell_silent_is_not_reported_as_not_run() {
+    run(async {
+        let linked = LinkedGate::start(Safe, 1).await;
+        assert_eq!(linked.status_of("warm".into()).await, 200);
+        let silence = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(linked.link.silence_open() >= 1);
+        };
+        let (status, ()) = tokio::join!(linked.status_of("slow".into()), silence);
+        assert_eq!(status, 502);
+    });
+}
