An offer is made again only if its route allows another run

Now a request without confirmation is offered again only while its route allows two further runs.

Test: a_request_that_ran_before_its_connection_fell_silent_does_not_run_more_often_than_its_route_allows, failing before.

--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -136,6 +136,11 @@
         self.arrivals > 0
     }
 
+    /// True if the route allows this many further runs of the request.
+    pub fn allows_runs(&self, runs: u32) -> bool {
+        self.possible_runs + runs <= self.max_instances
+    }
+
     /// True when the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -196,7 +196,9 @@
         } else {
             let address = settings.inbound_of(instance.address.ip());
             let body = self.take_stream().map(|(stream, _)| stream);
-            let remote = remote::offer(self.node, address, offer, body).await;
+            // An offer without confirmation may have run where nothing more is heard of it.
+            let may_offer_again = offer.needs_confirmation || attempts.allows_runs(2);
+            let remote = remote::offer(self.node, address, offer, body, may_offer_again).await;
             if let Some(failure) = remote.unanswered {
                 self.record_failure(instance, failure);
                 attempts.on_unanswered(failure);
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -34,8 +34,15 @@
 
 /// Offers a request and waits for the reply. A confirmed request that may run only once is not abandoned when
 /// the gate stops responding: it can't be retried, so waiting is the best option. If a reused connection turns
-/// out to have failed silently, the request is offered once more over a new one.
-pub async fn offer(node: &Rc<Node>, address: SocketAddr, offer: Offer, body: Option<BodyStream>) -> RemoteReply {
+/// out to have failed silently, the request is offered once more over a new one, provided that
+/// `may_offer_again`.
+pub async fn offer(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    offer: Offer,
+    body: Option<BodyStream>,
+    may_offer_again: bool,
+) -> RemoteReply {
     let Ok(connection) = node.gate_connections.connection(address).await else {
         return Failure::not_sent(FailureReason::GateLost).into();
     };
@@ -45,6 +52,7 @@
     let mut unanswered = None;
     if let Err(first) = result
         && first.reason == FailureReason::GateSilent
+        && may_offer_again
         && exchange.continue_on_new_connection()
     {
         if let EdgeMessage::Offer(offer) = &mut message {
--- a/crates/sidecar/tests/path/silent_connections.rs
+++ b/crates/sidecar/tests/path/silent_connections.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use olivegate_sidecar::model::RetrySafety::{self, Safe, Unsafe};
+use olivegate_sidecar::model::Route;
 use olivegate_sidecar::state::Node;
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -13,7 +14,7 @@
 use crate::client::{Client, get};
 use crate::instance::{Action, ReceivedRequest, TestInstance, response};
 use crate::links::Link;
-use crate::support::{Fault, Fleet, configuration, eventually, route, run};
+use crate::support::{Fault, Fleet, TestSource, configuration, eventually, route, run};
 
 /// Time within which an acknowledged configuration has to be in force on every node in touch.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
@@ -53,8 +54,9 @@
 struct LinkedGate {
     fleet: Fleet,
     edge: Rc<Node>,
-    edge_source: crate::support::TestSource,
+    edge_source: TestSource,
     link: Link,
+    instance: TestInstance,
 }
 
 impl LinkedGate {
@@ -62,21 +64,21 @@
         let fleet = Fleet::new();
         fleet.source.configure(configuration(1, vec![route("/run/", "books", safety)]));
         fleet.list(1, "desk-1", "desk");
-        let mut instance = fleet.list(2, "books-2", "books");
-        instance.slots = slots;
-        fleet.source.list(instance);
+        let mut listed = fleet.list(2, "books-2", "books");
+        listed.slots = slots;
+        fleet.source.list(listed);
         let script = |request: &ReceivedRequest, _| {
             let work_ms = if request.id() == "slow" { 1_500 } else { 100 };
             vec![Action::Sleep(work_ms), Action::Send(response(200, &request.id(), "ok"))]
         };
-        TestInstance::start(fleet.instance_address(2), script).await;
+        let instance = TestInstance::start(fleet.instance_address(2), script).await;
         let (gate, inbound) = fleet.start_behind_link(2, "books", fleet.source.clone()).await;
         let link = Link::start(fleet.inbound(2), inbound).await;
         let edge_source = fleet.source.separate_handle();
         let edge = fleet.start_with_source(1, "desk", edge_source.clone()).await;
         Fleet::wait_until_ready(&gate).await;
         Fleet::wait_until_ready(&edge).await;
-        LinkedGate { fleet, edge, edge_source, link }
+        LinkedGate { fleet, edge, edge_source, link, instance }
     }
 
     /// Sends requests at the same time, so that as many connections are idle afterwards.
@@ -127,6 +129,25 @@
     });
 }
 
+/// A route that allows one instance allows one run: a request that may have run is not offered again.
+#[rstest]
+fn a_request_that_ran_before_its_connection_fell_silent_does_not_run_more_often_than_its_route_allows() {
+    run(async {
+        let linked = LinkedGate::start(Safe, 64).await;
+        let once = Route { attempts: 1, ..route("/run/", "books", Safe) };
+        linked.fleet.source.configure(configuration(2, vec![once]));
+        time_until_in_force(&linked.edge, 2).await;
+        assert_eq!(linked.status_of("warm".into()).await, 200);
+        let runs = linked.instance.runs();
+        let silence = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(linked.link.silence_open() >= 1);
+        };
+        let (status, ()) = tokio::join!(linked.status_of("slow".into()), silence);
+        assert_eq!((status, linked.instance.runs()), (502, runs + 1));
+    });
+}
+
 /// The request ran when its connection fell silent, and was refused where it was offered again: it must not be
 /// reported as not run.
 #[rstest]
