Soak: long transfers, changing limits, open connections that fall silent

Now each machine's clients also send uploads of 0 to 500,000 bytes with a length and in chunks, on kept connections too, some malformed, broken off or over the limit, and downloads of 100 bytes to 1.5 MB that they read late, with up to three requests behind; the limit on bodies changes with each version; and once or twice a soak all open connections between machines and to the store fall silent after a burst, with changes and a leaving instance soon after. Bodies are judged whole at the instance and at the client; what all versions allow must not be denied.

--- a/crates/bench/src/soak/access_checks.rs
+++ b/crates/bench/src/soak/access_checks.rs
@@ -14,7 +14,10 @@
             let Some(call) = self.calls.get(run.id.as_str()) else { continue };
             let tenant = match call.purpose {
                 CallPurpose::OnBehalf | CallPurpose::Stranger => "",
-                CallPurpose::Client | CallPurpose::Deadly | CallPurpose::Probe { .. } => MEMBERS,
+                CallPurpose::Client
+                | CallPurpose::Transfer { .. }
+                | CallPurpose::Deadly
+                | CallPurpose::Probe { .. } => MEMBERS,
                 CallPurpose::Limited => LIMITED,
                 CallPurpose::Guest { .. } => GUESTS,
             };
--- a/crates/bench/src/soak/checker.rs
+++ b/crates/bench/src/soak/checker.rs
@@ -380,9 +380,9 @@
     }
 }
 
-/// True for requests whose route and key exist in every version.
+/// True for requests that every version allows.
 fn keeps_access(call: &Call) -> bool {
-    matches!(call.purpose, CallPurpose::Client | CallPurpose::OnBehalf)
+    matches!(call.purpose, CallPurpose::Client | CallPurpose::OnBehalf | CallPurpose::Transfer { is_proper: true })
 }
 
 fn is_denial(status: u16) -> bool {
--- a/crates/bench/src/soak/exchange.rs
+++ b/crates/bench/src/soak/exchange.rs
@@ -6,6 +6,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use futures::StreamExt;
+use olivegate_http1::head::write_chunk;
 use olivegate_http1::{BodyLength, Fields, Frame, RequestHead, ResponseDecoder, ResponseHead};
 use olivegate_platform::WIRE_NAMES;
 use tokio::io::AsyncWriteExt;
@@ -13,6 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::FramedRead;
 
+use super::body_sizes;
 use super::record::CallEnd;
 
 /// Maximum size of a response head in bytes.
@@ -23,6 +25,8 @@
 const FORGED_TENANT: &str = "forged";
 /// Size of a request body in bytes.
 const REQUEST_BODY_BYTES: usize = 1_200;
+/// Size of the chunks of a body, in bytes.
+const CHUNK_BYTES: usize = 10_000;
 
 /// A request to be sent.
 #[derive(Debug, Clone)]
@@ -39,6 +43,25 @@
     pub key: Option<String>,
     /// Time after which its sender gives up.
     pub timeout: Duration,
+    /// Its body is sent in chunks.
+    pub is_chunked: bool,
+    /// What goes wrong in the middle of its body.
+    pub defect: Option<UploadDefect>,
+}
+
+/// What goes wrong in the middle of an upload in chunks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UploadDefect {
+    /// The size of a chunk is malformed.
+    MalformedChunk,
+    /// A chunk does not end where its size says.
+    MalformedChunkEnd,
+    /// The trailer is longer than any limit.
+    OversizedTrailer,
+    /// The client closes its side of the connection.
+    BreaksOff,
+    /// The body is larger than the limit, and otherwise sound.
+    OverLimit,
 }
 
 /// A client connection to a node.
@@ -67,7 +90,8 @@
 /// same.
 pub fn request_body(method: &str, target: &str, id: &str) -> Bytes {
     let text = if is_deadly_target(target) { target } else { id };
-    if method == "GET" { Bytes::new() } else { repeat_to_length(text, REQUEST_BODY_BYTES) }
+    let bytes = body_sizes::request_bytes(target).unwrap_or(REQUEST_BODY_BYTES);
+    if method == "GET" { Bytes::new() } else { repeat_to_length(text, bytes) }
 }
 
 /// The body of a response: the id repeated, so that each chunk shows which request it belongs to.
@@ -101,13 +125,16 @@
 
     /// Sends a request and reads its response; also returns whether the connection may be reused.
     pub async fn exchange(&mut self, request: &Request) -> (CallEnd, bool) {
-        if self.send(request).await.is_err() {
+        // A node that rejects a body may respond and close the connection before all of it is sent.
+        let is_sent = self.send(request).await.is_ok();
+        if !is_sent && request.defect.is_none() {
             return (CallEnd::Cut, false);
         }
         self.receive(request).await
     }
 
-    async fn send(&mut self, request: &Request) -> std::io::Result<()> {
+    /// Sends a request.
+    pub async fn send(&mut self, request: &Request) -> std::io::Result<()> {
         let mut fields = Fields::default();
         fields.add("Host", request.host.clone());
         fields.add(WIRE_NAMES.request_id, request.id.clone());
@@ -119,14 +146,58 @@
         let (method, target) = (Bytes::from(request.method.clone()), Bytes::from(request.target.clone()));
         let head = RequestHead { method, target, minor_version: 1, fields };
         let body = request_body(&request.method, &request.target, &request.id);
-        let length = if body.is_empty() { BodyLength::None } else { BodyLength::Known(body.len() as u64) };
+        let length = match body.len() {
+            _ if request.is_chunked => BodyLength::Chunked,
+            0 => BodyLength::None,
+            bytes => BodyLength::Known(bytes as u64),
+        };
         let mut buffer = BytesMut::new();
         head.write(length, &mut buffer);
-        buffer.put_slice(&body);
+        if !request.is_chunked {
+            buffer.put_slice(&body);
+            return self.requests.write_all(&buffer).await;
+        }
+        self.requests.write_all(&buffer).await?;
+        self.send_chunks(&body, request.defect).await
+    }
+
+    /// Sends a body in chunks. With a defect, at most the first half is sent as it should be.
+    async fn send_chunks(&mut self, body: &[u8], defect: Option<UploadDefect>) -> std::io::Result<()> {
+        let sound = match defect {
+            None | Some(UploadDefect::OverLimit) => body,
+            Some(_) => &body[..body.len() / 2],
+        };
+        let mut buffer = BytesMut::new();
+        for chunk in sound.chunks(CHUNK_BYTES) {
+            buffer.clear();
+            write_chunk(chunk, &mut buffer);
+            self.requests.write_all(&buffer).await?;
+        }
+        buffer.clear();
+        match defect {
+            None | Some(UploadDefect::OverLimit) => buffer.put_slice(b"0\r\nx-trailer: a\r\n\r\n"),
+            Some(UploadDefect::MalformedChunk) => buffer.put_slice(b"size\r\n"),
+            Some(UploadDefect::MalformedChunkEnd) => buffer.put_slice(b"2\r\nabc\r\n0\r\n\r\n"),
+            Some(UploadDefect::OversizedTrailer) => {
+                buffer.put_slice(b"0\r\nx-trailer: ");
+                buffer.put_bytes(b'x', 2 * MAX_HEAD_BYTES);
+            }
+            Some(UploadDefect::BreaksOff) => return self.requests.shutdown().await,
+        }
         self.requests.write_all(&buffer).await
     }
 
+    /// Reads the response to a request that others may have been sent behind.
+    pub async fn receive_in_order(&mut self, request: &Request) -> (CallEnd, bool) {
+        self.receive_response(request, false).await
+    }
+
     async fn receive(&mut self, request: &Request) -> (CallEnd, bool) {
+        self.receive_response(request, true).await
+    }
+
+    /// Reads a response. If it `is_last`, nothing may follow it.
+    async fn receive_response(&mut self, request: &Request, is_last: bool) -> (CallEnd, bool) {
         let mut head = None;
         let mut body = BytesMut::new();
         loop {
@@ -138,7 +209,7 @@
             }
         }
         let Some(head) = head else { return (CallEnd::Cut, false) };
-        let surplus = !self.responses.read_buffer().is_empty();
+        let surplus = is_last && !self.responses.read_buffer().is_empty();
         let end = if surplus { CallEnd::WrongAnswer } else { classify_response(request, &head, &body) };
         (end, head.keeps_connection() && !surplus)
     }
--- a/crates/bench/src/soak/fault_injection.rs
+++ b/crates/bench/src/soak/fault_injection.rs
@@ -120,6 +120,12 @@
         FaultKind::InstanceLeaves => drain_instance(harness, machine).await,
         FaultKind::NamesRate { tenths } => declare_rates(harness, machine, tenths, duration).await,
         FaultKind::SaysLeaving => announce_leaving(harness, machine).await,
+        FaultKind::OpenConnectionsSilent => {
+            for machine in &harness.machines {
+                machine.link.silence_open();
+                machine.store.silence_open();
+            }
+        }
         FaultKind::Burst => {
             harness.load_factor.set(BURST_LOAD_FACTOR);
             tokio::time::sleep(duration).await;
--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
+use super::body_sizes;
 use super::exchange::{is_deadly_target, request_body, response_body, signature};
 use super::fault_injection;
 use super::harness::Harness;
@@ -31,7 +32,7 @@
 /// Path of the health check. The response names the instance, whichever instance the request expects.
 pub const HEALTH_PATH: &str = "/healthz";
 /// Maximum sizes of a request's head and body in bytes.
-const MAX_HEAD_AND_BODY_BYTES: (usize, u64) = (64 << 10, 1 << 20);
+const MAX_HEAD_AND_BODY_BYTES: (usize, u64) = (64 << 10, 4 << 20);
 /// Requests that may wait in an instance, per slot.
 const QUEUE_PER_SLOT: u32 = 1;
 /// Probability that a fault affects an exchange.
@@ -339,7 +340,8 @@
     id: &str,
     status: u16,
 ) -> (ResponseHead, Bytes) {
-    let bytes = endpoint_of(harness, request).map_or(0, |endpoint| endpoint.body_bytes);
+    let named = body_sizes::response_bytes(&String::from_utf8_lossy(&request.target));
+    let bytes = named.or(endpoint_of(harness, request).map(|endpoint| endpoint.body_bytes)).unwrap_or(0);
     let body = if status == 200 { response_body(id, bytes) } else { Bytes::from_static(b"failed") };
     let mut head = response_head(instance, status, id);
     head.fields.add(WIRE_NAMES.signature, signature(id, status, body.len()));
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -7,6 +7,7 @@
 //! - [`proxy`]: the network links of the machines. [`instance`]: emulated instances.
 //! - [`store_entries`]: what the operator and the instances write to the store.
 //! - [`traffic`], [`exchange`]: client requests, calls between services, and probes.
+//! - [`transfers`], [`body_sizes`]: long uploads and downloads.
 //! - [`tenants`]: the tenants that requests belong to.
 //! - [`timer_lag`]: whether the soak process itself keeps up.
 //! - [`traces`]: log lines of the sidecar processes about requests that broke a promise.
@@ -14,6 +15,7 @@
 //!   [`refusal_checks`]: which promises were broken; pure.
 
 pub mod access_checks;
+pub mod body_sizes;
 pub mod checker;
 pub mod deadly_checks;
 pub mod declared_checks;
@@ -31,6 +33,7 @@
 pub mod timer_lag;
 pub mod traces;
 pub mod traffic;
+pub mod transfers;
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -157,6 +160,7 @@
             spawn_local(traffic::send_client_requests(harness.clone(), machine, per_machine));
             spawn_local(traffic::send_probes(harness.clone(), machine));
             spawn_local(traffic::send_tenant_requests(harness.clone(), machine));
+            spawn_local(transfers::send_transfers(harness.clone(), machine, self.seed));
         }
         for fault in &self.plan.faults {
             spawn_local(fault_injection::inject(harness.clone(), *fault, start_s));
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -93,6 +93,8 @@
     InstanceRestarts,
     /// The machine's instance announces in the store that it drains, exits later, and another replaces it.
     InstanceLeaves,
+    /// All open connections between machines and to the store fall silent for good; new ones work.
+    OpenConnectionsSilent,
     /// Clients send several times as many requests.
     Burst,
     /// The operator publishes a new configuration.
@@ -192,6 +194,17 @@
 /// Range of their durations, in seconds.
 const CONCURRENT_S: std::ops::Range<f64> = 0.2..1.5;
 
+/// Combined with the seed to draw times at which open connections fall silent.
+const SILENT_SEED: u64 = 0x051e;
+/// Maximum number of such times in a soak; the minimum is one.
+const MAX_SILENT: usize = 2;
+/// Duration of the burst before connections fall silent, in seconds. It leaves many idle ones.
+const BURST_BEFORE_SILENCE_S: f64 = 1.5;
+/// Range of delays from the silence to the changes that follow it, in seconds.
+const CHANGE_AFTER_SILENCE_S: std::ops::Range<f64> = 0.0..4.0;
+/// Number of changes of the configuration after each silence.
+const CHANGES_AFTER_SILENCE: usize = 2;
+
 /// Combined with the seed to draw restores of the store from a backup.
 const RESTORED_SEED: u64 = 0x0c0b;
 /// Combined with the seed to draw the time without watch events.
@@ -257,6 +270,7 @@
                 | FaultKind::Store(_)
                 | FaultKind::StoreDeaf
                 | FaultKind::StoreRestored { .. }
+                | FaultKind::OpenConnectionsSilent
                 | FaultKind::Burst
         )
     }
@@ -276,6 +290,7 @@
             draw_restored(&mut faults, seed, length_s, machines);
             draw_deaf(&mut faults, seed, length_s, machines);
             draw_self_reports(&mut faults, seed, length_s, machines);
+            draw_silent_connections(&mut faults, seed, length_s, machines);
         }
         Plan { faults, length_s }
     }
@@ -285,7 +300,7 @@
     /// overlap.
     pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String], mean_gap_s: f64) -> Self {
         let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
-        let all = KINDS.into_iter().chain(SELF_REPORT_KINDS);
+        let all = KINDS.into_iter().chain(SELF_REPORT_KINDS).chain([(FaultKind::OpenConnectionsSilent, 2)]);
         let kinds: Vec<(FaultKind, u32)> = all.filter(|(kind, _)| is_named(kind)).collect();
         let mut random = StdRng::seed_from_u64(seed);
         let faults = draw_weighted(&kinds, &mut random, Timing { length_s, mean_gap_s }, machines);
@@ -371,6 +386,26 @@
     faults.push(Fault { number: faults.len(), at_s, for_s: 0.1, kind: FaultKind::InstanceLeaves, machine });
 }
 
+/// Draws times at which open connections fall silent, with a burst before, and changes after them.
+fn draw_silent_connections(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
+    let mut random = StdRng::seed_from_u64(seed ^ SILENT_SEED);
+    let end_s = length_s - FAULT_FREE_END_S;
+    let mut push = |at_s: f64, for_s: f64, kind: FaultKind, machine: usize| {
+        faults.push(Fault { number: faults.len(), at_s: at_s.min(end_s), for_s, kind, machine });
+    };
+    for _ in 0..random.random_range(1..=MAX_SILENT) {
+        let earliest_s = FAULT_FREE_START_S + BURST_BEFORE_SILENCE_S;
+        let at_s = random.random_range(earliest_s..(end_s - 5.0).max(earliest_s + 1.0));
+        push(at_s - BURST_BEFORE_SILENCE_S, BURST_BEFORE_SILENCE_S, FaultKind::Burst, 0);
+        push(at_s, 0.1, FaultKind::OpenConnectionsSilent, 0);
+        for _ in 0..CHANGES_AFTER_SILENCE {
+            push(at_s + random.random_range(CHANGE_AFTER_SILENCE_S), 0.1, FaultKind::Configuration, 0);
+        }
+        let leaves_at_s = at_s + random.random_range(CHANGE_AFTER_SILENCE_S);
+        push(leaves_at_s, 0.1, FaultKind::InstanceLeaves, random.random_range(0..machines.max(1)));
+    }
+}
+
 /// Draws what instances report about themselves, and concurrent faults of their machines' processes.
 fn draw_self_reports(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
     let mut random = StdRng::seed_from_u64(seed ^ SELF_REPORT_SEED);
--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -33,6 +33,8 @@
 pub struct Link {
     fault: Cell<Option<LinkFault>>,
     resets: Notify,
+    /// How often open connections have fallen silent; a connection opened before the last time is silent.
+    silences: Cell<u64>,
 }
 
 /// Direction of traffic on a link.
@@ -48,6 +50,11 @@
         self.fault.set(fault);
     }
 
+    /// All open connections fall silent for good: what is sent on them is discarded, even their end.
+    pub fn silence_open(&self) {
+        self.silences.set(self.silences.get() + 1);
+    }
+
     fn is_blocked(&self, direction: Direction) -> bool {
         match self.fault.get() {
             Some(LinkFault::Silent) => true,
@@ -88,6 +95,7 @@
 }
 
 async fn proxy_connection(link: Rc<Link>, caller: TcpStream, node: SocketAddr) {
+    let opened = link.silences.get();
     link.wait_until_open(Direction::ToMachine).await;
     let Ok(machine) = TcpStream::connect(node).await else { return reset_on_drop(&caller) };
     let _ = caller.set_nodelay(true);
@@ -96,8 +104,8 @@
     let (mut machine_reading, machine_writing) = machine.into_split();
     let is_reset = tokio::select! {
         () = link.resets.notified() => true,
-        _ = forward(&link, Direction::ToMachine, &mut caller_reading, machine_writing) => false,
-        _ = forward(&link, Direction::FromMachine, &mut machine_reading, caller_writing) => false,
+        _ = forward(&link, opened, Direction::ToMachine, &mut caller_reading, machine_writing) => false,
+        _ = forward(&link, opened, Direction::FromMachine, &mut machine_reading, caller_writing) => false,
     };
     if is_reset {
         reset_on_drop(caller_reading.as_ref());
@@ -110,15 +118,24 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Forwards one direction of a connection that was opened after `opened` silences.
 async fn forward(
     link: &Link,
+    opened: u64,
     direction: Direction,
     from: &mut OwnedReadHalf,
     mut to: OwnedWriteHalf,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let length = from.read(&mut buffer).await?;
+        let result = from.read(&mut buffer).await;
+        if link.silences.get() > opened {
+            if matches!(result, Ok(1..)) {
+                continue;
+            }
+            return std::future::pending().await;
+        }
+        let length = result?;
         link.wait_until_open(direction).await;
         if length == 0 {
             return to.shutdown().await;
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -37,6 +37,11 @@
     Client,
     /// A call that an instance makes while it runs a request.
     OnBehalf,
+    /// A long upload or download of a client.
+    Transfer {
+        /// It is well-formed and within the limits of all versions.
+        is_proper: bool,
+    },
     /// A client request of the tenant with a quota.
     Limited,
     /// A client request with the key of one version of the configuration.
--- a/crates/bench/src/soak/store_entries.rs
+++ b/crates/bench/src/soak/store_entries.rs
@@ -14,6 +14,7 @@
 use super::instance::{HEALTH_PATH, Instance};
 use super::record::Leaving;
 use super::tenants;
+use super::transfers::BODY_LIMITS;
 
 impl Harness {
     /// Publishes the next version: the routes of the deployment and a route that only this version has.
@@ -34,7 +35,7 @@
         let configuration = Configuration {
             version: ConfigurationVersion(version),
             routes,
-            limits: ClientLimits::default(),
+            limits: limits_of_version(version),
             tenants: tenants::of_version(version),
             health_paths: services.map(|service| (service, HEALTH_PATH.to_string())).collect(),
         };
@@ -112,6 +113,12 @@
     }
 }
 
+/// The limits change with each version.
+fn limits_of_version(version: u64) -> ClientLimits {
+    let max_body_bytes = BODY_LIMITS[version as usize % BODY_LIMITS.len()];
+    ClientLimits { max_body_bytes, ..ClientLimits::default() }
+}
+
 fn route(host: &str, path_prefix: &str, service: &str, is_retry_safe: bool) -> Route {
     Route {
         name: format!("to-{service}{path_prefix}"),
--- a/crates/bench/src/soak/traffic.rs
+++ b/crates/bench/src/soak/traffic.rs
@@ -42,6 +42,30 @@
 }
 
 impl CallSpec {
+    /// A request for `target`.
+    pub fn new(machine: usize, purpose: CallPurpose, method: &str, target: String, timeout: Duration) -> Self {
+        CallSpec { machine, purpose, method: method.into(), target, timeout }
+    }
+
+    /// Machine that it is sent through.
+    pub fn machine(&self) -> usize {
+        self.machine
+    }
+
+    /// The request with a new id.
+    pub fn request(&self, harness: &Harness) -> Request {
+        Request {
+            id: harness.next_id(),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            host: harness.host.clone(),
+            key: key_of(self.purpose),
+            timeout: self.timeout,
+            is_chunked: false,
+            defect: None,
+        }
+    }
+
     /// A request for `call`, such as `GET /catalogue/search`.
     pub fn for_call(machine: usize, purpose: CallPurpose, call: &str, timeout: Duration) -> Self {
         let (method, path) = call.split_once(' ').unwrap_or(("GET", call));
@@ -74,14 +98,7 @@
 impl ConnectionPool {
     /// Sends a request, waits until it ends and records it.
     pub async fn send(harness: &Rc<Harness>, call_spec: CallSpec) -> CallEnd {
-        let request = Request {
-            id: harness.next_id(),
-            method: call_spec.method.clone(),
-            target: call_spec.target.clone(),
-            host: harness.host.clone(),
-            key: key_of(call_spec.purpose),
-            timeout: call_spec.timeout,
-        };
+        let request = call_spec.request(harness);
         let call_recorder = CallRecorder::begin(harness, &call_spec, &request);
         let end = exchange(harness, &call_spec, &request).await;
         call_recorder.finish(end);
@@ -109,7 +126,7 @@
 fn key_of(purpose: CallPurpose) -> Option<String> {
     match purpose {
         CallPurpose::OnBehalf => None,
-        CallPurpose::Client | CallPurpose::Deadly | CallPurpose::Probe { .. } => {
+        CallPurpose::Client | CallPurpose::Transfer { .. } | CallPurpose::Deadly | CallPurpose::Probe { .. } => {
             Some(tenants::key_of(tenants::MEMBERS))
         }
         CallPurpose::Limited => Some(tenants::key_of(tenants::LIMITED)),
@@ -142,13 +159,14 @@
 }
 
 /// The record of a request; it stays `GaveUp` if the sender is dropped before the end.
-struct CallRecorder {
+pub struct CallRecorder {
     harness: Rc<Harness>,
     index: usize,
 }
 
 impl CallRecorder {
-    fn begin(harness: &Rc<Harness>, call_spec: &CallSpec, request: &Request) -> Self {
+    /// Records a request that is about to be sent.
+    pub fn begin(harness: &Rc<Harness>, call_spec: &CallSpec, request: &Request) -> Self {
         let call = Call {
             id: request.id.clone(),
             purpose: call_spec.purpose,
@@ -167,7 +185,8 @@
         CallRecorder { harness: harness.clone(), index: record.calls.len() - 1 }
     }
 
-    fn finish(&self, end: CallEnd) {
+    /// Records how the request ended.
+    pub fn finish(&self, end: CallEnd) {
         self.harness.record.borrow_mut().calls[self.index].end = end;
     }
 }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -113,6 +113,30 @@
     assert!((record.late_fraction(0.0) - 3.5 / LENGTH_S).abs() < 1e-9);
 }
 
+/// A transfer that every version allows must not be denied; one that is over the limits may be.
+#[rstest]
+#[case::proper(true, 1)]
+#[case::over_the_limit(false, 0)]
+fn only_proper_transfers_must_not_be_denied(#[case] is_proper: bool, #[case] expected: usize) {
+    let mut record = sound();
+    let end = CallEnd::NodeFailed { status: 413, names_return: false, lacks_instance: false };
+    record.calls.push(Call { purpose: CallPurpose::Transfer { is_proper }, ..call("upload", 10.0, end) });
+    let denied =
+        check(&record, &BOUNDS).iter().filter(|violation| violation.promise == Promise::NotDenied).count();
+    assert_eq!(denied, expected);
+}
+
+/// An instance ran an upload with a part of its body.
+#[rstest]
+fn a_shortened_upload_is_found() {
+    let mut record = sound();
+    let purpose = CallPurpose::Transfer { is_proper: false };
+    record.calls.push(Call { purpose, ..call("upload", 10.0, CallEnd::Answered) });
+    record.runs.push(Run { body_matches: false, ..run_of("upload", 10.05) });
+    let found = check(&record, &BOUNDS);
+    assert!(found.iter().any(|violation| violation.promise == Promise::OnlyWhatWasAsked));
+}
+
 fn call(id: &str, sent_s: f64, end: CallEnd) -> Call {
     Call {
         id: id.into(),
