--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -16,53 +16,21 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
 use crate::closing::{self, Closing};
 use crate::connection_limit::ConnectionPermit;
-use crate::edge::held_response::{self, HeldBytesGuard, HeldResponse};
 use crate::edge::local_response::LocalResponse;
-use crate::edge::request_assembly::{AssembledRequest, Rejection, RequestAssembler};
-use crate::edge::request_handler;
+use crate::edge::ready_response::{ReadyResponse, respond};
+use crate::edge::request_assembly::{AssembledRequest, RequestAssembler};
 use crate::edge::response_writer::{WriteError, write_response};
 use crate::lineage::ConnectionEvidence;
-use crate::reply::{Body, IncompleteBody, Response};
 use crate::state::Node;
-use crate::stop::InFlightGuard;
 
 /// Maximum number of requests of one connection that are read ahead.
 const MAX_PIPELINED: usize = 32;
 
-/// A response that is ready to be written.
-struct ReadyResponse {
-    response: Response,
-    keep_alive: bool,
-    is_head: bool,
-    /// Bytes of a response that was held; `None` if it was not.
-    held_bytes: Option<HeldBytesGuard>,
-    _in_flight: InFlightGuard,
-}
-
-impl ReadyResponse {
-    /// True if the response may still break off.
-    fn is_incomplete(&self) -> bool {
-        matches!(self.response.body, Body::Stream(..)) && self.held_bytes.is_none()
-    }
-
-    /// Holds the response until it is complete. If it breaks off, the node responds itself: the request has run,
-    /// and its response is lost.
-    async fn hold(self, node: &Node) -> Self {
-        let request_id = self.response.head.fields.get(node.wire_names.request_id).cloned();
-        let HeldResponse { response, bytes } = held_response::hold(self.response, node.held_bytes.clone()).await;
-        let response = response.unwrap_or_else(|IncompleteBody| {
-            LocalResponse::Unknown.to_response(&node.wire_names, request_id.as_ref())
-        });
-        ReadyResponse { response, held_bytes: Some(bytes), ..self }
-    }
-}
-
 struct Connection {
     node: Rc<Node>,
     requests: FramedRead<OwnedReadHalf, RequestDecoder>,
@@ -140,32 +108,6 @@
     None
 }
 
-/// Handles a request. If the rest of its body is rejected meanwhile, it is cancelled, and the rejection is its
-/// response.
-async fn respond(
-    node: &Rc<Node>,
-    mut assembled: AssembledRequest,
-    evidence: &Cell<ConnectionEvidence>,
-) -> Response {
-    let request_id = assembled.head.fields.get(node.wire_names.request_id).cloned();
-    let rejection = assembled.rejection.take();
-    tokio::select! {
-        biased;
-        response = request_handler::handle(node, assembled, evidence) => response,
-        rejected = rejection_of(rejection) => rejected.response.to_response(&node.wire_names, request_id.as_ref()),
-    }
-}
-
-/// Waits until the rest of a request's body is rejected; never completes if it is not.
-async fn rejection_of(rejection: Option<oneshot::Receiver<Rejection>>) -> Rejection {
-    if let Some(rejection) = rejection
-        && let Ok(rejection) = rejection.await
-    {
-        return rejection;
-    }
-    futures::future::pending().await
-}
-
 /// Events that a connection waits for.
 enum Event {
     Ready(ReadyResponse),
@@ -259,7 +201,7 @@
         let in_flight = node.stop.track_request();
         self.pending.push_back(Box::pin(async move {
             let response = respond(&node, assembled, &evidence).await;
-            ReadyResponse { response, keep_alive, is_head, held_bytes: None, _in_flight: in_flight }
+            ReadyResponse::new(response, keep_alive, is_head, in_flight)
         }));
     }
 
@@ -282,13 +224,7 @@
             return;
         }
         let response = rejection.to_response(&self.node.wire_names, None);
-        let ready = ReadyResponse {
-            response,
-            keep_alive: false,
-            is_head: false,
-            held_bytes: None,
-            _in_flight: self.node.stop.track_request(),
-        };
+        let ready = ReadyResponse::new(response, false, false, self.node.stop.track_request());
         self.pending.push_back(Box::pin(std::future::ready(ready)));
     }
 
@@ -321,7 +257,7 @@
     }
 
     async fn write(&mut self, ready: ReadyResponse) -> Result<(), End> {
-        let ReadyResponse { response, keep_alive, is_head, held_bytes: _held_bytes, _in_flight } = ready;
+        let ReadyResponse { response, keep_alive, is_head, guards: _guards } = ready;
         let is_last = self.is_idle();
         let is_after_input = self.input_ended && self.pending.is_empty();
         let is_stopping = self.node.stop.is_stopping() && is_last;
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -1,6 +1,7 @@
 //! The edge: the outbound proxy for requests that originate on this machine.
 //!
 //! - [`connection`]: one connection of a client or of the instance.
+//! - [`ready_response`]: produces the responses to its requests.
 //! - [`response_writer`]: writes responses to it.
 //! - [`held_response`]: holds a response that others wait behind.
 //! - [`request_assembly`]: assembles requests from the frames of a connection.
@@ -26,6 +27,7 @@
 pub mod held_response;
 pub mod local_response;
 pub mod outcome;
+pub mod ready_response;
 pub mod remote;
 pub mod request;
 pub mod request_assembly;
