A stop does not wait until clients notice that their connections close

Found by the whole checks on: clients_that_go_on_coming_are_told_to_come_back_and_not_cut_off failed once, as the stop did not end; its thread stalled for 10 ms at most.

Cause: since closes wait for their clients, a stop waited for each close until the client had noticed it. Where clients keep coming, there is always one that has not, and the stop lasts for the whole grace period.

Now a stop waits until everything was sent, no longer: what the client has in its own kernel is not lost.

Tests: the one above and all of closing.rs and stopping.rs, four times each.

--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -52,10 +52,8 @@
 enum End {
     /// The client closed or aborted the connection.
     ClosedByClient,
-    /// The node closes it after a response.
-    AfterResponse,
-    /// The node closes it while it is idle.
-    WhileIdle,
+    /// The node closes it, after a response or while it is idle.
+    ClosedByNode,
 }
 
 /// Serves a connection until it ends.
@@ -78,7 +76,7 @@
         match connection.step().await {
             Ok(()) => {}
             Err(End::ClosedByClient) => return,
-            Err(end) => return connection.close(end).await,
+            Err(End::ClosedByNode) => return connection.close().await,
         }
     }
 }
@@ -136,7 +134,7 @@
             Event::Timer => self.check_timeouts(),
             Event::Close => {
                 if self.is_idle() {
-                    Err(End::WhileIdle)
+                    Err(End::ClosedByNode)
                 } else {
                     Ok(())
                 }
@@ -234,7 +232,7 @@
         let idle_for = self.last_active.elapsed();
         if self.is_idle() {
             return if idle_for >= self.node.client_limits().idle_timeout.duration() {
-                Err(End::WhileIdle)
+                Err(End::ClosedByNode)
             } else {
                 Ok(())
             };
@@ -278,15 +276,15 @@
             }
         };
         written.map_err(|error| match error {
-            WriteError::BodyIncomplete => End::AfterResponse,
+            WriteError::BodyIncomplete => End::ClosedByNode,
             WriteError::Connection => End::ClosedByClient,
         })?;
         self.last_active = Instant::now();
-        if closes { Err(End::AfterResponse) } else { Ok(()) }
+        if closes { Err(End::ClosedByNode) } else { Ok(()) }
     }
 
     /// Closes the connection so that the client receives all that was written. The node does not stop before.
-    async fn close(self, end: End) {
+    async fn close(self) {
         let Connection { node, requests, output, permit, pending, assembler, .. } = self;
         drop((pending, assembler));
         let Ok(stream) = requests.into_inner().reunite(output) else { return };
@@ -295,8 +293,9 @@
         permit.mark_busy();
         closing.send_rest().await;
         permit.mark_idle();
-        // An idle client may notice the close only with its next request; a stop does not wait for that.
-        let _delivery = (end == End::AfterResponse).then_some(delivery);
+        // Everything was sent. A stop does not wait until the client notices the close: where clients keep
+        // coming, there is always one that has not.
+        drop(delivery);
         tokio::select! {
             () = closing.wait_for_peer() => {}
             () = permit.evicted() => {}
