Keys of the store are percent-encoded where they go into a query

Callers got 503 from every node that started while an entry of another writer stood in the list of instances under a name with &, +, #, %, a blank, a control byte or a character beyond ASCII: almost nothing was served until the entry went.

Cause: the list is read in pages, the next one after the last key of the one before, and that key was put into the query as it was. & and # end the value and + and % change it, so that the same page came again without end; a blank or a control byte is no request target at all, so that the store counted as unreachable. Nodes that run on follow changes and read no pages, which is why it showed with the restart.

Every text that goes into a path or query of the store is now encoded (percent-encoding, a new dependency: all but the unreserved bytes and the slash, so that requests for sound names stay as they were byte for byte).

Tests: a_node_that_starts_beside_an_odd_name_serves (a process, 7 names; pages of one item) failed 7 of 7 before, 503 for 15 s; the_others_hold_beside_an_odd_name (22 names, pages of 1, 2 and 500) failed in 4 of 6 cases before. The stand-in of the store now decodes queries as a form does, and refuses bytes beyond ASCII. The process tests of the sidecar became a folder with what they share in support.rs.

--- /dev/null
+++ b/crates/olivegate/tests/sidecar/main.rs
@@ -0,0 +1,5 @@
+//! The sidecar as a process.
+
+mod lifecycle;
+mod odd_entry;
+mod support;
