An entry under an odd name is no instance

What callers could see: a request for such an instance carried its name in a header field, line ends and all, and the entry of another writer was used like an instance's where its value read like one.

Cause: names of the store, of instances that name themselves (421, health check) and of other nodes were taken as they came.

A name is what the settings allow: letters, digits, '-', '_' and '.' (InstanceName::parse). It is checked where the store is read, where an instance names itself, and where the directory takes an entry, whoever sent it.

--- a/crates/sidecar/src/directory/local_evidence.rs
+++ b/crates/sidecar/src/directory/local_evidence.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use olivegate_types::{InstanceName, Moment};
+use olivegate_types::{InstanceName, Moment, is_name};
 
 use super::retention::{Retention, RetentionReason, SourceHealth};
 use super::{Directory, Entry, InstanceStatus, MACHINE_MEMORY};
@@ -105,7 +105,7 @@
     /// Adds an instance that was found on its own machine before the source lists it, for as long as listing
     /// may take. Returns true if it was added.
     pub fn observe(&mut self, instance: Instance, now: Moment) -> bool {
-        if self.status(&instance.name) != InstanceStatus::Unknown {
+        if !is_name(instance.name.as_str()) || self.status(&instance.name) != InstanceStatus::Unknown {
             return false;
         }
         let retention = Retention {
@@ -120,7 +120,8 @@
     /// Records that the gate on an instance's machine attests, until `until`, that the instance is alive
     /// although its entry was removed. Returns true if other nodes are to be told.
     pub fn attest(&mut self, instance: Instance, until: Moment, now: Moment) -> bool {
-        if self.was_draining_when_removed(&instance) || self.is_leaving(&instance) {
+        let is_odd = !is_name(instance.name.as_str());
+        if is_odd || self.was_draining_when_removed(&instance) || self.is_leaving(&instance) {
             return false;
         }
         let removed = self.removal_revision(&instance.name);
--- a/crates/sidecar/src/directory/source_update.rs
+++ b/crates/sidecar/src/directory/source_update.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
-use olivegate_types::{InstanceName, Moment};
+use olivegate_types::{InstanceName, Moment, is_name};
 
 use super::prior::{Disposition, PriorRecord};
 use super::retention::SourceHealth;
@@ -89,9 +89,13 @@
         missing.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Applies one entry if it is newer than the known one. Returns true if anything changed.
+    /// Applies one entry if it is newer than the known one. Returns true if anything changed. An entry under an
+    /// odd name is no instance; a node of an earlier release passes such entries on.
     pub(super) fn insert(&mut self, listed: &ListedInstance, now: Moment) -> bool {
         let name = &listed.instance.name;
+        if !is_name(name.as_str()) {
+            return false;
+        }
         self.note_machine(&listed.instance, now);
         if !self.is_newer(listed) {
             return false;
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::gate::declared_rate::{self, RateSource};
 use crate::gate::instance_connection::{InstanceConnection, InstanceConnections};
-use crate::gate::notice::Notice;
+use crate::gate::notice::{Notice, present_instance};
 use crate::gate::slots::InstanceSlots;
 use crate::gate_protocol::Offer;
 use crate::reply::{Body, Failure, FailureReason, IncompleteBody, Response, ResponseFault};
@@ -237,7 +237,7 @@
 /// Returns an error if the instance says that it didn't run the request.
 fn check_refused(node: &Node, head: &ResponseHead) -> Result<(), Failure> {
     if head.status == MISDIRECTED_REQUEST {
-        if let Some(present) = head.fields.text(node.wire_names.instance) {
+        if let Some(present) = present_instance(head, &node.wire_names) {
             super::observe_instance(node, present);
         }
         return Err(Failure::not_run(FailureReason::WrongInstance));
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -347,8 +347,7 @@
 /// Adds the instance beside this node to the directory after it has named itself. The source may not list it
 /// yet if it has just started. It belongs to the service that the settings name now: its address may have been
 /// that of an instance of another service.
-fn observe_instance(node: &Node, name: &str) {
-    let name = InstanceName::new(name);
+fn observe_instance(node: &Node, name: InstanceName) {
     let is_known = node.cluster.borrow().directory.instance(&name).is_some();
     if !is_known {
         reload(node, ReloadTrigger::OtherInstance);
--- a/crates/sidecar/src/gate/notice.rs
+++ b/crates/sidecar/src/gate/notice.rs
@@ -4,6 +4,7 @@
 
 use olivegate_http1::ResponseHead;
 use olivegate_overload::{DeclaredRate, RateError};
+use olivegate_types::InstanceName;
 
 use crate::wire_names::WireNames;
 
@@ -61,6 +62,11 @@
     declared
 }
 
+/// The instance that a response says is present; `None` if it says nothing, or something that is no name.
+pub fn present_instance(head: &ResponseHead, wire_names: &WireNames) -> Option<InstanceName> {
+    head.fields.text(wire_names.instance).and_then(|name| InstanceName::parse(name).ok())
+}
+
 fn idle_timeout_of(head: &ResponseHead) -> Option<Duration> {
     let value = head.fields.text("keep-alive")?;
     let declared = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
--- a/crates/sidecar/src/gate/presence.rs
+++ b/crates/sidecar/src/gate/presence.rs
@@ -19,7 +19,7 @@
 use super::declared_rate::{self, RateSource};
 use super::identity::{CheckResult, PendingCheck, max_check_wait};
 use super::instance_connection::InstanceConnection;
-use super::notice::{Notice, RateNotice};
+use super::notice::{Notice, RateNotice, present_instance};
 use super::slots::InstanceSlots;
 use super::{SHORT_RETRY_AFTER, observe_instance, successor_of};
 use crate::gate_protocol::Offer;
@@ -97,7 +97,7 @@
     let now = clock::now();
     node.update_directory("gate", |directory| directory.note_gone(expected, now));
     if let Some(present) = present {
-        observe_instance(node, present.as_str());
+        observe_instance(node, present.clone());
     }
 }
 
@@ -164,10 +164,11 @@
 }
 
 fn result_of(node: &Node, response: &ResponseHead, expected: &InstanceName) -> CheckResult {
-    match response.fields.text(node.wire_names.instance) {
-        Some(name) if name == expected.as_str() => CheckResult::Expected,
-        Some(name) => CheckResult::Other(Some(InstanceName::new(name))),
+    match present_instance(response, &node.wire_names) {
+        Some(name) if name == *expected => CheckResult::Expected,
+        Some(name) => CheckResult::Other(Some(name)),
         None if response.status == 421 => CheckResult::Other(None),
+        None if response.fields.get(node.wire_names.instance).is_some() => CheckResult::Inconclusive,
         None if response.status < 300 => CheckResult::Expected,
         None => CheckResult::Inconclusive,
     }
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -491,3 +491,21 @@
         prop_assert_eq!(sorted(ready(&follower)), sorted(model.ready()));
     }
 }
+
+/// A node of an earlier release passes on entries whose keys are no names.
+#[rstest]
+fn an_odd_name_from_a_peer_costs_that_entry_alone() {
+    let mut peer = Directory::new(POLICY);
+    let entries = ["a", "b", "c"].map(|name| listed(name, InstanceState::Ready, 1));
+    peer.apply_snapshot(&entries, Revision::of(1), at(0));
+    for odd in ["b c", "b&", "b\r\nx-other: 1", "é", ""] {
+        let mut update = peer.update_since(Revision::default(), at(0));
+        update.entries[1].instance.name = InstanceName::new(odd);
+        let mut directory = Directory::new(POLICY);
+        assert!(directory.apply_update(&update, at(0)));
+        assert!(!directory.observe(instance(odd, InstanceState::Ready), at(0)));
+        assert!(!directory.attest(instance(odd, InstanceState::Ready), at(1_000), at(0)));
+        assert_eq!(ready(&directory), ["a", "c"], "beside {odd:?}");
+        assert_eq!(directory.revision(), Revision::of(1));
+    }
+}
--- a/crates/sidecar/tests/path/replaced.rs
+++ b/crates/sidecar/tests/path/replaced.rs
@@ -16,7 +16,7 @@
 use olivegate_sidecar::model::InstanceState::Ready;
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use olivegate_sidecar::model::{Incarnation, RetrySafety};
-use olivegate_types::ServiceName;
+use olivegate_types::{InstanceName, ServiceName};
 use rstest::rstest;
 
 use crate::client::{Client, get, post};
@@ -280,3 +280,36 @@
         assert_eq!(foreign, 0, "requests of books that the instance of shelf ran");
     });
 }
+
+/// What an instance calls itself goes into the directory, to other nodes and back to instances.
+#[rstest]
+#[case::blank("books 2")]
+#[case::field_separator("books:2")]
+#[case::beyond_ascii("büch-2")]
+fn an_instance_that_calls_itself_by_an_odd_name_is_not_known_by_it(
+    #[case] odd_name: &'static str,
+    #[values(true, false)] in_health_check: bool,
+) {
+    run(async move {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/safe/", "books", Safe)]));
+        fleet.list(1, "books-1", "books");
+        let script = move |request: &ReceivedRequest, _| {
+            if request.is_health_check() != in_health_check {
+                return vec![Action::Close];
+            }
+            let head = format!("HTTP/1.1 421 X\r\nx-id: {}\r\nx-instance: {odd_name}\r\n", request.id());
+            vec![Action::Send(head + "Content-Length: 0\r\n\r\n")]
+        };
+        let options = InstanceOptions { scripts_health_checks: true, ..InstanceOptions::default() };
+        let instance = TestInstance::start_with(fleet.instance_address(1), options, script).await;
+        let node = fleet.start(1, "books").await;
+        Fleet::wait_until_ready(&node).await;
+        let response = Client::connect(fleet.outbound(1)).await.request(&get("/safe/", "r1")).await;
+        assert!(response.head.status >= 500, "status {}", response.head.status);
+        let cluster = node.cluster.borrow();
+        assert_eq!(cluster.directory.instance(&InstanceName::new(odd_name)), None);
+        let received = instance.received.borrow();
+        assert!(received.iter().all(|request| request.field("x-expected") == "books-1"), "{received:?}");
+    });
+}
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -6,6 +6,24 @@
 use borsh::io::{Read, Result as IoResult, Write};
 use borsh::{BorshDeserialize, BorshSerialize};
 
+/// A text that can't be used as a name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidName;
+
+impl fmt::Display for InvalidName {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a name has letters, digits, '-', '_' or '.'")
+    }
+}
+
+impl std::error::Error for InvalidName {}
+
+/// True if `text` is a name: one or more letters, digits, `-`, `_` and `.`. A name can be sent in header fields
+/// and paths, and written in log lines, as it is.
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
+
 macro_rules! name_type {
     ($(#[$documentation:meta])* $name:ident) => {
         $(#[$documentation])*
@@ -13,11 +31,16 @@
         pub struct $name(Arc<str>);
 
         impl $name {
-            /// Wraps a name without validating it; settings and bundles check names when they are read.
+            /// Wraps a name without validating it.
             pub fn new(name: impl AsRef<str>) -> Self {
                 Self(Arc::from(name.as_ref()))
             }
 
+            /// Checks a name that comes from outside the process.
+            pub fn parse(name: impl AsRef<str>) -> Result<Self, InvalidName> {
+                if is_name(name.as_ref()) { Ok(Self::new(name)) } else { Err(InvalidName) }
+            }
+
             /// The name as text.
             pub fn as_str(&self) -> &str {
                 &self.0
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,7 +12,10 @@
 pub mod time;
 
 pub use context::{ContextError, RequestContext};
-pub use id::{Digest, GroupName, InstanceName, KindName, NodeName, RequestId, ServiceName, TenantName, ZoneName};
+pub use id::{
+    Digest, GroupName, InstanceName, InvalidName, KindName, NodeName, RequestId, ServiceName, TenantName,
+    ZoneName, is_name,
+};
 pub use key::DeploymentKey;
 pub use outcome::{Outcome, Refusal, RefusalReason};
 pub use time::Moment;
