A page of the list that can't be read costs what stands after it, not the reading

A node that started while one page of the list of instances could not be read served nothing: 503 without an end, although the pages before it name instances, and its log named no page.

Cause: the list was all or nothing, and its end was told by the lack of a cursor. Refusals for a while (429, 503), timeouts and lost connections fail the reading as before.

--- a/crates/sidecar/src/directory/source_update.rs
+++ b/crates/sidecar/src/directory/source_update.rs
@@ -68,6 +68,21 @@
         self.commit(revision, changed)
     }
 
+    /// Applies the readable part of the source's state. Nothing counts as removed, and the revision stays, so
+    /// that the whole is read again. Returns true if anything changed.
+    pub fn apply_truncated(&mut self, listed: &[ListedInstance], revision: Revision, now: Moment) -> bool {
+        let is_first_read = self.revision == Revision::default();
+        let is_outdated = revision < self.revision || revision.epoch != self.revision.epoch;
+        if is_outdated && !is_first_read {
+            return false;
+        }
+        let mut changed = false;
+        for entry in listed {
+            changed |= self.insert(entry, now);
+        }
+        self.commit(self.revision, changed)
+    }
+
     /// Applies one change. Returns true if anything changed.
     pub fn apply_change(&mut self, change: &Change, now: Moment) -> bool {
         let changed = match change {
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -162,12 +162,22 @@
     }
 }
 
+/// Reads everything. A list whose end can't be read is used as far as it goes, so that a node that has just
+/// started serves with the instances that it can know, and read again until it is complete.
 async fn read_everything<S: Source>(node: &Node, source: &S) -> Result<Progress, SourceError> {
     let began = clock::now();
-    let snapshot = source.snapshot(CALL_TIMEOUT).await?;
-    note_answered(node);
+    let mut snapshot = source.snapshot(CALL_TIMEOUT).await?;
+    let truncated = snapshot.list.truncated.take();
+    if truncated.is_none() {
+        note_answered(node);
+    }
     let seen = snapshot.configuration.as_ref().map(|configuration| configuration.version);
     let before = node.known_state();
+    if let Some(reason) = truncated {
+        apply_truncated(node, snapshot);
+        note_proof(node, seen, began);
+        return Err(SourceError::Truncated(reason));
+    }
     apply_snapshot(node, snapshot);
     note_proof(node, seen, began);
     note_reading(node);
@@ -223,6 +233,16 @@
     node.update_directory("source", |directory| directory.apply_snapshot(&list.instances, list.revision, now));
 }
 
+/// Applies a snapshot with a truncated list.
+fn apply_truncated(node: &Node, snapshot: Snapshot) {
+    if let Some(configuration) = snapshot.configuration {
+        node.accept_configuration(configuration, "source");
+    }
+    let (list, now) = (snapshot.list, clock::now());
+    log::warn!("event=list_truncated read={} revision={}", list.instances.len(), list.revision);
+    node.update_directory("source", |directory| directory.apply_truncated(&list.instances, list.revision, now));
+}
+
 /// Applies changes, except for those that a peer has already reported.
 fn apply_changes(node: &Node, changes: Changes) {
     let now = clock::now();
--- a/crates/sidecar/src/source.rs
+++ b/crates/sidecar/src/source.rs
@@ -25,6 +25,8 @@
     pub instances: Vec<ListedInstance>,
     /// The list may lack changes after this one.
     pub revision: Revision,
+    /// Why the rest of the list can't be read; `None` if the list is complete.
+    pub truncated: Option<String>,
 }
 
 /// The full state of the source.
@@ -105,6 +107,8 @@
     EpochChanged,
     /// The answer cannot be parsed.
     Malformed(String),
+    /// The end of the list of instances can't be read.
+    Truncated(String),
 }
 
 impl fmt::Display for SourceError {
@@ -116,6 +120,7 @@
             SourceError::HistoryCompacted => formatter.write_str("history was compacted"),
             SourceError::EpochChanged => formatter.write_str("epoch changed"),
             SourceError::Malformed(reason) => write!(formatter, "malformed answer: {reason}"),
+            SourceError::Truncated(reason) => write!(formatter, "list of instances is truncated: {reason}"),
         }
     }
 }
@@ -124,7 +129,7 @@
 
 /// A source of configuration and instances.
 pub trait Source {
-    /// Reads the instances. `limit` bounds the time of each call.
+    /// Reads the instances, as many as can be read. `limit` bounds the time of each call.
     fn instances(
         &self,
         consistency: ReadConsistency,
--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -219,3 +219,47 @@
         assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
     });
 }
+
+/// Guards against nodes that serve nothing after a restart because one page of the list can't be read.
+#[rstest]
+fn nodes_that_start_while_a_part_of_the_list_cannot_be_read_serve_with_the_rest() {
+    run(async {
+        let fleet = fleet_of_three();
+        fleet.source.set_readable(Some(2));
+        let instance = TestInstance::start(fleet.instance_address(2), respond_ok).await;
+        let other = TestInstance::start(fleet.instance_address(3), respond_ok).await;
+        let nodes = [fleet.start(1, "desk").await, fleet.start(2, BOOKS).await, fleet.start(3, BOOKS).await];
+        for node in &nodes {
+            Fleet::wait_until_ready(node).await;
+        }
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for number in 0..10 {
+            let response = client.request(&get("/safe/", &format!("r{number}"))).await;
+            assert_eq!(response.head.status, 200, "request {number}");
+        }
+        assert_eq!((instance.runs(), other.runs()), (10, 0));
+        fleet.source.set_readable(None);
+        let ready =
+            |node: &Rc<Node>| node.cluster.borrow().directory.ready_instances(&ServiceName::new(BOOKS)).len();
+        eventually("all know both instances", || nodes.iter().all(|node| ready(node) == 2)).await;
+    });
+}
+
+/// What can't be read is not removed from what a node knows.
+#[rstest]
+fn a_list_that_is_truncated_later_takes_nothing_away() {
+    run(async {
+        let fleet = fleet_of_three();
+        let nodes = [fleet.start(1, "desk").await, fleet.start(2, BOOKS).await];
+        for node in &nodes {
+            Fleet::wait_until_ready(node).await;
+        }
+        let ready =
+            |node: &Rc<Node>| node.cluster.borrow().directory.ready_instances(&ServiceName::new(BOOKS)).len();
+        fleet.source.set_readable(Some(1));
+        // A change makes the readers read the list again.
+        fleet.source.configure(configuration(9, vec![route("/newer/", BOOKS, Safe)]));
+        eventually("all follow", || nodes.iter().all(|node| node.known_state().configuration.0 == 9)).await;
+        assert!(nodes.iter().all(|node| ready(node) == 2));
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -292,6 +292,8 @@
     fault: Rc<Cell<Fault>>,
     /// Calls that begin to wait now miss all changes.
     misses_changes: Rc<Cell<bool>>,
+    /// Number of instances in the readable part of the list; `None` if it is readable as a whole.
+    readable: Rc<Cell<Option<usize>>>,
     /// Number of restores from a backup.
     restore_count: Rc<Cell<u64>>,
     /// Number of calls made through this handle.
@@ -346,6 +348,20 @@
         TestSource { fault: Rc::default(), calls: Rc::default(), ..self.clone() }
     }
 
+    /// Only the first instances of the list can be read.
+    pub fn set_readable(&self, readable: Option<usize>) {
+        self.readable.set(readable);
+    }
+
+    fn readable_list(&self) -> InstanceList {
+        let mut list = self.snapshot.borrow().list.clone();
+        if let Some(readable) = self.readable.get() {
+            list.instances.truncate(readable);
+            list.truncated = Some("the second page".into());
+        }
+        list
+    }
+
     /// Watch calls that begin while this is set report no change before their wait ends.
     pub fn set_missing_changes(&self, misses_changes: bool) {
         self.misses_changes.set(misses_changes);
@@ -369,12 +385,13 @@
         if consistency == ReadConsistency::Latest || self.fault.get() != Fault::StaleReadsOnly {
             self.call(limit).await?;
         }
-        Ok(self.snapshot.borrow().list.clone())
+        Ok(self.readable_list())
     }
 
     async fn snapshot(&self, limit: Duration) -> Result<Snapshot, SourceError> {
         self.call(limit).await?;
-        Ok(self.snapshot.borrow().clone())
+        let configuration = self.snapshot.borrow().configuration.clone();
+        Ok(Snapshot { configuration, list: self.readable_list() })
     }
 
     /// Keeps no history: each change makes the caller read a full snapshot. A revision that this epoch has
