A status outside 200 to 599 is no response of an instance

Callers got such a status (000, 001, 099; 600 and above too) as the instance's answer, with its signature.

Cause: the parser takes any three digits, and nothing behind it looked at the range; RFC 9110, section 15, calls codes outside 100 to 599 invalid. The decoder of responses, which reads what instances send to the gate and to health questions, now takes them for malformed, as it does 101: no request asks for another protocol, and what follows it was waited for until the deadline. An edge checks what a gate passes on, which may be one of an earlier release. The store's client (hyper) refuses codes below 100 itself, and takes the others for refusals. A failure like any other follows: another instance where the request may be repeated, else 502, for it may have run.

--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -1,6 +1,7 @@
 //! Decoders of requests and responses.
 
 use std::cell::Cell;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -18,6 +19,11 @@
 /// Maximum length of all trailer lines together, in bytes.
 const MAX_TRAILERS: usize = 16 * 1024;
 
+/// Status codes of interim responses, which precede the final one.
+const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
+/// Status of the response after which the connection carries another protocol. No request asks for one.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// A part of a message: its head, then data, then its end.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Frame<Head> {
@@ -297,7 +303,7 @@
                 minor_version: parsed.version.unwrap_or(1),
                 fields: to_fields(parsed.headers, &bytes),
             };
-            if (100..200).contains(&head.status) {
+            if is_interim(&head)? {
                 continue;
             }
             let length = body::response_body_length(head.status, &head.fields, self.is_response_to_head)?;
@@ -323,6 +329,13 @@
     }
 }
 
+/// True if the head is that of an interim response; an error if its status is none that may come. The parser
+/// takes any three digits.
+fn is_interim(head: &ResponseHead) -> Result<bool, DecodeError> {
+    let is_interim = INTERIM_STATUSES.contains(&head.status) && head.status != SWITCHING_PROTOCOLS;
+    if is_interim || head.is_final() { Ok(is_interim) } else { Err(DecodeError::Malformed("status")) }
+}
+
 /// Skips empty lines before a request line, as RFC 9112 recommends.
 fn skip_empty_lines(source: &mut BytesMut) {
     let empty = source.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 use bytes::{BufMut, Bytes, BytesMut};
 
@@ -68,7 +70,15 @@
     }
 }
 
+/// Status codes of final responses. Codes above are invalid, and so are those below 100.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 impl ResponseHead {
+    /// True if the status is that of a final response.
+    pub fn is_final(&self) -> bool {
+        FINAL_STATUSES.contains(&self.status)
+    }
+
     /// True when the server keeps the connection open after the response.
     pub fn keeps_connection(&self) -> bool {
         keeps_connection(self.minor_version, &self.fields)
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -126,6 +126,28 @@
     assert!(matches!(decoder.decode(&mut buffer), Err(DecodeError::Malformed(_))));
 }
 
+/// RFC 9110, section 15: codes outside 100 to 599 are invalid.
+#[rstest]
+fn a_status_that_is_none_is_malformed(
+    #[values(
+        "000", "001", "099", "101", "600", "666", "999", "0", "20", "2000", "-20", "+20", "2 0", "abc", "", "0x1",
+        "20O"
+    )]
+    status: &str,
+    #[values("", "Content-Length: 0\r\n", "Content-Length: 3\r\n")] field: &str,
+) {
+    let text = format!("HTTP/1.1 {status} OK\r\n{field}\r\nabc");
+    let result = frames(ResponseDecoder::new(1024), text.as_bytes(), text.len());
+    assert!(matches!(result, Err(DecodeError::Malformed(_))), "{result:?}");
+}
+
+#[rstest]
+fn every_status_of_a_final_response_is_read(#[values(200, 299, 300, 404, 499, 500, 599)] status: u16) {
+    let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+    let frames = frames(ResponseDecoder::new(1024), text.as_bytes(), text.len()).unwrap();
+    assert!(matches!(&frames[0], Frame::Head(head, _) if head.status == status));
+}
+
 #[rstest]
 fn interim_responses_are_skipped() {
     let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -257,6 +257,10 @@
         }
     };
     match message {
+        // A gate of an earlier release passes on what is no response.
+        GateMessage::Answered { head, .. } if !head.is_final() => {
+            Failure::unknown(FailureReason::Malformed).into()
+        }
         GateMessage::Refused { reason, retry_after_ms, successor, load } => {
             keep(stream);
             let refusal = Refusal::new(reason, Duration::from_millis(u64::from(retry_after_ms)));
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 
 use crate::client::{Client, get, post};
-use crate::instance::{Action, ReceivedRequest, TestInstance, response};
+use crate::instance::{Action, ReceivedRequest, TestInstance, response, with_status};
 use crate::support::{Fleet, configuration, route, run};
 
 /// Two machines: the edge that clients use on the first, the gate with its instance on the second.
@@ -104,6 +104,25 @@
     });
 }
 
+/// A client got such a status as an instance's response, with its signature.
+#[rstest]
+fn a_status_that_is_none_is_no_response(
+    #[values("000", "001", "099", "600", "999", "20", "2000", "abc", "101")] status: &'static str,
+    #[values("/safe/", "/once/")] path: &'static str,
+    #[values(true, false)] on_own_machine: bool,
+) {
+    run(async move {
+        let (fleet, instance) =
+            two_machines(move |request, _| vec![Action::Send(with_status(status, &request.id(), "body"))]).await;
+        let edge = if on_own_machine { 2 } else { 1 };
+        let mut client = Client::connect(fleet.outbound(edge)).await;
+        let response = client.request(&post(path, "r1", "x")).await;
+        assert_eq!(response.head.status, 502, "{response:?}");
+        assert_eq!(response.field("x-signature"), None);
+        assert_eq!(instance.runs(), 1);
+    });
+}
+
 #[rstest]
 fn a_safe_request_with_a_broken_response_is_retried_elsewhere() {
     run(async {
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use olivegate_http1::{Fields, ResponseHead};
 use olivegate_sidecar::gate_protocol::{self, EdgeMessage, GateMessage};
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
+use olivegate_sidecar::reply::{Load, ResponseFault};
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -25,6 +28,19 @@
     FrozenAfterGrant,
     /// Closes the connection once it has read the offer.
     Lost,
+    /// Grants the slot, and passes on a response with this status.
+    PassesOn(u16),
+}
+
+/// A response as a gate passes it on.
+fn passed_on(status: u16) -> GateMessage {
+    GateMessage::Answered {
+        head: ResponseHead { status, minor_version: 1, fields: Fields::default() },
+        body: Some(Bytes::from_static(b"body")),
+        length: None,
+        fault: ResponseFault::None,
+        load: Load::default(),
+    }
 }
 
 /// Starts a fake gate on `address`.
@@ -37,8 +53,15 @@
                 while let Some(Ok(frame)) = stream.next().await {
                     let is_offer =
                         matches!(gate_protocol::decode::<EdgeMessage>(&frame), Ok(EdgeMessage::Offer(_)));
+                    let is_confirm = matches!(gate_protocol::decode(&frame), Ok(EdgeMessage::Confirm));
                     match gate {
                         FakeGate::Lost => return,
+                        FakeGate::PassesOn(_) if is_offer => {
+                            stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
+                        }
+                        FakeGate::PassesOn(status) if is_confirm => {
+                            stream.send(gate_protocol::encode(&passed_on(status))).await.unwrap();
+                        }
                         FakeGate::FrozenAfterGrant if is_offer => {
                             stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
                         }
@@ -184,3 +207,17 @@
         declared: None,
     }
 }
+
+/// A gate of an earlier release passes on a status that is none.
+#[rstest]
+#[case::zero(0)]
+#[case::interim(199)]
+#[case::too_large(600)]
+fn a_status_that_is_none_is_no_response_from_a_gate_either(#[case] status: u16) {
+    run(async move {
+        let (fleet, _instance) = start_with_gate(FakeGate::PassesOn(status)).await;
+        let statuses = request_repeatedly(&fleet, |id| post("/once/", id, "x")).await;
+        assert!(statuses.contains(&502), "some requests meet the fake gate: {statuses:?}");
+        assert!(statuses.iter().all(|status| [200, 502].contains(status)), "{statuses:?}");
+    });
+}
--- a/crates/sidecar/tests/path/instance.rs
+++ b/crates/sidecar/tests/path/instance.rs
@@ -232,6 +232,11 @@
 
 /// A complete response of an instance, with its signature.
 pub fn response(status: u16, id: &str, body: &str) -> String {
+    with_status(&status.to_string(), id, body)
+}
+
+/// A complete response of an instance whose status may be none.
+pub fn with_status(status: &str, id: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status} X\r\nx-id: {id}\r\nx-signature: s-{id}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
