A response that ends with its connection is not complete where a write to it failed

A client whose long upload was answered early, with a 200 without a length, got a part of the answer as the whole one: the instance sent some of it and reset the connection while the upload was still being written.

Cause: the operating system reports an error of a connection once. Here the write of the upload got the reset; the read then delivered what had arrived and saw an orderly end, which completes a body without a length. Whoever reads first sees the reset, which is why it showed in some of the cases only.

The decoder of responses is told of a failed write, and from then on takes no end of that connection for orderly, for the whole response, read at once or streamed, and whatever its request was. Bodies with a length or in chunks tell their end themselves, and so does what gates and edges send each other; requests never end with their connection.

What ends in order is complete as before.

--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -272,13 +272,19 @@
 pub struct ResponseDecoder {
     max_head_bytes: usize,
     is_response_to_head: bool,
+    has_connection_failed: bool,
     body: BodyReader,
 }
 
 impl ResponseDecoder {
     /// A decoder with a size limit for the head of a response, in bytes.
     pub fn new(max_head_bytes: usize) -> Self {
-        ResponseDecoder { max_head_bytes, is_response_to_head: false, body: BodyReader::new() }
+        ResponseDecoder {
+            max_head_bytes,
+            is_response_to_head: false,
+            has_connection_failed: false,
+            body: BodyReader::new(),
+        }
     }
 
     /// Sets whether the next response is to a `HEAD` request, and so has no body.
@@ -286,6 +292,12 @@
         self.is_response_to_head = to_head;
     }
 
+    /// Records that writing to the connection failed. The operating system reports an error of a connection
+    /// once: after a write has got it, reads see an orderly end, which then completes no body.
+    pub fn note_connection_failed(&mut self) {
+        self.has_connection_failed = true;
+    }
+
     fn head(&mut self, source: &mut BytesMut) -> Result<Option<Frame<ResponseHead>>, DecodeError> {
         loop {
             if source.is_empty() {
@@ -324,6 +336,7 @@
     fn decode_eof(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
         match self.decode(source)? {
             Some(frame) => Ok(Some(frame)),
+            None if self.has_connection_failed => Err(DecodeError::Incomplete),
             None => self.body.on_eof(source),
         }
     }
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -110,6 +110,20 @@
     assert_eq!(frames.last(), Some(&Frame::End));
 }
 
+/// A write that failed took the error that the read would have got.
+#[rstest]
+#[case::before_the_head(0)]
+#[case::within_the_body(30)]
+fn an_orderly_end_after_a_failed_write_completes_no_body(#[case] before: usize) {
+    let text = b"HTTP/1.1 200 OK\r\nX: 1\r\n\r\nabcdefghi";
+    let mut decoder = ResponseDecoder::new(1024);
+    let mut buffer = BytesMut::from(&text[..before]);
+    while decoder.decode(&mut buffer).unwrap().is_some() {}
+    decoder.note_connection_failed();
+    buffer.extend_from_slice(&text[before..]);
+    assert!(matches!(frames(decoder, &buffer.split(), 100), Err(DecodeError::Incomplete)));
+}
+
 #[rstest]
 #[case::with_length("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")]
 #[case::in_chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")]
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -144,8 +144,10 @@
                     Err(reason) => break Err(reason),
                 },
                 result = &mut sending, if sent.is_none() => {
-                    if let Err(SendError::Body) = result {
-                        break Err(FailureReason::RequestBroken);
+                    match result {
+                        Ok(()) => {}
+                        Err(SendError::Connection) => responses.decoder_mut().note_connection_failed(),
+                        Err(SendError::Body) => break Err(FailureReason::RequestBroken),
                     }
                     sent = Some(result.is_ok());
                 }
--- a/crates/sidecar/tests/path/client.rs
+++ b/crates/sidecar/tests/path/client.rs
@@ -6,6 +6,7 @@
 use olivegate_http1::{Frame, ResponseDecoder, ResponseHead};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::FramedRead;
 
 /// A response as a client receives it.
@@ -23,10 +24,13 @@
     }
 }
 
+/// The responses on a client connection.
+pub type Responses = FramedRead<OwnedReadHalf, ResponseDecoder>;
+
 /// A client connection.
 pub struct Client {
-    pub writer: tokio::net::tcp::OwnedWriteHalf,
-    responses: FramedRead<tokio::net::tcp::OwnedReadHalf, ResponseDecoder>,
+    pub writer: OwnedWriteHalf,
+    pub responses: Responses,
 }
 
 impl Client {
@@ -41,10 +45,15 @@
 
     /// Reads the next response; `None` when the connection ended before its head.
     pub async fn next_response(&mut self) -> Option<ClientResponse> {
+        Client::read_response(&mut self.responses).await
+    }
+
+    /// Reads the next response of `responses`; `None` when the connection ended before its head.
+    pub async fn read_response(responses: &mut Responses) -> Option<ClientResponse> {
         let mut head = None;
         let mut body = Vec::new();
         loop {
-            match self.responses.next().await {
+            match responses.next().await {
                 Some(Ok(Frame::Head(read, _))) => head = Some(read),
                 Some(Ok(Frame::Data(data))) => body.extend_from_slice(&data),
                 Some(Ok(Frame::End)) => {
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod crashing;
 mod deadlines;
+mod early_responses;
 mod failing;
 mod gates;
 mod identity_checks;
