A long response to an upload that is still arriving is not cut at the gate

A client whose upload was answered early, through two nodes and with more than 64 KB, got a response that broke off although the instance had sent all of it and ended in order.

Cause: while a gate passes on a response it takes any message of the edge for the end of the exchange. The edge sends parts of the upload until it has seen the response, and these were under way. Parts of the request's body are now skipped; a closed connection ends the exchange as before.

--- a/crates/sidecar/src/gate/serve.rs
+++ b/crates/sidecar/src/gate/serve.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use futures::{FutureExt, SinkExt, StreamExt};
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body_channel::{BodySender, body_channel};
@@ -137,7 +137,7 @@
 
 /// Applies a frame of the edge; false if the edge gave up or violated the protocol.
 fn accept_frame(
-    frame: Option<std::io::Result<bytes::BytesMut>>,
+    frame: Option<std::io::Result<BytesMut>>,
     arriving: &mut ArrivingBody,
     relay: &mut GrantRelay,
 ) -> bool {
@@ -196,13 +196,25 @@
 
 /// The next message of a streamed response; `None` if the edge gave up while the instance was slow.
 async fn next_piece(stream: &mut GateStream, pieces: &mut crate::reply::BodyStream) -> Option<GateMessage> {
-    tokio::select! {
-        biased;
-        piece = pieces.next() => Some(match piece {
-            Some(Ok(data)) => GateMessage::Data(data),
-            Some(Err(IncompleteBody)) => GateMessage::Broken,
-            None => GateMessage::End,
-        }),
-        _ = stream.next().map(drop) => None,
+    loop {
+        tokio::select! {
+            biased;
+            piece = pieces.next() => return Some(match piece {
+                Some(Ok(data)) => GateMessage::Data(data),
+                Some(Err(IncompleteBody)) => GateMessage::Broken,
+                None => GateMessage::End,
+            }),
+            frame = stream.next() => {
+                if !is_rest_of_request(frame) {
+                    return None;
+                }
+            }
+        }
     }
 }
+
+/// True for a part of the request's body, which the edge sent before it got the response.
+fn is_rest_of_request(frame: Option<std::io::Result<BytesMut>>) -> bool {
+    let Some(Ok(frame)) = frame else { return false };
+    matches!(gate_protocol::decode(&frame), Ok(EdgeMessage::Data(_) | EdgeMessage::End))
+}
--- a/crates/sidecar/tests/path/early_responses.rs
+++ b/crates/sidecar/tests/path/early_responses.rs
@@ -129,6 +129,7 @@
 #[case::beside_the_node(1, 2 << 10)]
 #[case::long_beside_the_node(1, 150 << 10)]
 #[case::on_another_machine(2, 2 << 10)]
+#[case::long_on_another_machine(2, 150 << 10)]
 fn an_early_response_that_ends_in_order_is_complete(#[case] machine: u8, #[case] body_bytes: usize) {
     run(async move {
         let pause = Duration::ZERO;
