One place decides where a head ends: a bare line feed in a head is malformed

An instance that sent a head with a bare line feed twice ('X-A: b', two line feeds, 'part', an empty line, 'more') had 'more' passed on as the whole body of a 200. Requests lost the same bytes.

Cause: the decoder looked for CR LF CR LF and handed all before it to the parser, which takes a line feed alone for the end of a line, too, so it found an earlier end of the head; what lay between belonged to nobody. Now the first empty line ends the head, lines end with CR LF, and the parser has to agree on the length. A recipient may take a bare line feed for a line end (RFC 9112, 2.2); it is refused instead, since the next reader of the same bytes may not. A single one within a head, which passed before, is refused with the same verdict however the bytes arrive. memchr, which was among the dependencies of others, finds the lines.

Odd names of fields (blank, tab, control byte, NUL, DEL, beyond ASCII, none, folded) were malformed before: their tests stay and nothing changes for them.

--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -221,9 +221,7 @@
         let bytes = source.split_to(used).freeze();
         let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut storage);
-        if parsed.parse(&bytes)?.is_partial() {
-            return Err(DecodeError::Malformed("head"));
-        }
+        check_whole(parsed.parse(&bytes)?, bytes.len())?;
         let head = RequestHead {
             method: bytes.slice_ref(parsed.method.unwrap_or_default().as_bytes()),
             target: bytes.slice_ref(parsed.path.unwrap_or_default().as_bytes()),
@@ -307,9 +305,7 @@
             let bytes = source.split_to(used).freeze();
             let mut storage = [httparse::EMPTY_HEADER; MAX_FIELDS];
             let mut parsed = httparse::Response::new(&mut storage);
-            if parsed.parse(&bytes)?.is_partial() {
-                return Err(DecodeError::Malformed("head"));
-            }
+            check_whole(parsed.parse(&bytes)?, bytes.len())?;
             let head = ResponseHead {
                 status: parsed.code.unwrap_or_default(),
                 minor_version: parsed.version.unwrap_or(1),
@@ -357,8 +353,7 @@
 
 /// Length of the head at the start of `source`; `None` while it is incomplete.
 fn head_length(source: &BytesMut, max: usize) -> Result<Option<usize>, DecodeError> {
-    let end = source.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4);
-    match end {
+    match empty_line_end(source)? {
         Some(length) if length > max => Err(DecodeError::HeadTooLarge),
         Some(length) => Ok(Some(length)),
         None if source.len() > max => Err(DecodeError::HeadTooLarge),
@@ -366,6 +361,25 @@
     }
 }
 
+/// Where the first empty line of `source` ends. A line that ends without a carriage return is malformed: the
+/// parser would take it for a line too, and could find another end of the head.
+fn empty_line_end(source: &[u8]) -> Result<Option<usize>, DecodeError> {
+    let mut line_start = 0;
+    for line_feed in memchr::memchr_iter(b'\n', source) {
+        match &source[line_start..line_feed] {
+            b"\r" => return Ok(Some(line_feed + 1)),
+            [.., b'\r'] => line_start = line_feed + 1,
+            _ => return Err(DecodeError::Malformed("line end")),
+        }
+    }
+    Ok(None)
+}
+
+/// Checks that the parser found the end of a head where it is.
+fn check_whole(parsed: httparse::Status<usize>, length: usize) -> Result<(), DecodeError> {
+    if parsed == httparse::Status::Complete(length) { Ok(()) } else { Err(DecodeError::Malformed("head")) }
+}
+
 /// Rejects bytes that can't start a message at once, before a complete head has arrived.
 fn check_start(source: &BytesMut) -> Result<Option<usize>, DecodeError> {
     let printable = source.iter().take(8).all(|byte| byte.is_ascii_graphic() || *byte == b' ');
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -162,6 +162,70 @@
     assert!(matches!(&frames[0], Frame::Head(head, _) if head.status == status));
 }
 
+/// What ends a head is decided once: a line that ends without a carriage return ended it for the parser only, and
+/// what followed up to the next empty line was dropped.
+#[rstest]
+fn a_line_of_a_head_that_ends_with_a_bare_line_feed_is_malformed(
+    #[values(
+        "A: b\n\npart\r\n\r\n",
+        "A: b\n\r\npart\r\n\r\n",
+        "A: b\r\n\npart\r\n\r\n",
+        "A: b\nC: d\r\n\r\n",
+        "A: b\n\n",
+        "\npart\r\n\r\n"
+    )]
+    rest: &str,
+    #[values(1, 7, 1_000)] piece: usize,
+) {
+    let request = format!("GET / HTTP/1.1\r\nHost: x\r\n{rest}more");
+    let result = frames(RequestDecoder::new(1024, 1024), request.as_bytes(), piece);
+    assert!(matches!(result, Err(DecodeError::Malformed(_))), "{result:?}");
+    let response = format!("HTTP/1.1 200 OK\r\nX: 1\r\n{rest}more");
+    let result = frames(ResponseDecoder::new(1024), response.as_bytes(), piece);
+    assert!(matches!(result, Err(DecodeError::Malformed(_))), "{result:?}");
+}
+
+/// The end of a head is found wherever its pieces are cut, also after empty lines before a request.
+#[rstest]
+fn a_head_ends_at_the_first_empty_line(#[values(1, 2, 3, 5, 1_000)] piece: usize) {
+    let text = b"\r\n\r\nGET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
+    assert_eq!(frames(RequestDecoder::new(1024, 1024), text, piece).unwrap().len(), 4);
+    let text = b"HTTP/1.1 200 OK\r\n\r\npart\r\n\r\nmore";
+    assert_eq!(body_of(&frames(ResponseDecoder::new(1024), text, piece).unwrap()), b"part\r\n\r\nmore");
+}
+
+/// Names of fields are tokens (RFC 9110, section 5.6.2).
+#[rstest]
+fn a_field_whose_name_is_no_token_is_malformed(
+    #[values(
+        "X A: b",
+        "X-A : b",
+        " X-A: b",
+        "\tX-A: b",
+        "X\tA: b",
+        "X\u{0}A: b",
+        "X\u{1}A: b",
+        "X\u{7f}A: b",
+        "X\u{e9}A: b",
+        ": b",
+        "X-A",
+        "X(A): b",
+        "X\"A: b",
+        "X-A: b\r\n folded",
+        "X-A: b\r\n\tfolded",
+        "X-A: b\u{0}",
+        "X-A: b\u{1}",
+        "X-A: b\rC: d"
+    )]
+    line: &str,
+) {
+    let request = format!("GET / HTTP/1.1\r\nHost: x\r\n{line}\r\n\r\n");
+    assert!(matches!(requests(request.as_bytes()), Err(DecodeError::Malformed(_))), "{line:?}");
+    let response = format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 0\r\n\r\n");
+    let result = frames(ResponseDecoder::new(1024), response.as_bytes(), 1_000);
+    assert!(matches!(result, Err(DecodeError::Malformed(_))), "{line:?}: {result:?}");
+}
+
 #[rstest]
 fn interim_responses_are_skipped() {
     let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -123,6 +123,46 @@
     });
 }
 
+/// Names of fields that are no tokens, folded lines, and lines that end with a bare line feed. With the last ones a
+/// client got what followed the next empty line as the whole body.
+#[rstest]
+fn a_head_with_an_odd_line_is_no_response(
+    #[values(
+        "X A: b\r\n",
+        "X-A : b\r\n",
+        " X-A: b\r\n",
+        "X\tA: b\r\n",
+        "X\u{0}A: b\r\n",
+        "X\u{1}A: b\r\n",
+        "X\u{7f}A: b\r\n",
+        "X\u{e9}A: b\r\n",
+        ": b\r\n",
+        "X-A: b\r\n folded\r\n",
+        "X-A: b\u{1}\r\n",
+        "X-A: b\n",
+        "X-A: b\n\npart\r\n",
+        "X-A: b\n\r\npart\r\n"
+    )]
+    line: &'static str,
+    #[values("/safe/", "/once/")] path: &'static str,
+    #[values(true, false)] on_own_machine: bool,
+) {
+    run(async move {
+        let script = move |request: &ReceivedRequest, _| {
+            let id = request.id();
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s-{id}\r\n{line}\r\n");
+            vec![Action::Send(head + "more"), Action::Close]
+        };
+        let (fleet, instance) = two_machines(script).await;
+        let edge = if on_own_machine { 2 } else { 1 };
+        let mut client = Client::connect(fleet.outbound(edge)).await;
+        let response = client.request(&post(path, "r1", "x")).await;
+        assert_eq!(response.head.status, 502, "{response:?}");
+        assert_eq!(response.field("x-signature"), None);
+        assert_eq!(instance.runs(), 1);
+    });
+}
+
 #[rstest]
 fn a_safe_request_with_a_broken_response_is_retried_elsewhere() {
     run(async {
--- a/crates/sidecar/tests/path/requests.rs
+++ b/crates/sidecar/tests/path/requests.rs
@@ -146,6 +146,9 @@
 #[case::no_host("GET /safe/ HTTP/1.1\r\nx-id: a\r\n\r\n", 400)]
 #[case::no_id("GET /safe/ HTTP/1.1\r\nHost: shop\r\n\r\n", 400)]
 #[case::odd_time("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\r\nx-time: soon\r\n\r\n", 400)]
+#[case::bare_line_feed("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\nx-time: 2000\r\n\r\n", 400)]
+#[case::two_bare_line_feeds("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\n\nGET /safe/ HTTP/1.1\r\n\r\n", 400)]
+#[case::blank_in_field_name("GET /safe/ HTTP/1.1\r\nHost: shop\r\nx-id: a\r\nX A: b\r\n\r\n", 400)]
 #[case::two_lengths("POST /safe/ HTTP/1.1\r\nHost: shop\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400)]
 fn a_request_at_fault_never_reaches_an_instance(#[case] text: &'static str, #[case] status: u16) {
     run(async move {
