Bytes that never become a response, or never end one, are given up on

An instance in trouble that sent interim responses, or responses to other requests, without end held its callers until their deadline (10 s in the test; an hour where neither client nor route sets one), one core of the node busy with them. A body without end was passed on for as long as the client took it, past any deadline.

Cause: the sizes of a head, of trailers and of a chunk's line were limited, but not the number of interim heads nor what is skipped of other responses; and after the deadline only the time was limited for which an instance keeps the client waiting, of which one that always has more takes none. What follows is a failure like any other: another instance, or 502 at once, visibly incomplete where a part was passed on, and the connection is closed.

Handled before, their tests stay: endless heads, lines, empty lines, garbage, trailers, chunk extensions, and health responses (1 s).

--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -271,16 +271,20 @@
     max_head_bytes: usize,
     is_response_to_head: bool,
     has_connection_failed: bool,
+    /// Bytes of the interim responses since the last final one.
+    interim_bytes: usize,
     body: BodyReader,
 }
 
 impl ResponseDecoder {
-    /// A decoder with a size limit for the head of a response, in bytes.
+    /// A decoder with a size limit for the head of a response, in bytes. The interim responses before it have
+    /// the same limit together.
     pub fn new(max_head_bytes: usize) -> Self {
         ResponseDecoder {
             max_head_bytes,
             is_response_to_head: false,
             has_connection_failed: false,
+            interim_bytes: 0,
             body: BodyReader::new(),
         }
     }
@@ -312,8 +316,13 @@
                 fields: to_fields(parsed.headers, &bytes),
             };
             if is_interim(&head)? {
+                self.interim_bytes += used;
+                if self.interim_bytes > self.max_head_bytes {
+                    return Err(DecodeError::HeadTooLarge);
+                }
                 continue;
             }
+            self.interim_bytes = 0;
             let length = body::response_body_length(head.status, &head.fields, self.is_response_to_head)?;
             self.body.start(length);
             return Ok(Some(Frame::Head(head, length)));
--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -162,6 +162,17 @@
     assert!(matches!(&frames[0], Frame::Head(head, _) if head.status == status));
 }
 
+/// Interim responses came without end.
+#[rstest]
+fn interim_responses_are_limited_together() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let response = |count: usize| interim.repeat(count) + "HTTP/1.1 204 X\r\n\r\n";
+    let decode = |text: String| frames(ResponseDecoder::new(1024), text.as_bytes(), 100);
+    assert_eq!(decode(response(40)).unwrap().len(), 2);
+    assert_eq!(decode(response(40) + &response(40)).unwrap().len(), 4, "the limit is that of one response");
+    assert!(matches!(decode(response(41)), Err(DecodeError::HeadTooLarge)));
+}
+
 /// What ends a head is decided once: a line that ends without a carriage return ended it for the parser only, and
 /// what followed up to the next empty line was dropped.
 #[rstest]
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -10,12 +10,12 @@
 use olivegate_types::{InstanceName, Moment, RefusalReason, ServiceName};
 
 use crate::edge::attempts::{Attempts, NextStep};
+use crate::edge::body_deadline::end_at_deadline;
 use crate::edge::call_context::CallContext;
 use crate::edge::local_response::LocalResponse;
 use crate::edge::outcome::{log_failed_attempt, log_offer};
 use crate::edge::remote;
 use crate::edge::request::ValidatedRequest;
-use crate::edge::silent_body::end_at_deadline;
 use crate::gate;
 use crate::gate::confirmation::Confirmation;
 use crate::gate_protocol::{Offer, OfferedBody};
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -13,12 +13,13 @@
 //! - [`dispatch`]: chooses instances and makes the attempts.
 //! - [`attempts`]: decides whether to retry after an attempt without a response.
 //! - [`remote`], [`gate_connection_pool`] and [`connection_check`]: offers to gates on other machines.
-//! - [`silent_body`]: ends a response whose instance falls silent.
+//! - [`body_deadline`]: ends a response whose body doesn't end in time.
 //! - [`outcome`]: result of a request, and its log lines.
 //! - [`local_response`]: responses that the node generates itself.
 
 pub mod admission;
 pub mod attempts;
+pub mod body_deadline;
 pub mod call_context;
 pub mod connection;
 pub mod connection_check;
@@ -33,7 +34,6 @@
 pub mod request_assembly;
 pub mod request_handler;
 pub mod response_writer;
-pub mod silent_body;
 pub mod tenant_checks;
 
 use std::rc::Rc;
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -29,6 +29,12 @@
 /// Status with which an instance rejects a request intended for another instance.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Maximum number of responses to other requests that are skipped before the response to this one.
+const MAX_SURPLUS_RESPONSES: usize = 16;
+/// Maximum size of their bodies together, in bytes. A connection that carried a response too large to be buffered
+/// isn't reused, so none of them is larger.
+const MAX_SURPLUS_BYTES: usize = MAX_SURPLUS_RESPONSES * MAX_BUFFERED_RESPONSE;
+
 /// The head of the response to the request.
 struct MatchedHead {
     head: ResponseHead,
@@ -132,13 +138,14 @@
     responses.decoder_mut().expect_response_to_head(head.method == "HEAD");
     let mut sent_bytes = 0;
     let mut sent = None;
+    let mut surplus = SurplusResponses::default();
     let result = {
         let sending = send_request(&mut connection.requests, head, body, &mut sent_bytes);
         tokio::pin!(sending);
         loop {
             tokio::select! {
                 biased;
-                frame = responses.next() => match matching_head(node, frame, &offer.request_id) {
+                frame = responses.next() => match matching_head(node, frame, &offer.request_id, &mut surplus) {
                     Ok(Some((head, length))) => break Ok((head, length)),
                     Ok(None) => {}
                     Err(reason) => break Err(reason),
@@ -161,21 +168,42 @@
     }
 }
 
+/// Responses to other requests that were skipped. A faulty instance may send them without end.
+#[derive(Debug, Default)]
+struct SurplusResponses {
+    heads: usize,
+    bytes: usize,
+}
+
+impl SurplusResponses {
+    fn skip_head(&mut self) -> Result<(), FailureReason> {
+        self.heads += 1;
+        if self.heads > MAX_SURPLUS_RESPONSES { Err(FailureReason::Malformed) } else { Ok(()) }
+    }
+
+    fn skip_data(&mut self, data: &Bytes) -> Result<(), FailureReason> {
+        self.bytes += data.len();
+        if self.bytes > MAX_SURPLUS_BYTES { Err(FailureReason::Malformed) } else { Ok(()) }
+    }
+}
+
 /// The head in `frame` if it belongs to the response to `request_id`; frames of other responses are skipped.
 fn matching_head(
     node: &Node,
     frame: Option<Result<Frame<ResponseHead>, DecodeError>>,
     request_id: &Bytes,
+    surplus: &mut SurplusResponses,
 ) -> Result<Option<(ResponseHead, BodyLength)>, FailureReason> {
     match frame {
         Some(Ok(Frame::Head(head, length))) => {
-            let is_match = head.fields.get(node.wire_names.request_id) == Some(request_id);
-            if !is_match {
-                node.metrics.exchanges.with_label_values(&["surplus-answer"]).inc();
+            if head.fields.get(node.wire_names.request_id) == Some(request_id) {
+                return Ok(Some((head, length)));
             }
-            Ok(is_match.then_some((head, length)))
+            node.metrics.exchanges.with_label_values(&["surplus-answer"]).inc();
+            surplus.skip_head().map(|()| None)
         }
-        Some(Ok(Frame::Data(_) | Frame::End)) => Ok(None),
+        Some(Ok(Frame::Data(data))) => surplus.skip_data(&data).map(|()| None),
+        Some(Ok(Frame::End)) => Ok(None),
         Some(Err(DecodeError::Io(_) | DecodeError::Incomplete)) | None => Err(FailureReason::Broken),
         Some(Err(_)) => Err(FailureReason::Malformed),
     }
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -10,6 +10,7 @@
 mod crashing;
 mod deadlines;
 mod early_responses;
+mod endless_responses;
 mod failing;
 mod gates;
 mod identity_checks;
