--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -123,6 +123,12 @@
             count_call(node, "history-gone");
             read_everything(node, source).await
         }
+        Err(SourceError::Malformed(reason)) => {
+            // The same changes may be as malformed each time.
+            log::warn!("event=source_changes_malformed known={known} reason={reason:?}");
+            count_call(node, "malformed");
+            read_everything(node, source).await
+        }
         Err(SourceError::EpochChanged) => {
             log::warn!("event=source_epoch_changed known={known}");
             count_call(node, "epoch-changed");
--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -263,3 +263,19 @@
         assert!(nodes.iter().all(|node| ready(node) == 2));
     });
 }
+
+/// Changes that can't be parsed are as malformed in each further call: a reader stopped following.
+#[rstest]
+fn changes_that_cannot_be_parsed_are_read_with_everything_else() {
+    run(async {
+        let fleet = fleet_of_three();
+        let node = fleet.start(1, "desk").await;
+        Fleet::wait_until_ready(&node).await;
+        fleet.source.set_malformed_changes();
+        fleet.source.configure(configuration(9, vec![route("/newer/", BOOKS, Safe)]));
+        eventually("the node follows", || node.known_state().configuration.0 == 9).await;
+        fleet.source.unlist("books-3");
+        let ready = || node.cluster.borrow().directory.ready_instances(&ServiceName::new(BOOKS)).len();
+        eventually("the node follows again", || ready() == 1).await;
+    });
+}
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -292,6 +292,8 @@
     fault: Rc<Cell<Fault>>,
     /// Calls that begin to wait now miss all changes.
     misses_changes: Rc<Cell<bool>>,
+    /// Calls that wait for changes report them in a form that can't be parsed.
+    malformed_changes: Rc<Cell<bool>>,
     /// Number of instances in the readable part of the list; `None` if it is readable as a whole.
     readable: Rc<Cell<Option<usize>>>,
     /// Number of restores from a backup.
@@ -348,6 +350,11 @@
         TestSource { fault: Rc::default(), calls: Rc::default(), ..self.clone() }
     }
 
+    /// From now on changes are reported in a form that can't be parsed.
+    pub fn set_malformed_changes(&self) {
+        self.malformed_changes.set(true);
+    }
+
     /// Only the first instances of the list can be read.
     pub fn set_readable(&self, readable: Option<usize>) {
         self.readable.set(readable);
@@ -411,6 +418,9 @@
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        if self.malformed_changes.get() {
+            return Err(SourceError::Malformed("an event".into()));
+        }
         Err(SourceError::HistoryCompacted)
     }
 
