A stopping node gives no request more time than it has, and answers what is open at its end

In a planned stop of one machine, calls of the instance beside it were taken and passed on up to the end of the grace, and cut there without a response, among them calls that may run once only. Requests that outlasted the grace were cut, too.

Cause: the end of the process was known to nobody who decides. A call was given the time that its caller had, so its instance worked on for callers that were gone, and the gate that would have refused it for want of time took it. Now the end limits the deadline of every request, at the edge and at the gate: instances are given that time, and gates refuse what is expected to need more.

--- a/crates/sidecar/src/edge/admission.rs
+++ b/crates/sidecar/src/edge/admission.rs
@@ -9,7 +9,7 @@
 use crate::edge::local_response::LocalResponse;
 use crate::gate_protocol::{RootRequest, class_of};
 use crate::importance::importance_of;
-use crate::model::Route;
+use crate::model::{RetrySafety, Route};
 use crate::state::Node;
 
 /// Retry-After when the node holds as many requests as its memory allows.
@@ -17,9 +17,24 @@
 /// Retry-After when the node is shutting down.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Response to a request that the node has no time for, because it is shutting down.
+const STOPPING: LocalResponse =
+    LocalResponse::NotRun { reason: RefusalReason::NodeNotReady, retry_after: STOPPING_RETRY_AFTER };
+
+/// Admits a call, unless the node shuts down too soon for it. What may run once only is refused when it has less
+/// than its target latency: if it is passed on and gets no response in time, nobody may make it again.
+pub fn admit_call(node: &Node, route: &Route, now: Moment) -> Result<(), LocalResponse> {
+    let Some(time_left) = node.stop.time_left(now) else { return Ok(()) };
+    let needed = match route.safety {
+        RetrySafety::Safe => Duration::ZERO,
+        RetrySafety::Unsafe => route.target_latency.duration(),
+    };
+    if time_left > needed { Ok(()) } else { Err(STOPPING) }
+}
+
 /// Admits a client's request as the root of its call graph, or refuses it because requests of its class fail
-/// further down the graph. Calls made for an admitted request are never refused here: work has already been
-/// done for them.
+/// further down the graph. Calls made for an admitted request are not held back so: work has already been done
+/// for them.
 pub fn admit(
     node: &Node,
     route: &Route,
@@ -27,10 +42,7 @@
     now: Moment,
 ) -> Result<RootRequest, LocalResponse> {
     if node.stop.is_closing() {
-        return Err(LocalResponse::NotRun {
-            reason: RefusalReason::NodeNotReady,
-            retry_after: STOPPING_RETRY_AFTER,
-        });
+        return Err(STOPPING);
     }
     if node.is_at_request_limit() {
         return Err(LocalResponse::NotRun {
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -68,7 +68,7 @@
     let selected =
         node.random(|random| node.weighted_round_robin.borrow_mut().next_service(&request.route, random));
     let service = selected.ok_or(LocalResponse::Rejected { status: 404, reason: "no-service" })?;
-    let deadline = arrived + request.timeout;
+    let deadline = node.stop.limit(arrived + request.timeout);
     let body_bytes = body.memory_bytes();
     let (whole_body, streamed) = match body {
         Body::Whole(bytes) => (bytes, None),
@@ -90,9 +90,15 @@
     };
     let limit = clock::instant_of(deadline);
     let mut attempts = Attempts::new(dispatch.request.route.safety, dispatch.request.route.attempts);
-    let result = tokio::time::timeout_at(limit, dispatch.run(&mut attempts)).await;
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(limit, dispatch.run(&mut attempts)) => {
+            result.unwrap_or(Err(LocalResponse::TimedOut))
+        }
+        () = node.stop.ending() => Err(LocalResponse::TimedOut),
+    };
     *attempt_log = attempts.attempt_log().to_string();
-    let result = match (result.unwrap_or(Err(LocalResponse::TimedOut)), dispatch.failed_response.take()) {
+    let result = match (result, dispatch.failed_response.take()) {
         (Err(_), Some(failed)) => Ok(failed),
         (result, _) => result,
     };
--- a/crates/sidecar/src/edge/request_handler.rs
+++ b/crates/sidecar/src/edge/request_handler.rs
@@ -117,7 +117,10 @@
             let priority = tenant.and_then(|tenant| tenant.priority);
             CallContext::for_client(admission::admit(node, &route, priority, arrived)?)
         }
-        Origin::Call(parent) => CallContext::for_call(node, &route, parent),
+        Origin::Call(parent) => {
+            admission::admit_call(node, &route, arrived)?;
+            CallContext::for_call(node, &route, parent)
+        }
     };
     let head = forwarded_head(node, assembled.head, tenant);
     dispatch(node, head, assembled.body, request, context, arrived, &mut outcome.attempt_log).await
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -168,7 +168,7 @@
 pub async fn run_offer(node: &Rc<Node>, mut offer: Offer, body: Body, confirmation: Confirmation) -> GateReply {
     let arrived = clock::now();
     lateness::sample(node, arrived);
-    let deadline = arrived + Duration::from_millis(u64::from(offer.time_left_ms));
+    let deadline = node.stop.limit(arrived + Duration::from_millis(u64::from(offer.time_left_ms)));
     if let Some(reason) = refusal_reason(node, &offer.instance) {
         let refusal = Refusal::new(reason, SHORT_RETRY_AFTER);
         let successor = successor_of(node, &offer.instance);
