Within an epoch the last write of an entry counts, whatever start it names

An entry of another writer over an instance's own, with a later start, took the instance away from all callers for good, not only until the instance wrote again.

Cause: an entry with an earlier start than the known one was taken for outdated at any time. That is meant for a source that was restored from a backup and lists what was; within an epoch its order of writes is that of the changes, and an instance that has ended writes no more. Only after a restore does an earlier start count as outdated now, and any other start within an epoch is another instance for all that was learnt of the one before.

Found by looking at what odd numbers do that fit their type. Test: an_instance_takes_its_entry_back_from_another_writer _with_a_later_start failed before (the other writer's start and slots stayed). The tests of restores are unchanged and pass.

--- a/crates/sidecar/src/directory/prior.rs
+++ b/crates/sidecar/src/directory/prior.rs
@@ -4,6 +4,9 @@
 //! node has learned since about the same incarnation takes precedence: an instance that was leaving stays out
 //! of use, and one whose entry was removed is used again only after it has written to the source since the
 //! restore, or after its entry has outlived the expiry of an entry that is not renewed.
+//!
+//! Within an epoch the last write counts, also if it names an earlier start: the one before may have been another
+//! writer's.
 
 use crate::model::{Epoch, Instance, InstanceState};
 use crate::source::ListedInstance;
@@ -24,7 +27,7 @@
 pub(super) enum Disposition {
     /// Unchanged.
     AsListed,
-    /// Not at all: it describes an earlier incarnation than the known one.
+    /// Not at all: it describes an earlier incarnation than the one known before the source was restored.
     Outdated,
     /// As draining: the instance was leaving.
     StillLeaving,
@@ -33,21 +36,21 @@
 }
 
 impl PriorRecord<'_> {
-    /// Returns true if `listed` describes a later incarnation than the known one.
+    /// Returns true if `listed` describes another incarnation than the known one.
     pub fn has_restarted(self, listed: &ListedInstance) -> bool {
-        self.instance.incarnation.is_before(listed.instance.incarnation)
+        self.instance.incarnation.differs_from(listed.instance.incarnation)
     }
 
     /// Decides how `listed` is applied.
     pub fn disposition_of(self, listed: &ListedInstance) -> Disposition {
         let (known, reported) = (self.instance.incarnation, listed.instance.incarnation);
-        if reported.is_before(known) {
+        let is_restored = listed.revision.epoch > self.epoch;
+        if is_restored && reported.is_before(known) {
             return Disposition::Outdated;
         }
         if reported.differs_from(known) {
             return Disposition::AsListed;
         }
-        let is_restored = listed.revision.epoch > self.epoch;
         let is_same_incarnation = reported == known && reported.is_known();
         let was_leaving = self.instance.state == InstanceState::Draining;
         if was_leaving && (is_restored || is_same_incarnation) {
--- a/crates/sidecar/tests/decisions/directory.rs
+++ b/crates/sidecar/tests/decisions/directory.rs
@@ -509,3 +509,21 @@
         assert_eq!(directory.revision(), Revision::of(1));
     }
 }
+
+/// Another writer's entry with a later start kept the instance's own entries out for good.
+#[rstest]
+fn an_instance_takes_its_entry_back_from_another_writer_with_a_later_start() {
+    let entry = |start: u64, slots: u32, revision: u64| {
+        let mut listed = listed("a", InstanceState::Ready, revision);
+        listed.instance.incarnation = Incarnation(start);
+        listed.instance.slots = slots;
+        listed
+    };
+    let mut directory = Directory::new(POLICY);
+    directory.apply_snapshot(&[entry(1_000, 4, 1)], Revision::of(1), at(0));
+    directory.apply_change(&Change::Instance(entry(9_000, 400, 2)), at(10));
+    directory.apply_change(&Change::Instance(entry(1_000, 4, 3)), at(20));
+    let instance = directory.instance(&InstanceName::new("a")).unwrap();
+    assert_eq!((instance.incarnation, instance.slots), (Incarnation(1_000), 4));
+    assert_eq!(directory.take_restarted().len(), 2, "nothing that was learnt of the other writer's is kept");
+}
