An idle timeout in a response can't overflow the time at which it ends

A caller whose instance answered with 'Keep-Alive: timeout=' got no response, or 502 through two nodes, although the instance had run the request and answered 200: the task of the connection panicked.

Cause: the end of the idle timeout is the present time plus what the instance names, which overflows. An hour at most is taken now. Looked at beside it: declared rates (finite, with a floor), the time left of a request (an hour at most), times between nodes (32 bits of milliseconds), times of the settings (in ranges): sound, by reading; odd rates and odd values of other fields of responses are in the test and passed before.

Test: odd_values_of_fields_cost_no_response failed before in 2 of 22 cases; all pass.

--- a/crates/sidecar/src/gate/notice.rs
+++ b/crates/sidecar/src/gate/notice.rs
@@ -11,6 +11,9 @@
 /// Value of the header field by which an instance announces that it is leaving.
 const LEAVING_VALUE: &[u8] = b"1";
 
+/// Longest idle timeout that is taken from a response. Larger values overflow the time at which it ends.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// What a response declares about the request rate that its instance accepts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum RateNotice {
@@ -70,5 +73,6 @@
 fn idle_timeout_of(head: &ResponseHead) -> Option<Duration> {
     let value = head.fields.text("keep-alive")?;
     let declared = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
-    declared.and_then(|seconds| seconds.trim().parse().ok()).map(Duration::from_secs)
+    let seconds = declared.and_then(|seconds| seconds.trim().parse().ok());
+    seconds.map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
 }
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -163,6 +163,41 @@
     });
 }
 
+/// Fields by which an instance describes its connection and itself: odd values cost no response.
+#[rstest]
+fn odd_values_of_fields_cost_no_response(
+    #[values(
+        "Keep-Alive: timeout=18446744073709551615",
+        "Keep-Alive: timeout=99999999999999999999999999",
+        "Keep-Alive: timeout=-1",
+        "Keep-Alive: timeout=1e400",
+        "Keep-Alive: timeout=",
+        "x-rate: 1e400",
+        "x-rate: -1",
+        "x-rate: NaN",
+        "x-rate: 1e308",
+        "x-leaving: 99999999999999999999999999",
+        "x-instance: \u{e9}"
+    )]
+    field: &'static str,
+    #[values(true, false)] on_own_machine: bool,
+) {
+    run(async move {
+        let script = move |request: &ReceivedRequest, _| {
+            let id = request.id();
+            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n{field}\r\nContent-Length: 2\r\n\r\n");
+            vec![Action::Send(head + "ok")]
+        };
+        let (fleet, _instance) = two_machines(script).await;
+        let edge = if on_own_machine { 2 } else { 1 };
+        let mut client = Client::connect(fleet.outbound(edge)).await;
+        for number in 0..3 {
+            let response = client.request(&post("/once/", &format!("r{number}"), "x")).await;
+            assert_eq!((response.head.status, response.body.as_str()), (200, "ok"));
+        }
+    });
+}
+
 #[rstest]
 fn a_safe_request_with_a_broken_response_is_retried_elsewhere() {
     run(async {
