Test: a process beside odd values goes on and follows changes

14 values of another writer (deep nesting, numbers too large, ports out of range, cut off, not UTF-8, 1 MiB), before the start of a node and while it runs: it serves, follows a later configuration, and a node that starts then serves too.

--- a/crates/olivegate/tests/sidecar/odd_entry.rs
+++ b/crates/olivegate/tests/sidecar/odd_entry.rs
@@ -2,12 +2,18 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use olivegate_platform::WIRE_NAMES;
+use olivegate_platform_stand_in::{InMemoryStore, records};
 use rstest::rstest;
 use serde_json::json;
 
-use crate::support::{Sidecar, instance_at, request, settings_file, settings_for, start_store, wait_until_ready};
+use crate::support::{
+    HOST, Sidecar, configuration, instance_at, request, settings_file, settings_for, start_store, wait_until_ready,
+};
 
 /// Items in a page of the store. Each name is the last of its page, after which the next page begins.
 const PAGE_SIZE: usize = 1;
@@ -67,8 +73,90 @@
         sidecar.wait_for("event=started");
         wait_until_ready(&ip);
         for number in 0..REQUESTS {
-            let response = request(&ip, &format!("{start}-{number}"));
+            let response = request(&ip, HOST, &format!("{start}-{number}"));
             assert!(response.starts_with("HTTP/1.1 200"), "{start} start: {response}");
         }
     }
 }
+
+/// Levels of deeply nested values.
+const NESTING: usize = 50_000;
+/// Time after which odd values are written while the node runs, and then a change that it has to follow.
+const WRITE_AFTER: Duration = Duration::from_secs(3);
+/// Host that the later configuration routes.
+const LATER_HOST: &str = "later";
+
+/// Values that can't be parsed, and values that parse and name no instance that anybody could use.
+fn odd_values() -> Vec<Vec<u8>> {
+    let entry = |address: &str, born: &str, slots: &str| {
+        format!(
+            "{{\"address\": \"{address}\", \"born\": {born}, \
+             \"info\": {{\"service\": \"books\", \"version\": \"1\", \"zone\": \"north\", \"slots\": {slots}}}, \
+             \"status\": {{\"state\": \"ready\", \"sequence\": 1, \"warmup-remaining-ms\": 0}}}}"
+        )
+    };
+    let address = "127.78.2.200:18401";
+    let texts = vec![
+        "[".repeat(NESTING) + &"]".repeat(NESTING),
+        "{\"a\":".repeat(NESTING) + "1" + &"}".repeat(NESTING),
+        entry(address, "1", &("[".repeat(NESTING) + &"]".repeat(NESTING))),
+        entry(address, "1", "1e400"),
+        entry(address, "1", "99999999999999999999"),
+        entry(address, "18446744073709551615", "4"),
+        entry(address, "1e30", "4"),
+        entry(address, "1", "4294967295"),
+        entry("127.78.2.200:65536", "1", "4"),
+        entry("127.78.2.200:99999999999999999999", "1", "4"),
+        entry("127.78.2.200:0", "1", "4"),
+        entry("255.255.255.255:1", "1", "4"),
+        "\"".to_string() + &"a".repeat(1 << 20),
+    ];
+    let mut values: Vec<Vec<u8>> = texts.into_iter().map(String::into_bytes).collect();
+    values.push(vec![0xff; 1_000]);
+    values
+}
+
+fn write_odd_values(store: &InMemoryStore, prefix: &str) {
+    for (number, value) in odd_values().iter().enumerate() {
+        store.put_raw(&format!("servers/{prefix}-{number}"), &STANDARD.encode(value));
+    }
+}
+
+/// Processes that read such values ended, or stopped following.
+#[rstest]
+fn a_node_beside_odd_values_goes_on_and_follows_changes() {
+    let ip = "127.78.2.20";
+    let served = instance_at(ip, "i-2", "books");
+    let service = served.service.clone();
+    start_instance(served.address);
+    let store = start_store(served, PAGE_SIZE, move |store| {
+        write_odd_values(store, "before");
+        let store = store.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(WRITE_AFTER).await;
+            write_odd_values(&store, "while-running");
+            records::put_configuration(&store, &configuration(2, LATER_HOST, &service));
+        });
+    });
+    let file = settings_file("odd-values.toml", &settings_for(ip, "books", &store.to_string()));
+    let mut sidecar = Sidecar::start(&file);
+    sidecar.wait_for("event=started");
+    wait_until_ready(ip);
+    let deadline = Instant::now() + Duration::from_secs(15);
+    while !request(ip, LATER_HOST, "later").starts_with("HTTP/1.1 200") {
+        assert!(Instant::now() < deadline, "the node does not follow");
+        assert!(sidecar.is_running());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let mut again = Sidecar::start(&settings_file(
+        "odd-values-again.toml",
+        &settings_for("127.78.2.21", "desk", &store.to_string()),
+    ));
+    again.wait_for("event=started");
+    wait_until_ready("127.78.2.21");
+    for number in 0..REQUESTS {
+        let response = request("127.78.2.21", LATER_HOST, &format!("again-{number}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    assert!(sidecar.is_running() && again.is_running());
+}
--- a/crates/olivegate/tests/sidecar/support.rs
+++ b/crates/olivegate/tests/sidecar/support.rs
@@ -45,11 +45,14 @@
     }
 }
 
-/// A configuration that routes all requests to `service`.
-fn configuration(service: &ServiceName) -> Configuration {
+/// Host of the requests that are routed from the start.
+pub const HOST: &str = "shop";
+
+/// A configuration that routes all requests for `host` to `service`.
+pub fn configuration(version: u64, host: &str, service: &ServiceName) -> Configuration {
     let route = Route {
         name: "all".into(),
-        host: "shop".into(),
+        host: host.into(),
         path_prefix: "/".into(),
         services: vec![WeightedService { service: service.clone(), weight: 1 }],
         safety: RetrySafety::Safe,
@@ -60,7 +63,7 @@
         is_public: false,
     };
     Configuration {
-        version: ConfigurationVersion(1),
+        version: ConfigurationVersion(version),
         routes: vec![route],
         limits: ClientLimits::default(),
         tenants: Vec::new(),
@@ -69,7 +72,7 @@
 }
 
 /// Starts a store in its own thread, with pages of `page_size` items. It lists `instance`, routes all requests
-/// to its service, and holds what `fill` writes.
+/// to its service, and holds what `fill` writes, which may spawn a local task that writes more.
 pub fn start_store(
     instance: Instance,
     page_size: usize,
@@ -80,7 +83,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         LocalSet::new().block_on(&runtime, async move {
             let store = InMemoryStore::new(page_size);
-            records::put_configuration(&store, &configuration(&instance.service));
+            records::put_configuration(&store, &configuration(1, HOST, &instance.service));
             records::put_instance(&store, &instance, 1);
             fill(&store);
             sender.send(store.listen().await.unwrap().address).unwrap();
@@ -110,6 +113,11 @@
         Sidecar { process, lines }
     }
 
+    /// True while the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.process.try_wait().unwrap().is_none()
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.process.id().to_string()]).status().unwrap();
         assert!(sent.success());
@@ -160,11 +168,11 @@
     }
 }
 
-/// Sends a request of a client to the node at `ip` and returns the response.
-pub fn request(ip: &str, id: &str) -> String {
+/// Sends a request of a client for `host` to the node at `ip` and returns the response.
+pub fn request(ip: &str, host: &str, id: &str) -> String {
     let (id_name, time_name) = (WIRE_NAMES.request_id, WIRE_NAMES.time_left_ms);
     let head = format!(
-        "GET / HTTP/1.1\r\nHost: shop\r\n{id_name}: {id}\r\n{time_name}: 3000\r\nConnection: close\r\n\r\n"
+        "GET / HTTP/1.1\r\nHost: {host}\r\n{id_name}: {id}\r\n{time_name}: 3000\r\nConnection: close\r\n\r\n"
     );
     exchange(&format!("{ip}:18404"), &head)
 }
