--- a/crates/node/tests/node/calls.rs
+++ b/crates/node/tests/node/calls.rs
@@ -55,6 +55,17 @@
     assert!(reply.is_empty() || reply.ends_with("(truncated)"), "{reply}");
 }
 
+#[tokio::test]
+async fn a_response_with_an_invalid_status_is_unknown() {
+    for status in ["000", "099", "600", "999"] {
+        let odd = answer("a page").replace("200 OK", status);
+        let back_end = BackEnd::start(Script::Send(odd)).await;
+        let node = TestNode::start(&[&back_end]).await;
+        let reply = exchange(node.caller, &post("/books/7", "")).await;
+        assert!(reply.contains("x-olivegate-outcome: unknown") && !reply.contains("a page"), "{status}: {reply}");
+    }
+}
+
 #[tokio::test]
 async fn back_ends_cannot_forge_an_outcome() {
     let forged = "HTTP/1.1 200 OK\r\nx-olivegate-outcome: not-run\r\ncontent-length: 2\r\n\r\nhi";
