--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -4,21 +4,18 @@
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use tokio_util::codec::Decoder;
 
 use crate::body::{self, BodyLength};
+use crate::body_reader::BodyReader;
 use crate::error::DecodeError;
 use crate::fields::Fields;
 use crate::head::{RequestHead, ResponseHead};
+use crate::head_end::{check_whole, head_length, skip_empty_lines};
 
 /// Maximum number of header fields in a message.
 const MAX_FIELDS: usize = 96;
-/// Maximum length of a chunk size line, in bytes.
-const MAX_CHUNK_LINE: usize = 1024;
-/// Maximum length of all trailer lines together, in bytes.
-const MAX_TRAILERS: usize = 16 * 1024;
-
 /// Status codes of interim responses, which precede the final one.
 const INTERIM_STATUSES: RangeInclusive<u16> = 100..=199;
 /// Status of the response after which the connection carries another protocol. No request asks for one.
@@ -35,27 +32,6 @@
     End,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum DecodeState {
-    Head,
-    Known(u64),
-    ChunkSize,
-    ChunkData(u64),
-    ChunkDataEnd,
-    Trailers,
-    UntilClose,
-    Finished,
-}
-
-fn body_state(length: BodyLength) -> DecodeState {
-    match length {
-        BodyLength::None => DecodeState::Finished,
-        BodyLength::Known(length) => DecodeState::Known(length),
-        BodyLength::Chunked => DecodeState::ChunkSize,
-        BodyLength::UntilClose => DecodeState::UntilClose,
-    }
-}
-
 fn to_fields(parsed: &[httparse::Header<'_>], source: &Bytes) -> Fields {
     let mut fields = Fields::default();
     for header in parsed {
@@ -64,120 +40,6 @@
     fields
 }
 
-/// Reads message bodies for both decoders.
-#[derive(Debug)]
-struct BodyReader {
-    state: DecodeState,
-    trailer_bytes: usize,
-}
-
-impl BodyReader {
-    fn new() -> Self {
-        BodyReader { state: DecodeState::Head, trailer_bytes: 0 }
-    }
-
-    fn start(&mut self, length: BodyLength) {
-        self.state = body_state(length);
-        self.trailer_bytes = 0;
-    }
-
-    /// The next frame of the body; call only after [`BodyReader::start`].
-    fn next<Head>(&mut self, source: &mut BytesMut) -> Result<Option<Frame<Head>>, DecodeError> {
-        loop {
-            match self.state {
-                DecodeState::Head => return Ok(None),
-                DecodeState::Finished => {
-                    self.state = DecodeState::Head;
-                    return Ok(Some(Frame::End));
-                }
-                DecodeState::Known(left) => {
-                    let Some(data) = take_up_to(source, left) else { return Ok(None) };
-                    let left = left - data.len() as u64;
-                    self.state = if left == 0 { DecodeState::Finished } else { DecodeState::Known(left) };
-                    return Ok(Some(Frame::Data(data)));
-                }
-                DecodeState::UntilClose => {
-                    return Ok(take_up_to(source, u64::MAX).map(Frame::Data));
-                }
-                DecodeState::ChunkSize => {
-                    if !self.read_chunk_size(source)? {
-                        return Ok(None);
-                    }
-                }
-                DecodeState::ChunkData(left) => {
-                    let Some(data) = take_up_to(source, left) else { return Ok(None) };
-                    let left = left - data.len() as u64;
-                    self.state = if left == 0 { DecodeState::ChunkDataEnd } else { DecodeState::ChunkData(left) };
-                    return Ok(Some(Frame::Data(data)));
-                }
-                DecodeState::ChunkDataEnd => {
-                    if source.len() < 2 {
-                        return Ok(None);
-                    }
-                    if &source[..2] != b"\r\n" {
-                        return Err(DecodeError::Malformed("chunk end"));
-                    }
-                    source.advance(2);
-                    self.state = DecodeState::ChunkSize;
-                }
-                DecodeState::Trailers => {
-                    if !self.read_trailer(source)? {
-                        return Ok(None);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Reads a chunk size line; false when more bytes are needed.
-    fn read_chunk_size(&mut self, source: &mut BytesMut) -> Result<bool, DecodeError> {
-        match httparse::parse_chunk_size(source) {
-            Ok(httparse::Status::Complete((used, size))) => {
-                source.advance(used);
-                self.state = if size == 0 { DecodeState::Trailers } else { DecodeState::ChunkData(size) };
-                Ok(true)
-            }
-            Ok(httparse::Status::Partial) if source.len() <= MAX_CHUNK_LINE => Ok(false),
-            _ => Err(DecodeError::Malformed("chunk size")),
-        }
-    }
-
-    /// Skips one trailer line; false when more bytes are needed.
-    fn read_trailer(&mut self, source: &mut BytesMut) -> Result<bool, DecodeError> {
-        let Some(end) = source.iter().position(|&byte| byte == b'\n') else {
-            return if source.len() > MAX_TRAILERS { Err(DecodeError::HeadTooLarge) } else { Ok(false) };
-        };
-        self.trailer_bytes += end + 1;
-        if self.trailer_bytes > MAX_TRAILERS {
-            return Err(DecodeError::HeadTooLarge);
-        }
-        let is_last = matches!(&source[..end], b"" | b"\r");
-        source.advance(end + 1);
-        if is_last {
-            self.state = DecodeState::Finished;
-        }
-        Ok(true)
-    }
-
-    /// Handles an orderly close of the connection.
-    fn on_eof<Head>(&mut self, source: &BytesMut) -> Result<Option<Frame<Head>>, DecodeError> {
-        match self.state {
-            DecodeState::UntilClose => {
-                self.state = DecodeState::Head;
-                Ok(Some(Frame::End))
-            }
-            DecodeState::Head if source.is_empty() => Ok(None),
-            _ => Err(DecodeError::Incomplete),
-        }
-    }
-}
-
-/// Up to `max` bytes; `None` when `source` is empty.
-fn take_up_to(source: &mut BytesMut, max: u64) -> Option<Bytes> {
-    let length = usize::try_from(max).unwrap_or(usize::MAX).min(source.len());
-    (length > 0).then(|| source.split_to(length).freeze())
-}
-
 /// Size limits of requests, in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestLimits {
@@ -244,7 +106,7 @@
     type Error = DecodeError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
-        if self.body.state == DecodeState::Head {
+        if self.body.is_between_messages() {
             return self.head(source);
         }
         let frame = self.body.next(source)?;
@@ -335,7 +197,7 @@
     type Error = DecodeError;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
-        if self.body.state == DecodeState::Head { self.head(source) } else { self.body.next(source) }
+        if self.body.is_between_messages() { self.head(source) } else { self.body.next(source) }
     }
 
     fn decode_eof(&mut self, source: &mut BytesMut) -> Result<Option<Self::Item>, DecodeError> {
@@ -353,44 +215,3 @@
     let is_interim = INTERIM_STATUSES.contains(&head.status) && head.status != SWITCHING_PROTOCOLS;
     if is_interim || head.is_final() { Ok(is_interim) } else { Err(DecodeError::Malformed("status")) }
 }
-
-/// Skips empty lines before a request line, as RFC 9112 recommends.
-fn skip_empty_lines(source: &mut BytesMut) {
-    let empty = source.iter().take_while(|&&byte| byte == b'\r' || byte == b'\n').count();
-    source.advance(empty);
-}
-
-/// Length of the head at the start of `source`; `None` while it is incomplete.
-fn head_length(source: &BytesMut, max: usize) -> Result<Option<usize>, DecodeError> {
-    match empty_line_end(source)? {
-        Some(length) if length > max => Err(DecodeError::HeadTooLarge),
-        Some(length) => Ok(Some(length)),
-        None if source.len() > max => Err(DecodeError::HeadTooLarge),
-        None => check_start(source),
-    }
-}
-
-/// Where the first empty line of `source` ends. A line that ends without a carriage return is malformed: the
-/// parser would take it for a line too, and could find another end of the head.
-fn empty_line_end(source: &[u8]) -> Result<Option<usize>, DecodeError> {
-    let mut line_start = 0;
-    for line_feed in memchr::memchr_iter(b'\n', source) {
-        match &source[line_start..line_feed] {
-            b"\r" => return Ok(Some(line_feed + 1)),
-            [.., b'\r'] => line_start = line_feed + 1,
-            _ => return Err(DecodeError::Malformed("line end")),
-        }
-    }
-    Ok(None)
-}
-
-/// Checks that the parser found the end of a head where it is.
-fn check_whole(parsed: httparse::Status<usize>, length: usize) -> Result<(), DecodeError> {
-    if parsed == httparse::Status::Complete(length) { Ok(()) } else { Err(DecodeError::Malformed("head")) }
-}
-
-/// Rejects bytes that can't start a message at once, before a complete head has arrived.
-fn check_start(source: &BytesMut) -> Result<Option<usize>, DecodeError> {
-    let printable = source.iter().take(8).all(|byte| byte.is_ascii_graphic() || *byte == b' ');
-    if printable { Ok(None) } else { Err(DecodeError::Malformed("start")) }
-}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -9,13 +9,17 @@
 //! - [`head`]: request and response heads, and their serialization.
 //! - [`body`]: length of a message body.
 //! - [`decode`]: decoders of requests and responses.
+//! - `head_end`: where the head of a message ends.
+//! - `body_reader`: reads message bodies.
 //! - [`error`]: errors of the decoders.
 
 pub mod body;
+mod body_reader;
 pub mod decode;
 pub mod error;
 pub mod fields;
 pub mod head;
+mod head_end;
 
 pub use body::BodyLength;
 pub use decode::{Frame, RequestDecoder, RequestLimits, ResponseDecoder};
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -112,17 +112,27 @@
     #[values(true, false)] on_own_machine: bool,
 ) {
     run(async move {
-        let (fleet, instance) =
-            two_machines(move |request, _| vec![Action::Send(with_status(status, &request.id(), "body"))]).await;
-        let edge = if on_own_machine { 2 } else { 1 };
-        let mut client = Client::connect(fleet.outbound(edge)).await;
-        let response = client.request(&post(path, "r1", "x")).await;
-        assert_eq!(response.head.status, 502, "{response:?}");
-        assert_eq!(response.field("x-signature"), None);
-        assert_eq!(instance.runs(), 1);
+        let script =
+            move |request: &ReceivedRequest, _| vec![Action::Send(with_status(status, &request.id(), "body"))];
+        assert_no_response(script, path, on_own_machine).await;
     });
 }
 
+/// Runs a request at an instance with this script: the client gets a failure of the node, and one run.
+async fn assert_no_response(
+    script: impl Fn(&ReceivedRequest, usize) -> Vec<Action> + 'static,
+    path: &str,
+    on_own_machine: bool,
+) {
+    let (fleet, instance) = two_machines(script).await;
+    let edge = if on_own_machine { 2 } else { 1 };
+    let mut client = Client::connect(fleet.outbound(edge)).await;
+    let response = client.request(&post(path, "r1", "x")).await;
+    assert_eq!(response.head.status, 502, "{response:?}");
+    assert_eq!(response.field("x-signature"), None);
+    assert_eq!(instance.runs(), 1);
+}
+
 /// Names of fields that are no tokens, folded lines, and lines that end with a bare line feed. With the last ones a
 /// client got what followed the next empty line as the whole body.
 #[rstest]
@@ -153,13 +163,7 @@
             let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s-{id}\r\n{line}\r\n");
             vec![Action::Send(head + "more"), Action::Close]
         };
-        let (fleet, instance) = two_machines(script).await;
-        let edge = if on_own_machine { 2 } else { 1 };
-        let mut client = Client::connect(fleet.outbound(edge)).await;
-        let response = client.request(&post(path, "r1", "x")).await;
-        assert_eq!(response.head.status, 502, "{response:?}");
-        assert_eq!(response.field("x-signature"), None);
-        assert_eq!(instance.runs(), 1);
+        assert_no_response(script, path, on_own_machine).await;
     });
 }
 
