--- a/crates/olivegate/tests/sidecar/odd_entry.rs
+++ b/crates/olivegate/tests/sidecar/odd_entry.rs
@@ -4,9 +4,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use olivegate_platform::WIRE_NAMES;
+use olivegate_platform_stand_in::odd_values::odd_values;
 use olivegate_platform_stand_in::{InMemoryStore, records};
 use rstest::rstest;
 use serde_json::json;
@@ -79,46 +78,14 @@
     }
 }
 
-/// Levels of deeply nested values.
-const NESTING: usize = 50_000;
 /// Time after which odd values are written while the node runs, and then a change that it has to follow.
 const WRITE_AFTER: Duration = Duration::from_secs(3);
 /// Host that the later configuration routes.
 const LATER_HOST: &str = "later";
 
-/// Values that can't be parsed, and values that parse and name no instance that anybody could use.
-fn odd_values() -> Vec<Vec<u8>> {
-    let entry = |address: &str, born: &str, slots: &str| {
-        format!(
-            "{{\"address\": \"{address}\", \"born\": {born}, \
-             \"info\": {{\"service\": \"books\", \"version\": \"1\", \"zone\": \"north\", \"slots\": {slots}}}, \
-             \"status\": {{\"state\": \"ready\", \"sequence\": 1, \"warmup-remaining-ms\": 0}}}}"
-        )
-    };
-    let address = "127.78.2.200:18401";
-    let texts = vec![
-        "[".repeat(NESTING) + &"]".repeat(NESTING),
-        "{\"a\":".repeat(NESTING) + "1" + &"}".repeat(NESTING),
-        entry(address, "1", &("[".repeat(NESTING) + &"]".repeat(NESTING))),
-        entry(address, "1", "1e400"),
-        entry(address, "1", "99999999999999999999"),
-        entry(address, "18446744073709551615", "4"),
-        entry(address, "1e30", "4"),
-        entry(address, "1", "4294967295"),
-        entry("127.78.2.200:65536", "1", "4"),
-        entry("127.78.2.200:99999999999999999999", "1", "4"),
-        entry("127.78.2.200:0", "1", "4"),
-        entry("255.255.255.255:1", "1", "4"),
-        "\"".to_string() + &"a".repeat(1 << 20),
-    ];
-    let mut values: Vec<Vec<u8>> = texts.into_iter().map(String::into_bytes).collect();
-    values.push(vec![0xff; 1_000]);
-    values
-}
-
 fn write_odd_values(store: &InMemoryStore, prefix: &str) {
-    for (number, value) in odd_values().iter().enumerate() {
-        store.put_raw(&format!("servers/{prefix}-{number}"), &STANDARD.encode(value));
+    for (number, value) in odd_values("127.78.2.200", "books").iter().enumerate() {
+        store.put_bytes(&format!("servers/{prefix}-{number}"), value);
     }
 }
 
