--- a/crates/olivegate/tests/sidecar/lifecycle.rs
+++ b/crates/olivegate/tests/sidecar/lifecycle.rs
@@ -7,12 +7,14 @@
 use rstest::rstest;
 
 use crate::support::{
-    Sidecar, instance_at, readiness, settings_file, settings_for, start_store, wait_until_ready,
+    HOST, Sidecar, instance_at, readiness, request, settings_file, settings_for, start_store, wait_until_ready,
 };
 
 const IP: &str = "127.78.1.1";
 /// Address of another machine, whose instance accepts connections and never responds.
 const SILENT_IP: &str = "127.78.1.2";
+/// Address of a machine whose instance never responds, and whose node stops.
+const OUTLASTED_IP: &str = "127.78.1.3";
 /// Number of requests whose clients disconnect; a cancellation is logged for one in 32.
 const DISCONNECTING_CLIENTS: usize = 400;
 
@@ -59,3 +61,24 @@
     let line = sidecar.wait_for("event=cancelled");
     assert!(line.contains("request=r") && line.contains("after_ms="), "{line}");
 }
+
+/// A request that outlasts the grace period was cut off with the process.
+#[rstest]
+fn a_request_that_outlasts_the_grace_is_answered_before_the_process_ends() {
+    let instance = instance_at(OUTLASTED_IP, "i-1", "books");
+    let _silent = TcpListener::bind(instance.address).unwrap();
+    let store = start_store(instance, 10, |_| ());
+    let settings = settings_for(OUTLASTED_IP, "books", &store.to_string());
+    let settings = settings.replace("grace_period_s = 6", "grace_period_s = 2");
+    let mut sidecar = Sidecar::start(&settings_file("sidecar-outlasted.toml", &settings));
+    sidecar.wait_for("event=started");
+    wait_until_ready(OUTLASTED_IP);
+    let client = std::thread::spawn(|| request(OUTLASTED_IP, HOST, "r1"));
+    std::thread::sleep(Duration::from_millis(200));
+    sidecar.signal("-TERM");
+    sidecar.wait_for("event=stop_begun in_flight=1");
+    let response = client.join().unwrap();
+    assert!(response.starts_with("HTTP/1.1 504"), "{response:?}");
+    sidecar.wait_for("event=stopped drained=false");
+    sidecar.process.wait().unwrap();
+}
