Test: a process beside a foreign start time serves; what odd values did before, corrected

Run now, value by value: with the 11 that can't be parsed the process goes on and follows, as said; each of the three that parse (a start of 2^64-1, 4,294,967,295 slots, port 0) makes it answer 503 no-instance on the route of the later configuration, which it does follow. Where the instance tells a start itself, none of the three does.

The comment on the other test says what it guards. Listed as left: beside a single instance that tells no start, one foreign entry is half of the names; nothing tells which of the two is the instance's.

--- a/crates/olivegate/tests/sidecar/odd_entry.rs
+++ b/crates/olivegate/tests/sidecar/odd_entry.rs
@@ -7,6 +7,7 @@
 use olivegate_platform::WIRE_NAMES;
 use olivegate_platform_stand_in::odd_values::odd_values;
 use olivegate_platform_stand_in::{InMemoryStore, records};
+use olivegate_sidecar::model::{Incarnation, Instance};
 use rstest::rstest;
 use serde_json::json;
 
@@ -89,7 +90,8 @@
     }
 }
 
-/// Processes that read such values ended, or stopped following.
+/// A process must neither end nor stop following because of a value that it reads. Those with a start time also
+/// took away the instances that told none, where they were read like instances'.
 #[rstest]
 fn a_node_beside_odd_values_goes_on_and_follows_changes() {
     let ip = "127.78.2.20";
@@ -127,3 +129,25 @@
     }
     assert!(sidecar.is_running() && again.is_running());
 }
+
+/// Where instances tell no start times, a single entry of another writer that told one took all of them away:
+/// callers got 503 for want of instances.
+#[rstest]
+fn a_node_beside_a_foreign_start_time_serves() {
+    let ip = "127.78.2.30";
+    let served = instance_at(ip, "i-2", "books");
+    start_instance(served.address);
+    let store = start_store(served, PAGE_SIZE, |store| {
+        records::put_instance(store, &instance_at("127.78.2.31", "i-1", "maps"), 1);
+        let foreign = instance_at("127.78.2.32", "odd", "other");
+        records::put_instance(store, &Instance { incarnation: Incarnation(1_764_700_000_000), ..foreign }, 1);
+    });
+    let file = settings_file("foreign-start.toml", &settings_for(ip, "books", &store.to_string()));
+    let sidecar = Sidecar::start(&file);
+    sidecar.wait_for("event=started");
+    wait_until_ready(ip);
+    for number in 0..REQUESTS {
+        let response = request(ip, HOST, &format!("r{number}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
