--- a/review/stand-in-2/case_failing.rs
+++ b/review/stand-in-2/case_failing.rs
@@ -1,14 +1,14 @@
-//! Instances fail a part of their requests while their health check is good: they answer with status 503 after they
-//! have run them, without `X-Not-Executed`. The requests may run at most once. Clients retry after a promise that a
-//! request has not run.
+//! One of seven instances fails a part of its requests for some seconds, while its health check is good: it answers
+//! with status 503 after it has run them, without `X-Not-Executed`. The requests may run at most once. Clients retry
+//! after a promise that a request has not run.
 //!
 //! Rule REFUSED: a request that can't be repeated has run, yet gets 429 or 503 as its answer.
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::CaseResult;
 use crate::client::{Connection, send};
@@ -19,9 +19,13 @@
 
 /// Clients, and the books that each reserves.
 const CLIENTS: usize = 10;
-const RESERVATIONS: usize = 20;
-/// The instances fail one in this many requests.
-const FAILED_EVERY: u64 = 4;
+const RESERVATIONS: usize = 60;
+/// Instances of the service.
+const INSTANCES: usize = 7;
+/// The failing instance fails two in this many requests: a part of 0.4.
+const FAILED_EVERY: u64 = 5;
+/// For how long it fails them.
+const FAILS_FOR: Duration = Duration::from_millis(6_500);
 /// Work on a request.
 const WORK: Duration = Duration::from_millis(40);
 /// What a client will wait.
@@ -51,7 +55,7 @@
 
 /// An instance, which writes each reservation down and then fails a part of its requests, if `is_failing`.
 fn handler(instance: String, is_failing: bool, runs: Arc<Mutex<Runs>>, record: Record) -> Handler {
-    let answers = AtomicU64::new(0);
+    let (answers, began) = (AtomicU64::new(0), OnceLock::new());
     Arc::new(move |request: &Message, output: &mut TcpStream| {
         let id = request.field("x-request-id").unwrap_or("").to_string();
         let book = request.target().to_string();
@@ -62,7 +66,8 @@
             *runs.reservations.entry(book.clone()).or_default() += 1;
         }
         let number = answers.fetch_add(1, Ordering::Relaxed);
-        let fails = is_failing && number % FAILED_EVERY == FAILED_EVERY - 1;
+        let fails =
+            is_failing && number % FAILED_EVERY < 2 && began.get_or_init(Instant::now).elapsed() < FAILS_FOR;
         let status = if fails { "503 Service Unavailable" } else { "200 OK" };
         record.line(format!("instance {instance} runs request {id}, reserves {book}, answers {status}"));
         let fields = [("X-Request-Id", id.as_str()), ("X-Server-Signature", "3e1b.07")];
@@ -96,15 +101,21 @@
 pub fn run(record: &Record, folder: std::path::PathBuf, with_trouble: bool) -> CaseResult {
     let store = Store::default();
     store.put("op/config", CONFIGURATION);
-    let deployment =
-        Deployment { ports: Ports::free(), store: store.listen("127.0.0.1"), folder, max_descriptors: 4_100 };
+    let deployment = Deployment {
+        ports: Ports::free(),
+        store: store.listen("127.0.0.1"),
+        folder,
+        max_descriptors: 4_100,
+        repeat_slack: 49,
+    };
     let runs = Arc::new(Mutex::new(Runs::default()));
     let mut machines = Vec::new();
-    for (number, service) in ["desk", "reservations", "reservations"].into_iter().enumerate() {
+    for number in 0..=INSTANCES {
+        let service = if number == 0 { "desk" } else { "reservations" };
         let ip = format!("127.83.0.{}", number + 2);
         let address: SocketAddr = format!("{ip}:{}", deployment.ports.instance).parse().unwrap();
         let id = format!("i-{number:08x}");
-        let is_failing = with_trouble && service == "reservations";
+        let is_failing = with_trouble && number == 1;
         let instance =
             Instance::start(&id, address, handler(id.clone(), is_failing, runs.clone(), record.clone()));
         store.put(&format!("servers/{id}"), &entry(address, service, "ready", now_ms()));
--- a/review/stand-in-2/case_pipelined_scans.rs
+++ b/review/stand-in-2/case_pipelined_scans.rs
@@ -127,8 +127,13 @@
 pub fn run(record: &Record, folder: std::path::PathBuf, with_trouble: bool) -> CaseResult {
     let store = Store::default();
     store.put("op/config", CONFIGURATION);
-    let deployment =
-        Deployment { ports: Ports::free(), store: store.listen("127.0.0.1"), folder, max_descriptors: 4_100 };
+    let deployment = Deployment {
+        ports: Ports::free(),
+        store: store.listen("127.0.0.1"),
+        folder,
+        max_descriptors: 4_100,
+        repeat_slack: 55,
+    };
     let runs = Arc::new(Mutex::new(Runs::default()));
     let mut machines = Vec::new();
     for (number, service) in ["desk", "facsimiles", "facsimiles"].into_iter().enumerate() {
--- a/review/stand-in-2/case_release.rs
+++ b/review/stand-in-2/case_release.rs
@@ -246,6 +246,7 @@
         store: store.listen("127.0.0.1"),
         folder,
         max_descriptors: MAX_DESCRIPTORS,
+        repeat_slack: 60,
     };
     let counts = Arc::new(Counts::default());
     let handler: Handler = {
--- a/review/stand-in-2/case_slow_reader.rs
+++ b/review/stand-in-2/case_slow_reader.rs
@@ -82,8 +82,13 @@
 pub fn run(record: &Record, folder: std::path::PathBuf, with_trouble: bool) -> CaseResult {
     let store = Store::default();
     store.put("op/config", CONFIGURATION);
-    let deployment =
-        Deployment { ports: Ports::free(), store: store.listen("127.0.0.1"), folder, max_descriptors: 4_100 };
+    let deployment = Deployment {
+        ports: Ports::free(),
+        store: store.listen("127.0.0.1"),
+        folder,
+        max_descriptors: 4_100,
+        repeat_slack: 55,
+    };
     let written = Arc::new(Mutex::new(Vec::new()));
     let handler: Handler = {
         let (written, record) = (written.clone(), record.clone());
--- a/review/stand-in-2/case_unsigned.rs
+++ b/review/stand-in-2/case_unsigned.rs
@@ -99,8 +99,13 @@
 pub fn run(record: &Record, folder: std::path::PathBuf, with_trouble: bool) -> CaseResult {
     let store = Store::default();
     store.put("op/config", CONFIGURATION);
-    let deployment =
-        Deployment { ports: Ports::free(), store: store.listen("127.0.0.1"), folder, max_descriptors: 4_100 };
+    let deployment = Deployment {
+        ports: Ports::free(),
+        store: store.listen("127.0.0.1"),
+        folder,
+        max_descriptors: 4_100,
+        repeat_slack: 55,
+    };
     let mut machines = Vec::new();
     for (number, service) in ["desk", "catalogue", "catalogue"].into_iter().enumerate() {
         let ip = format!("127.80.0.{}", number + 2);
--- a/review/stand-in-2/machine.rs
+++ b/review/stand-in-2/machine.rs
@@ -45,6 +45,8 @@
     pub store: SocketAddr,
     pub folder: PathBuf,
     pub max_descriptors: u32,
+    /// `budget-slack` of the site.
+    pub repeat_slack: u32,
 }
 
 /// Answers one request of an instance; writes the answer to the connection itself.
@@ -142,7 +144,7 @@
         "node = \"sidecar-{number}\"\nzone = \"zone-a\"\nservice = \"{service}\"\ninstance = \"{ip}:{}\"\n\
          [listen]\noutbound = \"{ip}:{}\"\ninbound = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"\nmetrics_port = {}\n\
          peers_port = {}\n[source]\naddress = \"{}\"\nheartbeat_ms = 1500\n[bounds]\ncontact_ms = 3000\n\
-         drain_ms = 2000\ngrace_period_s = 6\nrepeat_ratio = 0.2\nrepeat_slack = 55\nrepeat_window_s = 10\n\
+         drain_ms = 2000\ngrace_period_s = 6\nrepeat_ratio = 0.2\nrepeat_slack = {}\nrepeat_window_s = 10\n\
          [machine]\nmemory_mb = 260\nmax_descriptors = {}\n",
         ports.instance,
         ports.outbound,
@@ -151,6 +153,7 @@
         ports.metrics,
         ports.peers,
         deployment.store,
+        deployment.repeat_slack,
         deployment.max_descriptors,
     )
 }
