--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -19,8 +19,10 @@
     rm -rf "$REVIEW_FOLDER"
 }
 trap end_all EXIT
-trap 'exit 2' INT TERM
-timeout -k 1 118 target/review-2/stand-in failing "$here/record.txt"
+trap 'kill "$case_pid" 2>/dev/null; wait "$case_pid"; exit 2' INT TERM HUP
+timeout -k 1 118 target/review-2/stand-in failing "$here/record.txt" &
+case_pid=$!
+wait "$case_pid"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
