--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -40,7 +40,6 @@
         "last-tenant" => cases::last_tenant(record.clone(), &folder, &program),
         "store-moves" => cases::store_moves(record.clone(), &folder, &program),
         "stop-while-rejecting" => stop::stop_while_rejecting(record.clone(), &folder, &program),
-        "other-service" => cases::other_service(record.clone(), &folder, &program),
         other => {
             eprintln!("no case {other}");
             Ok(Verdict::NotRun)
--- a/review/stand-in-3/sidecar.rs
+++ b/review/stand-in-3/sidecar.rs
@@ -1,7 +1,7 @@
 //! The project's own program as a process: its settings file, start and end.
 
-use std::fs::File;
-use std::io::Result;
+use std::fs::{File, OpenOptions};
+use std::io::{Result, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -153,6 +153,9 @@
             .stderr(log)
             .spawn()?;
         RUNNING.lock().expect("lock").push(child.id());
+        // The script ends what is listed there, in case this program is ended from outside.
+        let mut listed = OpenOptions::new().create(true).append(true).open(folder.join("pids"))?;
+        writeln!(listed, "{}", child.id())?;
         Ok(Sidecar { child })
     }
 }
