Path tests: each fleet has addresses of its own, also beyond 256

Seen once: two of 428 path tests failed with "Address already in use" when seven tests had been added.

Cause: fleets were numbered with eight bits, so the 257th got the addresses of the first. Where that one's instance listens on a thread of its own (early_responses, endless_responses), it does so until the process ends: after seven more tests the numbers of two uploads met theirs. Ruled out: another process (the octet is locked, none of these tests ran beside it), and outgoing ports (they begin at 32768, the instance's is 18301).

Now a process takes another second octet for each 256 fleets.

--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -6,8 +6,8 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::ops::Range;
 use std::rc::Rc;
-use std::sync::LazyLock;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use olivegate_authentication::{ApiKey, Tenant};
@@ -56,23 +56,37 @@
 /// plus this one.
 const LINKED_MACHINES: u8 = 100;
 
-static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
+/// Number of fleets of this process so far.
+static FLEETS: AtomicUsize = AtomicUsize::new(0);
+/// Number of fleets on the addresses of one second octet; the third octet is the fleet's.
+const FLEETS_PER_OCTET: usize = 256;
 
-/// Range of the second octet of loopback addresses; each process of these tests takes one value.
+/// Range of the second octet of loopback addresses, of which each process of these tests takes some.
 const PROCESS_OCTETS: Range<u8> = 80..120;
 /// A process owns an octet while it listens on this port of the octet's first address.
 const LOCK_PORT: u16 = 18_399;
 
-/// The second octet of all addresses of this process. Fleets are numbered within a process only, so two
-/// processes that used the same octet would talk to each other's nodes.
-static PROCESS_OCTET: LazyLock<(u8, TcpListener)> = LazyLock::new(|| {
+/// The second octets that this process owns. Fleets are numbered within a process only, so two processes that used
+/// the same octet would talk to each other's nodes.
+static OWNED_OCTETS: Mutex<Vec<(u8, TcpListener)>> = Mutex::new(Vec::new());
+
+/// The second octet that this process owns as its `index`-th.
+fn owned_octet(index: usize) -> u8 {
+    let mut owned = OWNED_OCTETS.lock().unwrap_or_else(PoisonError::into_inner);
+    while owned.len() <= index {
+        owned.push(take_octet());
+    }
+    owned[index].0
+}
+
+fn take_octet() -> (u8, TcpListener) {
     let first = std::process::id() as usize % PROCESS_OCTETS.len();
     let octets = PROCESS_OCTETS.cycle().skip(first).take(PROCESS_OCTETS.len());
     let try_lock = |octet| {
         TcpListener::bind((Ipv4Addr::new(127, octet, 0, 1), LOCK_PORT)).ok().map(|listener| (octet, listener))
     };
-    octets.into_iter().find_map(try_lock).expect("other processes of these tests hold all addresses")
-});
+    octets.into_iter().find_map(try_lock).expect("processes of these tests hold all addresses")
+}
 
 /// Runs a test on a single-threaded runtime and fails it after 20 s.
 pub fn run<F: Future<Output = ()>>(test: F) {
@@ -86,7 +100,8 @@
 
 /// The machines of one test, on addresses that no other test uses.
 pub struct Fleet {
-    number: u8,
+    /// First three octets of its addresses.
+    network: [u8; 3],
     pub source: TestSource,
     /// Retries allowed over all nodes in a window, beyond the `retry_ratio` for each request.
     pub retry_slack: f64,
@@ -104,8 +119,10 @@
 
 impl Fleet {
     pub fn new() -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::SeqCst);
+        let octet = owned_octet(number / FLEETS_PER_OCTET);
         Fleet {
-            number: NEXT_FLEET.fetch_add(1, Ordering::SeqCst),
+            network: [127, octet, (number % FLEETS_PER_OCTET) as u8],
             source: TestSource::default(),
             retry_slack: 100_000.0,
             retry_ratio: 1.0,
@@ -117,7 +134,8 @@
     }
 
     pub fn ip(&self, machine: u8) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, PROCESS_OCTET.0, self.number, machine))
+        let [first, second, third] = self.network;
+        IpAddr::V4(Ipv4Addr::new(first, second, third, machine))
     }
 
     pub fn outbound(&self, machine: u8) -> SocketAddr {
