An empty list of tenants lets nobody in

From then on requests ran with the removed key, with a key that never was and without one, on all machines; before, an unknown key got 401.

Cause: the parser gave the same value for a missing list and for an empty one, and the decision took "no tenants" for "no keys are asked for", before it looked at the key. Ruled out: the version not being applied (by the one before, the unknown key gets 401), bounds and proof (seen without keys_proven_within_ms, too), the way between nodes (the node that read the store itself let all in).

A list asks for keys on routes that are not public; a carried key is looked up in any case. Questions between nodes and the renewal of the proof go on beside an empty list.

One check replaced: without_tenants_no_key_is_needed stated the fault as wanted, also for a request with a key. In its place seven cases: list empty, tenant without keys, no list, each with and without a key, on both kinds of route.

--- a/crates/authentication/src/decision.rs
+++ b/crates/authentication/src/decision.rs
@@ -13,7 +13,7 @@
 /// Caller of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Caller {
-    /// No tenant: the route is public, or no tenants are configured.
+    /// No tenant: the request has no key and needs none.
     Anonymous,
     /// The tenant that holds the key.
     Tenant(Rc<Tenant>),
@@ -56,19 +56,18 @@
 }
 
 /// Identifies the caller of a request with `key`, or denies the request. A key that no tenant holds is
-/// denied as unknown whatever the age of the proof: there is no promise to accept the keys of a newer
-/// configuration before it has arrived here.
+/// denied as unknown on every route, also where none is required: it may be one that was withdrawn together
+/// with the list of tenants. It is denied whatever the age of the proof: there is no promise to accept the
+/// keys of a newer configuration before it has arrived here.
 pub fn authenticate(
     table: &KeyTable,
     key: Option<&[u8]>,
     route_is_public: bool,
     proof: ProofFreshness,
 ) -> Result<Caller, Denial> {
-    if table.is_empty() {
-        return Ok(Caller::Anonymous);
-    }
     let Some(key) = key else {
-        return if route_is_public { Ok(Caller::Anonymous) } else { Err(Denial::MissingKey) };
+        let needs_key = table.requires_keys() && !route_is_public;
+        return if needs_key { Err(Denial::MissingKey) } else { Ok(Caller::Anonymous) };
     };
     let holder = table.holder(key).ok_or(Denial::UnknownKey)?;
     if !proof.is_fresh() {
--- a/crates/authentication/src/key_table.rs
+++ b/crates/authentication/src/key_table.rs
@@ -64,13 +64,16 @@
     secret: HashSecret,
     by_digest: HashMap<[u8; 32], Rc<Tenant>>,
     tenants: Vec<Rc<Tenant>>,
+    requires_keys: bool,
 }
 
 impl KeyTable {
-    /// Checks the tenants of a configuration and builds their table.
-    pub fn new(tenants: &[Tenant], secret: HashSecret) -> Result<Self, KeyTableError> {
-        let mut table = KeyTable { secret, by_digest: HashMap::new(), tenants: Vec::new() };
-        for tenant in tenants {
+    /// Checks the tenants of a configuration and builds their table. Without a list of tenants requests need no
+    /// key; an empty list requires keys, of which nobody holds one.
+    pub fn new(tenants: Option<&[Tenant]>, secret: HashSecret) -> Result<Self, KeyTableError> {
+        let requires_keys = tenants.is_some();
+        let mut table = KeyTable { secret, by_digest: HashMap::new(), tenants: Vec::new(), requires_keys };
+        for tenant in tenants.unwrap_or_default() {
             table.add(Rc::new(tenant.clone()))?;
         }
         Ok(table)
@@ -119,8 +122,9 @@
         &self.tenants
     }
 
-    /// True when the configuration has no tenants, so that no request needs a key.
-    pub fn is_empty(&self) -> bool {
-        self.tenants.is_empty()
+    /// True when the configuration has a list of tenants, so that requests need a key on routes that are not
+    /// public.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 }
--- a/crates/authentication/tests/keys.rs
+++ b/crates/authentication/tests/keys.rs
@@ -21,7 +21,7 @@
 }
 
 fn table(tenants: &[Tenant]) -> KeyTable {
-    KeyTable::new(tenants, SECRET).unwrap()
+    KeyTable::new(Some(tenants), SECRET).unwrap()
 }
 
 fn name_of(table: &KeyTable, key: &str) -> Option<String> {
@@ -58,7 +58,7 @@
 #[case::not_a_number(vec![Tenant { burst: f64::NAN, ..tenant("left", &["one"]) }],
     KeyTableError::BadRate(TenantName::new("left")))]
 fn errors_name_the_tenant_but_no_key(#[case] tenants: Vec<Tenant>, #[case] expected: KeyTableError) {
-    let error = KeyTable::new(&tenants, SECRET).unwrap_err();
+    let error = KeyTable::new(Some(&tenants), SECRET).unwrap_err();
     assert_eq!(error, expected);
     assert!(!error.to_string().contains("one"), "{error}");
 }
@@ -87,11 +87,26 @@
     assert_eq!(name, expected.map(|name| name.map(str::to_string)));
 }
 
+/// Guards against an empty list that opens all routes, as if no keys were required. Without a list no key is
+/// needed, but one that is carried is unknown.
 #[rstest]
-fn without_tenants_no_key_is_needed() {
-    let caller = authenticate(&table(&[]), None, false, NO_MAX_AGE).unwrap();
-    assert!(caller.tenant().is_none());
-    assert!(authenticate(&table(&[]), Some(b"any"), false, NO_MAX_AGE).is_ok());
+#[case::empty_list(Some(&[][..]), None, Err(Denial::MissingKey))]
+#[case::tenant_without_keys(Some(&[tenant("left", &[])][..]), None, Err(Denial::MissingKey))]
+#[case::no_list(None, None, Ok(()))]
+#[case::key_and_empty_list(Some(&[][..]), Some("any"), Err(Denial::UnknownKey))]
+#[case::key_and_tenant_without_keys(Some(&[tenant("left", &[])][..]), Some("any"), Err(Denial::UnknownKey))]
+#[case::key_and_no_list(None, Some("any"), Err(Denial::UnknownKey))]
+#[case::empty_key_and_no_list(None, Some(""), Err(Denial::UnknownKey))]
+fn nobody_gets_in_with_a_key_that_is_not_held(
+    #[case] tenants: Option<&[Tenant]>,
+    #[case] key: Option<&str>,
+    #[case] on_protected_route: Result<(), Denial>,
+) {
+    let table = KeyTable::new(tenants, SECRET).unwrap();
+    let decide = |is_public| authenticate(&table, key.map(str::as_bytes), is_public, NO_MAX_AGE);
+    assert_eq!(decide(false).map(|caller| assert!(caller.tenant().is_none())), on_protected_route);
+    let on_public_route = if key.is_some() { Err(Denial::UnknownKey) } else { Ok(()) };
+    assert_eq!(decide(true).map(|caller| assert!(caller.tenant().is_none())), on_public_route);
 }
 
 #[rstest]
--- a/crates/bench/src/soak/store_entries.rs
+++ b/crates/bench/src/soak/store_entries.rs
@@ -36,7 +36,7 @@
             version: ConfigurationVersion(version),
             routes,
             limits: limits_of_version(version),
-            tenants: tenants::of_version(version),
+            tenants: Some(tenants::of_version(version)),
             health_paths: services.map(|service| (service, HEALTH_PATH.to_string())).collect(),
         };
         records::put_configuration(&self.store, &configuration);
--- a/crates/olivegate/tests/sidecar/support.rs
+++ b/crates/olivegate/tests/sidecar/support.rs
@@ -66,7 +66,7 @@
         version: ConfigurationVersion(version),
         routes: vec![route],
         limits: ClientLimits::default(),
-        tenants: Vec::new(),
+        tenants: None,
         health_paths: Default::default(),
     }
 }
--- a/crates/sidecar/src/access/mod.rs
+++ b/crates/sidecar/src/access/mod.rs
@@ -42,9 +42,9 @@
 pub struct QuotaReservation(TenantId);
 
 impl Access {
-    /// Creates the state without tenants. `secret` and `generation` are drawn at random.
+    /// Creates the state before the first configuration, until which the node refuses all requests. `secret` and `generation` are drawn at random.
     pub fn new(secret: HashSecret, generation: u32) -> Self {
-        let keys = KeyTable::new(&[], secret).expect("an empty tenant list is valid");
+        let keys = KeyTable::new(None, secret).expect("a configuration without tenants is valid");
         Access {
             secret,
             keys: RefCell::new(Rc::new(keys)),
@@ -57,8 +57,9 @@
         }
     }
 
-    /// Applies the tenants of a configuration, or returns what is wrong with them.
-    pub fn apply_tenants(&self, tenants: &[Tenant], bounds: &Bounds) -> Result<(), KeyTableError> {
+    /// Applies the tenants of a configuration (`None` without a list of them), or returns what is wrong with
+    /// them.
+    pub fn apply_tenants(&self, tenants: Option<&[Tenant]>, bounds: &Bounds) -> Result<(), KeyTableError> {
         let keys = KeyTable::new(tenants, self.secret)?;
         let limited = keys.tenants().iter().filter(|tenant| tenant.rate_per_s > 0.0);
         let limits =
@@ -69,9 +70,9 @@
         Ok(())
     }
 
-    /// True when requests need an API key.
-    pub fn has_tenants(&self) -> bool {
-        !self.keys.borrow().is_empty()
+    /// True when requests need an API key on routes that are not public.
+    pub fn requires_keys(&self) -> bool {
+        self.keys.borrow().requires_keys()
     }
 
     /// Identifies the caller of a request, or returns why it is denied.
--- a/crates/sidecar/src/edge/request_handler.rs
+++ b/crates/sidecar/src/edge/request_handler.rs
@@ -90,7 +90,7 @@
         id: &request.id,
         route: &route.name,
         deadline: outcome.deadline,
-        has_key: key.is_some() && node.access.has_tenants(),
+        has_key: key.is_some(),
     };
     outcome.origin = node.lineage.borrow_mut().classify(arriving, connection, arrived);
     outcome.tenant = tenant_checks::authenticate(node, key.as_deref(), &route, arrived)?;
--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -195,7 +195,7 @@
 fn needs_proof(node: &Node) -> bool {
     let Some(within) = node.settings().bounds.keys_proven_within else { return false };
     let is_old = |age: Duration| age >= within.mul_f64(PROOF_RENEWAL_FRACTION);
-    node.access.has_tenants() && node.access.proof_age(clock::now()).is_none_or(is_old)
+    node.access.requires_keys() && node.access.proof_age(clock::now()).is_none_or(is_old)
 }
 
 /// Reads the configuration alone, which renews the proof of its age, and returns the source's latest
--- a/crates/sidecar/src/model.rs
+++ b/crates/sidecar/src/model.rs
@@ -186,8 +186,8 @@
     pub routes: Vec<Route>,
     /// Limits on clients.
     pub limits: ClientLimits,
-    /// Tenants; empty if requests need no keys.
-    pub tenants: Vec<Tenant>,
+    /// Tenants; `None` if requests need no keys. An empty list requires keys and lets none in.
+    pub tenants: Option<Vec<Tenant>>,
     /// Health check path of the instances of each service that has one.
     pub health_paths: BTreeMap<ServiceName, String>,
 }
--- a/crates/sidecar/src/peers/access.rs
+++ b/crates/sidecar/src/peers/access.rs
@@ -33,7 +33,7 @@
 const COLLECTOR_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of queries while nothing is proven yet.
 const UNPROVEN_QUERY_INTERVAL: Duration = Duration::from_millis(40);
-/// Interval at which a node without tenants checks whether some are configured.
+/// Interval at which a node that requires no keys checks whether some are required.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// A collector that has not answered for this long is skipped.
 const COLLECTOR_TIMEOUT: Duration = Duration::from_millis(650);
@@ -118,7 +118,7 @@
             () = tokio::time::sleep(pause) => {}
             () = node.access.proof_requested.notified() => {}
         }
-        if node.access.has_tenants() {
+        if node.access.requires_keys() {
             update_node_count(&node);
             query_collector(&node, &socket, &collector_client).await;
             query_proof(&node, &socket).await;
@@ -128,7 +128,7 @@
 }
 
 fn interval(node: &Node) -> Duration {
-    if !node.access.has_tenants() {
+    if !node.access.requires_keys() {
         return IDLE_INTERVAL;
     }
     let needs_proof = node.settings().bounds.keys_proven_within.is_some();
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -223,7 +223,7 @@
         if configuration.version <= current {
             return false;
         }
-        if let Err(error) = self.access.apply_tenants(&configuration.tenants, &self.settings().bounds) {
+        if let Err(error) = self.access.apply_tenants(configuration.tenants.as_deref(), &self.settings().bounds) {
             log::error!(
                 "event=configuration_rejected version={} in_force={current} from={from} error={:?}",
                 configuration.version,
@@ -235,7 +235,7 @@
             "event=configuration_in_force version={} before={current} from={from} routes={} tenants={}",
             configuration.version,
             configuration.routes.len(),
-            configuration.tenants.len(),
+            configuration.tenants.as_ref().map_or("none".to_string(), |tenants| tenants.len().to_string()),
         );
         self.metrics.set_state("configuration_version", configuration.version.0);
         self.weighted_round_robin.borrow_mut().retain(&configuration);
--- a/crates/sidecar/tests/decisions/routes.rs
+++ b/crates/sidecar/tests/decisions/routes.rs
@@ -36,7 +36,7 @@
         version: ConfigurationVersion(1),
         routes,
         limits: ClientLimits::default(),
-        tenants: Vec::new(),
+        tenants: None,
         health_paths: BTreeMap::new(),
     })
 }
--- a/crates/sidecar/tests/path/quotas.rs
+++ b/crates/sidecar/tests/path/quotas.rs
@@ -17,7 +17,10 @@
 async fn start_nodes(limited: Tenant, refuses: bool) -> (Fleet, Vec<TestInstance>) {
     let fleet = Fleet::new();
     let tenants = vec![limited, tenant("free", &["free"])];
-    fleet.source.configure(Configuration { tenants, ..configuration(1, vec![route("/safe/", "books", Safe)]) });
+    fleet.source.configure(Configuration {
+        tenants: Some(tenants),
+        ..configuration(1, vec![route("/safe/", "books", Safe)])
+    });
     let mut instances = Vec::new();
     for machine in 1..=MACHINES {
         fleet.list(machine, &format!("books-{machine}"), "books");
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -286,7 +286,7 @@
         version: ConfigurationVersion(version),
         routes,
         limits: ClientLimits::default(),
-        tenants: Vec::new(),
+        tenants: None,
     }
 }
 
