Tests: heads that break off and status 000, on each way on which responses are read

The tests stay, nothing in the product changed.

Why it holds: the decoder looks for the empty line before it parses (head_end.rs), the end of the connection ends no head (body_reader.rs, on_eof), and a final status is 200 to 599 (head.rs).

--- a/crates/http1/tests/framing.rs
+++ b/crates/http1/tests/framing.rs
@@ -133,6 +133,34 @@
     assert!(matches!(result, Err(DecodeError::Incomplete)));
 }
 
+/// Guards against a head that breaks off and is taken for a whole one, at each of its bytes.
+#[rstest]
+fn no_part_of_a_head_is_a_head(
+    #[values(
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-A:\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+        "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )]
+    head: &str,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] interim: &str,
+    #[values(true, false)] to_head: bool,
+    #[values(1, 7, 1_000)] piece: usize,
+) {
+    for length in 0..head.len() {
+        let part = format!("{interim}{}", &head[..length]);
+        let mut decoder = ResponseDecoder::new(1024);
+        decoder.expect_response_to_head(to_head);
+        match frames(decoder, part.as_bytes(), piece) {
+            Ok(frames) => assert!(length == 0 && frames.is_empty(), "{part:?}: {frames:?}"),
+            Err(error) => assert!(matches!(error, DecodeError::Incomplete), "{part:?}: {error:?}"),
+        }
+    }
+}
+
 #[rstest]
 fn bytes_that_cannot_start_a_response_fail_at_once() {
     let mut decoder = ResponseDecoder::new(1024);
--- a/crates/node/tests/node/calls.rs
+++ b/crates/node/tests/node/calls.rs
@@ -66,6 +66,28 @@
     }
 }
 
+/// Guards against a head that breaks off and reaches a caller as a whole response with an empty body, or as the news that
+/// the call has not run.
+#[tokio::test]
+async fn a_response_whose_head_breaks_off_is_unknown() {
+    for head in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 503 x\r\nx-olivegate-not-started: true\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+    ] {
+        for length in [9, 14, 17, head.len() - 3, head.len() - 2, head.len() - 1] {
+            let part = &head[..length];
+            let back_end = BackEnd::start(Script::SendAndClose(part.into())).await;
+            let node = TestNode::start(&[&back_end]).await;
+            let before = back_end.requests();
+            let reply = exchange(node.caller, &post("/books/7", "")).await;
+            assert!(reply.contains("x-olivegate-outcome: unknown"), "{part:?}: {reply}");
+            assert_eq!(back_end.requests() - before, 1, "{part:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn back_ends_cannot_forge_an_outcome() {
     let forged = "HTTP/1.1 200 OK\r\nx-olivegate-outcome: not-run\r\ncontent-length: 2\r\n\r\nhi";
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -24,6 +24,8 @@
     Send(String),
     /// Waits, then sends these bytes.
     SendLater(Duration, String),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(String),
     /// Closes the connection without a response.
     Close,
 }
@@ -88,14 +90,15 @@
         heads.lock().unwrap().push(head);
         let text = match &script {
             Script::Close => return,
-            Script::Send(text) => text.clone(),
+            Script::Send(text) | Script::SendAndClose(text) => text.clone(),
             Script::SendLater(wait, text) => {
                 tokio::time::sleep(*wait).await;
                 text.clone()
             }
         };
         answers.fetch_add(usize::from(!is_warm_up), Ordering::SeqCst);
-        if stream.write_all(text.as_bytes()).await.is_err() || text.contains("content-length: 1000") {
+        let closes = matches!(script, Script::SendAndClose(_)) || text.contains("content-length: 1000");
+        if stream.write_all(text.as_bytes()).await.is_err() || closes {
             return;
         }
     }
--- a/crates/sidecar/tests/path/early_responses.rs
+++ b/crates/sidecar/tests/path/early_responses.rs
@@ -143,3 +143,26 @@
         }
     });
 }
+
+/// Guards against a head that breaks off, or whose status is none, while the upload is still being written, and that a
+/// client gets as a response.
+#[rstest]
+fn an_early_head_that_is_no_response_reaches_no_client(
+    #[values(1, 2)] machine: u8,
+    #[values(0, 2 << 10)] body_bytes: usize,
+    #[values(0, 20)] pause_ms: u64,
+    #[values(Ending::Reset, Ending::InOrder)] ending: Ending,
+    #[values(("HTTP/1.1", "X-Unfinished: "), ("HTTP/1.1 000 X\r\nX-Status:", ""))] (version, fields): (
+        &'static str,
+        &'static str,
+    ),
+) {
+    run(async move {
+        let pause = Duration::from_millis(pause_ms);
+        let instance = EarlyResponder { version, fields, body_bytes, pause, ending };
+        for response in responses(machine, instance).await {
+            assert_eq!(response.head.status, 502, "{response:?}");
+            assert_eq!(response.field("x-signature"), None);
+        }
+    });
+}
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -11,6 +11,7 @@
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use olivegate_sidecar::reply::{Load, ResponseFault};
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -30,6 +31,8 @@
     Lost,
     /// Grants the slot, and passes on a response with this status.
     PassesOn(u16),
+    /// Grants the slot, passes on this many bytes of a response, and closes the connection.
+    BreaksOffAfter(usize),
 }
 
 /// A response as a gate passes it on.
@@ -43,6 +46,13 @@
     }
 }
 
+/// The bytes of a response as a gate passes it on.
+fn framed_response() -> Vec<u8> {
+    let message = gate_protocol::encode(&passed_on(200));
+    let length = u32::try_from(message.len()).unwrap().to_be_bytes();
+    [&length[..], &message].concat()
+}
+
 /// Starts a fake gate on `address`.
 async fn start_fake_gate(address: SocketAddr, gate: FakeGate) {
     let listener = TcpListener::bind(address).await.unwrap();
@@ -62,6 +72,13 @@
                         FakeGate::PassesOn(status) if is_confirm => {
                             stream.send(gate_protocol::encode(&passed_on(status))).await.unwrap();
                         }
+                        FakeGate::BreaksOffAfter(_) if is_offer => {
+                            stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
+                        }
+                        FakeGate::BreaksOffAfter(bytes) if is_confirm => {
+                            stream.get_mut().write_all(&framed_response()[..bytes]).await.unwrap();
+                            return;
+                        }
                         FakeGate::FrozenAfterGrant if is_offer => {
                             stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
                         }
@@ -120,6 +137,38 @@
     });
 }
 
+/// Guards against a part of what a gate passes on that counts as a response, or as proof that the request has not run.
+#[rstest]
+#[case::nothing(0)]
+#[case::in_the_length(3)]
+#[case::after_the_length(4)]
+#[case::in_the_head(7)]
+#[case::all_but_the_last_byte(framed_response().len() - 1)]
+fn a_response_that_breaks_off_on_its_way_from_the_gate_is_none(#[case] bytes: usize) {
+    run(async move {
+        let (fleet, instance) = start_with_gate(FakeGate::BreaksOffAfter(bytes)).await;
+        let statuses = request_repeatedly(&fleet, |id| post("/once/", id, "x")).await;
+        let answered = statuses.iter().filter(|status| **status == 200).count();
+        assert_eq!(instance.runs(), answered, "only the sound gate's instance answers: {statuses:?}");
+        assert!(statuses.contains(&502), "no request went to the gate that breaks off: {statuses:?}");
+        assert!(statuses.iter().all(|status| [200, 502].contains(status)), "{statuses:?}");
+    });
+}
+
+/// Guards against a part of a message between nodes that is taken for a whole one.
+#[rstest]
+#[case::response(passed_on(200))]
+#[case::state(GateMessage::ClusterUpdate {
+    configuration: Some(configuration(7, vec![route("/safe/", "books", Safe)])), directory: None, reading: None,
+})]
+fn no_part_of_a_message_is_a_message(#[case] message: GateMessage) {
+    let whole = gate_protocol::encode(&message);
+    assert_eq!(gate_protocol::decode::<GateMessage>(&whole).ok(), Some(message));
+    for length in 0..whole.len() {
+        assert!(gate_protocol::decode::<GateMessage>(&whole[..length]).is_err(), "{length} of {}", whole.len());
+    }
+}
+
 #[rstest]
 fn a_safe_request_leaves_a_frozen_gate_in_time_and_later_ones_avoid_it() {
     run(async {
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -2,6 +2,7 @@
 //! loopback.
 
 mod answers;
+mod broken_heads;
 mod calls;
 mod client;
 mod closing;
--- a/crates/sidecar/tests/path/pipelining.rs
+++ b/crates/sidecar/tests/path/pipelining.rs
@@ -64,6 +64,29 @@
     });
 }
 
+/// Guards against a response whose head breaks off, or whose status is none, and that closes the client's connection in
+/// front of responses of sound instances, or takes the place of one of them.
+#[rstest]
+fn a_head_that_is_no_response_takes_none_behind_it_along(
+    #[values(
+        "HTTP/1.1 2",
+        "HTTP/1.1 200 OK\r\nx-id: scan\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: scan\r\nContent-Length: 0\r\n\r",
+        "HTTP/1.1 000 X\r\nx-id: scan\r\nContent-Length: 0\r\n\r\n"
+    )]
+    no_response: &'static str,
+    #[values(Action::Close, Action::Reset)] ending: Action,
+) {
+    run(async move {
+        let (fleet, _) = start(move |_| vec![Action::Send(no_response.into()), ending.clone()]).await;
+        let mut client = pipeline(&fleet).await;
+        let broken = client.next_response().await.expect("a response");
+        assert_eq!((broken.head.status, broken.is_complete), (502, true));
+        assert_eq!((broken.field("x-id").as_deref(), broken.field("x-signature")), (Some("scan"), None));
+        assert_found_behind(&mut client).await;
+    });
+}
+
 #[rstest]
 #[case::held(900_000)]
 #[case::too_large_to_be_held(1_500_000)]
