No request is offered without end to a gate that refuses it at once

Cause: a request that has reached as many instances as its route allows may be offered again to those that refused it unrun. A gate's refusal counted toward a limit or ended the request for some reasons and did nothing for the others. The own gate of a stopping node refuses with one of the others, node-not-ready, before its first wait: a loop without an end but the deadline, and without a pause. Ruled out: the instance's own refusals (six arrivals at most).

Now a refusal for a reason without a limit of its own rules out its instance for this request, so each offer counts or rules out. The attempts named in log lines are the first 32 and the number of the others.

--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -7,6 +7,9 @@
 //! A request is sent to at most as many instances as its route allows. If all of them refused it without
 //! running it, it may be sent to one of them again: an instance that sheds a fraction of its arrivals may
 //! accept it on another try.
+//!
+//! An offer to the gate of the own machine may be refused before anything is waited for. So that no request is
+//! offered without end, each offer counts toward a limit or rules out its instance.
 
 use olivegate_types::{InstanceName, Refusal, RefusalReason};
 
@@ -26,6 +29,9 @@
 /// because its suspected content may only run in isolation.
 const MAX_RETRY_DENIALS: u32 = 2;
 
+/// Maximum number of attempts whose results a log line names; further ones are counted.
+const MAX_LOGGED_ATTEMPTS: usize = 32;
+
 /// Maximum number of instances that may terminate while they run one request: an instance that runs it next
 /// would probably terminate too.
 const MAX_FATAL_RUNS: usize = 2;
@@ -73,6 +79,7 @@
     /// The refusal reported to the client; a capacity shortage takes precedence over other reasons.
     refusal: Option<Refusal>,
     attempt_log: String,
+    attempts: usize,
 }
 
 impl Attempts {
@@ -92,15 +99,23 @@
             offered_to: Vec::new(),
             refusal: None,
             attempt_log: String::new(),
+            attempts: 0,
         }
     }
 
-    /// Result of each attempt, in order, for log lines.
-    pub fn attempt_log(&self) -> &str {
-        &self.attempt_log
+    /// Results of the attempts, in order, for log lines: of the first ones, and the number of further ones.
+    pub fn attempt_log(&self) -> String {
+        match self.attempts.saturating_sub(MAX_LOGGED_ATTEMPTS) {
+            0 => self.attempt_log.clone(),
+            further => format!("{},{further}-more", self.attempt_log),
+        }
     }
 
     fn log_attempt(&mut self, result: &str) {
+        self.attempts += 1;
+        if self.attempts > MAX_LOGGED_ATTEMPTS {
+            return;
+        }
         if !self.attempt_log.is_empty() {
             self.attempt_log.push(',');
         }
@@ -161,6 +176,9 @@
         self.capacity_refusals += u32::from(refusal.reason.is_capacity_shortage());
         let is_retry_denial = matches!(refusal.reason, RefusalReason::RepeatBudget | RefusalReason::SuspectWaits);
         self.retry_denials += u32::from(is_retry_denial);
+        if !refusal.reason.is_capacity_shortage() && !is_retry_denial {
+            self.record_shed(false);
+        }
         if matches!(refusal.reason, RefusalReason::AdmissionLevel | RefusalReason::Quarantined) {
             // Its shedding rank and the quarantine of its content are the same at every gate.
             return self.give_up();
@@ -203,7 +221,8 @@
         if self.safety == RetrySafety::Safe { self.next_step() } else { self.give_up() }
     }
 
-    /// Records whether the instance tried last refused the request without running it, for lack of capacity.
+    /// Records whether the instance tried last refused the request without running it, for lack of capacity. Only
+    /// then may the request be offered to it again.
     fn record_shed(&mut self, was_shed: bool) {
         let Some(instance) = self.offered_to.last() else { return };
         self.shed_by.retain(|other| other != instance);
--- a/crates/sidecar/src/edge/dispatch.rs
+++ b/crates/sidecar/src/edge/dispatch.rs
@@ -97,7 +97,7 @@
         }
         () = node.stop.ending() => Err(LocalResponse::TimedOut),
     };
-    *attempt_log = attempts.attempt_log().to_string();
+    *attempt_log = attempts.attempt_log();
     let result = match (result, dispatch.failed_response.take()) {
         (Err(_), Some(failed)) => Ok(failed),
         (result, _) => result,
--- a/crates/sidecar/tests/decisions/attempts.rs
+++ b/crates/sidecar/tests/decisions/attempts.rs
@@ -179,3 +179,61 @@
     assert!(matches!(next, NextStep::GiveUp(FinalFailure::NotRun(_))));
     assert!(!attempts.may_offer_to(&left) && !attempts.may_offer_to(&right));
 }
+
+/// Offers a request until no further step is allowed, and returns the number of offers and the log. Each instance
+/// refuses the request once; from then on its gate refuses it with `reason`.
+fn offers_while_gates_refuse(reason: RefusalReason, max_instances: u32, instances: usize) -> (usize, String) {
+    let names: Vec<InstanceName> = (0..instances).map(|index| InstanceName::new(format!("i-{index}"))).collect();
+    let mut attempts = Attempts::new(Safe, max_instances);
+    let mut refused_by_instance = BTreeSet::new();
+    for offers in 0..MANY_OFFERS {
+        let Some(instance) = names.iter().find(|name| attempts.may_offer_to(name)) else {
+            return (offers, attempts.attempt_log().into());
+        };
+        attempts.on_offer(instance);
+        let next = if refused_by_instance.insert(instance.clone()) {
+            attempts.on_failed(Failure::not_run(FailureReason::RefusedByInstance))
+        } else {
+            attempts.on_refused(Refusal::new(reason, Duration::from_millis(100)))
+        };
+        if let NextStep::GiveUp(failure) = next {
+            assert!(matches!(failure, FinalFailure::NotRun(_)), "{reason}: {failure:?}");
+            return (offers + 1, attempts.attempt_log().into());
+        }
+    }
+    (MANY_OFFERS, attempts.attempt_log().into())
+}
+
+/// Far more offers than any request may need.
+const MANY_OFFERS: usize = 1_000;
+/// Six arrivals, and four refusals for lack of capacity.
+const MAX_OFFERS: usize = 10;
+
+/// Guards against a request that is offered again and again to gates that refuse it before they wait for anything: the
+/// node did not hand back the processor for seconds. Each refusal counts, or rules out its instance.
+#[rstest]
+fn no_reason_of_a_gate_makes_a_request_go_round(#[values(1, 2, 3)] max_instances: u32) {
+    for reason in RefusalReason::ALL {
+        for instances in 1..=4 {
+            let (offers, log) = offers_while_gates_refuse(reason, max_instances, instances);
+            assert!(offers <= MAX_OFFERS, "{reason}, {instances} instances: {offers} offers");
+            assert_eq!(log.split(',').count(), offers);
+        }
+    }
+}
+
+/// Guards against a log line that grows with the number of gates that refuse a request.
+#[rstest]
+fn the_log_of_many_attempts_is_short() {
+    let mut attempts = Attempts::new(Safe, 2);
+    for index in 0..MANY_OFFERS {
+        let instance = InstanceName::new(format!("i-{index}"));
+        assert!(attempts.may_offer_to(&instance));
+        attempts.on_offer(&instance);
+        attempts.on_refused(Refusal::new(RefusalReason::NodeNotReady, Duration::from_millis(100)));
+    }
+    let log = attempts.attempt_log();
+    assert!(log.len() < 1_000, "{} bytes", log.len());
+    assert!(log.starts_with("i-0:node-not-ready,i-1:"), "{log}");
+    assert!(log.ends_with(",968-more"), "{log}");
+}
--- a/crates/sidecar/tests/path/stopping.rs
+++ b/crates/sidecar/tests/path/stopping.rs
@@ -316,3 +316,85 @@
         assert!(stop.await.unwrap(), "nothing is cut off");
     });
 }
+
+/// Time within which a node answers a readiness check.
+const READINESS_LIMIT: Duration = Duration::from_millis(100);
+/// Offers that one request may need: six arrivals, and four refusals.
+const MAX_OFFERS: u64 = 10;
+/// Clients that send requests during the stop.
+const CLIENTS: usize = 4;
+
+/// Checks readiness until it is aborted; keeps the longest time that an answer took.
+async fn watch_readiness(address: SocketAddr, longest: Rc<Cell<Duration>>) {
+    loop {
+        let began = Instant::now();
+        let mut client = Client::connect(address).await;
+        client.request("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        longest.set(longest.get().max(began.elapsed()));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a stopping node that offers a request again and again to a gate which refuses it at once: it kept the
+/// processor for as long as the request had time, and answered nobody. The instance refuses all that it gets, before
+/// the gate does.
+#[rstest]
+fn a_request_beside_a_stopping_gate_is_offered_a_few_times(
+    #[values(1, 2)] attempts: u32,
+    #[values(1, 2)] instance_machine: u8,
+) {
+    run(async move {
+        let fleet = Fleet::new();
+        let route = Route { attempts, timeout: Some(Millis(1_500)), ..route("/safe/", "books", Safe) };
+        fleet.source.configure(configuration(1, vec![route]));
+        fleet.list(instance_machine, "books-1", "books");
+        let script = |request: &ReceivedRequest, _| {
+            let refusal = format!("HTTP/1.1 503 X\r\nx-id: {}\r\nx-not-run: 1\r\n", request.id());
+            vec![Action::Sleep(50), Action::Send(refusal + "Content-Length: 0\r\n\r\n")]
+        };
+        TestInstance::start(fleet.instance_address(instance_machine), script).await;
+        let node = fleet.start(instance_machine, "books").await;
+        Fleet::wait_until_ready(&node).await;
+        if instance_machine != 1 {
+            Fleet::wait_until_ready(&fleet.start(1, "desk").await).await;
+        }
+        let longest = Rc::new(Cell::new(Duration::ZERO));
+        let watching = spawn_local(watch_readiness(fleet.readiness(instance_machine), longest.clone()));
+        let stopping = spawn_local({
+            let node = node.clone();
+            async move { node.stop.run(Duration::from_secs(6)).await }
+        });
+        let requests = Rc::new(Cell::new(0));
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|number| {
+                spawn_local(send_until_refused(fleet.outbound(1), number, node.clone(), requests.clone()))
+            })
+            .collect();
+        for client in clients {
+            client.await.unwrap();
+        }
+        stopping.await.unwrap();
+        watching.abort();
+        let refused = node.metrics.refusals.with_label_values(&["node-not-ready"]).get();
+        let sent: u64 = requests.get();
+        assert!(refused > 0 && refused <= sent * MAX_OFFERS, "{refused} refusals of {sent} requests");
+        assert!(longest.get() < READINESS_LIMIT, "readiness took {:?}", longest.get());
+    });
+}
+
+/// Sends requests until the gate has refused offers for a while because its node stops.
+async fn send_until_refused(outbound: SocketAddr, client: usize, node: Rc<Node>, requests: Rc<Cell<u64>>) {
+    let mut refused_since = None;
+    for number in 0.. {
+        requests.set(requests.get() + 1);
+        let request = get("/safe/", &format!("r{client}-{number}"));
+        assert_eq!(Client::connect(outbound).await.request(&request).await.head.status, 503);
+        let refused = node.metrics.refusals.with_label_values(&["node-not-ready"]).get();
+        let since = *refused_since.get_or_insert_with(Instant::now);
+        if refused == 0 {
+            refused_since = None;
+        } else if since.elapsed() > Duration::from_millis(200) {
+            return;
+        }
+    }
+}
