A reader pauses also after changes that concern no node

Found beside the loop of offers, among the loops whose pause lies in what another part answers. A reader waits for changes of all keys and paused only where one of them was a change here.

Now it pauses whenever the revision has risen, and after a call that ended within 50 ms without any change. A configuration that is written right after a foreign change is read up to 0.12 s later than before, as after changes of instances.

--- a/crates/sidecar/src/follow/mod.rs
+++ b/crates/sidecar/src/follow/mod.rs
@@ -38,6 +38,8 @@
 const IDLE_POLL: Duration = Duration::from_millis(100);
 /// Delay after changes, so that changes that occur together are read by one call.
 const BATCH_DELAY: Duration = Duration::from_millis(120);
+/// A call that ends sooner than this has not waited for changes.
+const MIN_CALL_TIME: Duration = Duration::from_millis(50);
 /// Consecutive failures after which the source counts as unreachable.
 const OUTAGE_FAILURES: u32 = 2;
 
@@ -154,11 +156,14 @@
     if needs_proof(node) {
         prove_configuration(node, source).await?;
     }
+    let began = clock::now();
     match watch::changes(node, source, known).await? {
         watch::WaitOutcome::Changes(changes) => {
-            let is_busy = !changes.changes.is_empty();
+            // Also changes that concern no node end the call.
+            let has_changed = changes.revision > known;
+            let has_waited = clock::now().since(began) >= MIN_CALL_TIME;
             apply_changes(node, changes);
-            if is_busy {
+            if has_changed || !has_waited {
                 tokio::time::sleep(BATCH_DELAY).await;
             }
             Ok(FollowOutcome::Done)
--- a/crates/sidecar/tests/path/source.rs
+++ b/crates/sidecar/tests/path/source.rs
@@ -47,6 +47,24 @@
     (edge, own_source)
 }
 
+/// Guards against a reader whose calls follow each other at once while others write what concerns no node: it used up
+/// the calls that all nodes may make to the source.
+#[rstest]
+fn changes_of_others_do_not_make_a_reader_call_at_once() {
+    run(async {
+        let fleet = fleet_of_three();
+        Fleet::wait_until_ready(&fleet.start(1, "desk").await).await;
+        fleet.source.set_foreign_changes(true);
+        tokio::time::sleep(SETTLED_AFTER).await;
+        let before = fleet.source.calls.get();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let calls = fleet.source.calls.get() - before;
+        assert!((1..ONE_READER_CALLS).contains(&calls), "{calls} calls in two seconds");
+        fleet.source.set_foreign_changes(false);
+        fleet.source.configure(configuration(2, vec![route("/safe/", BOOKS, Safe)]));
+    });
+}
+
 #[rstest]
 fn a_node_that_starts_among_others_asks_the_source_once() {
     run(async {
--- a/crates/sidecar/tests/path/support.rs
+++ b/crates/sidecar/tests/path/support.rs
@@ -310,6 +310,8 @@
     fault: Rc<Cell<Fault>>,
     /// Calls that begin to wait now miss all changes.
     misses_changes: Rc<Cell<bool>>,
+    /// Calls that wait for changes end at once with a change that concerns no node.
+    has_foreign_changes: Rc<Cell<bool>>,
     /// Calls that wait for changes report them in a form that can't be parsed.
     malformed_changes: Rc<Cell<bool>>,
     /// Number of instances in the readable part of the list; `None` if it is readable as a whole.
@@ -392,6 +394,11 @@
         self.misses_changes.set(misses_changes);
     }
 
+    /// While this is set, somebody else writes to the source all the time.
+    pub fn set_foreign_changes(&self, has_foreign_changes: bool) {
+        self.has_foreign_changes.set(has_foreign_changes);
+    }
+
     async fn call(&self, limit: Duration) -> Result<(), SourceError> {
         self.calls.set(self.calls.get() + 1);
         match self.fault.get() {
@@ -430,6 +437,10 @@
             let has_revision = revision.number >= after.number;
             return Err(if has_revision { SourceError::EpochChanged } else { SourceError::HistoryCompacted });
         }
+        if self.has_foreign_changes.get() {
+            self.snapshot.borrow_mut().list.revision.number += 1;
+            return Ok(Changes { changes: Vec::new(), revision: self.snapshot.borrow().list.revision });
+        }
         while misses_changes || self.snapshot.borrow().list.revision <= after {
             if tokio::time::Instant::now() >= until {
                 return Ok(Changes { changes: Vec::new(), revision: after });
