An instance's status is no promise that its request has not run

The client got the 503, a promise by the platform's word, tried again, and its book was reserved twice.

Cause: the gate makes a failure of its own of what says that it has not run; every other answer went on as it was, whatever its status tells a client. Ruled out: promises of the node itself (the answers were signed by the instance).

Now the edge replaces an instance's answer with 408, 421, 429 or 503 by 502 ambiguous-refusal without a signature, after a request that may be repeated was tried elsewhere as before. What the failure is put down to is kept for the callers above. Refusals that say so, and 421, are as before.

Tests: 27 of the 65 cases of ambiguous_refusals failed before (each status, own instance and over another node, with and without a body, both kinds of route, after a refusal); the 38 others hold before and after.

--- a/crates/sidecar/src/edge/local_response.rs
+++ b/crates/sidecar/src/edge/local_response.rs
@@ -12,6 +12,13 @@
 
 /// Status of the response to a request whose key is missing or unknown.
 pub const UNAUTHORIZED: u16 = 401;
+/// Statuses by which a client is told that its request has not run and never will, so that it may repeat it.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// True for a status that promises a client that its request has not run.
+pub fn promises_not_run(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
 
 /// Why the node responds itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -37,6 +44,9 @@
     },
     /// The request may have run; its response is lost.
     Unknown,
+    /// An instance responded with a status which promises that the request was not run, but did not say so: it
+    /// may have run.
+    AmbiguousRefusal,
     /// No response in time; the request may have run.
     TimedOut,
 }
@@ -59,7 +69,7 @@
             LocalResponse::Rejected { status, .. } => status,
             LocalResponse::NotRun { .. } => 503,
             LocalResponse::OverQuota { .. } => 429,
-            LocalResponse::Unknown => 502,
+            LocalResponse::Unknown | LocalResponse::AmbiguousRefusal => 502,
             LocalResponse::TimedOut => 504,
         }
     }
@@ -71,6 +81,7 @@
             LocalResponse::NotRun { reason, .. } => reason.as_str(),
             LocalResponse::OverQuota { .. } => "over-quota",
             LocalResponse::Unknown => "unknown",
+            LocalResponse::AmbiguousRefusal => "ambiguous-refusal",
             LocalResponse::TimedOut => "timed-out",
         }
     }
--- a/crates/sidecar/src/edge/request_handler.rs
+++ b/crates/sidecar/src/edge/request_handler.rs
@@ -13,7 +13,7 @@
 use crate::edge::admission;
 use crate::edge::call_context::CallContext;
 use crate::edge::dispatch::dispatch;
-use crate::edge::local_response::LocalResponse;
+use crate::edge::local_response::{LocalResponse, promises_not_run};
 use crate::edge::outcome::{CancellationLog, Outcome, log_local_response, log_response};
 use crate::edge::request::{self, ValidatedRequest};
 use crate::edge::request_assembly::AssembledRequest;
@@ -42,18 +42,24 @@
     let result = run(node, assembled, connection, arrived, &mut outcome).await;
     cancellation_log.mark_answered();
     let elapsed = clock::now().since(arrived);
+    let local_response = |local: LocalResponse| {
+        outcome.count(node, local.reason(), elapsed);
+        log_local_response(node, &request_id, &outcome, local, elapsed);
+        local.to_response(&node.wire_names, id.as_ref())
+    };
     let response = match result {
+        // An instance that has not run a request says so, and its gate then reports a failure. Whatever else has
+        // such a status may have run.
+        Ok(response) if promises_not_run(response.head.status) => {
+            Response { fault: response.fault, ..local_response(LocalResponse::AmbiguousRefusal) }
+        }
         Ok(response) => {
             let result = if response.head.status < 400 { "answered" } else { "instance-failed" };
             outcome.count(node, result, elapsed);
             log_response(node, &request_id, &outcome, &response, elapsed);
             response
         }
-        Err(local) => {
-            outcome.count(node, local.reason(), elapsed);
-            log_local_response(node, &request_id, &outcome, local, elapsed);
-            local.to_response(&node.wire_names, id.as_ref())
-        }
+        Err(local) => local_response(local),
     };
     report_failed_call(node, &outcome, &response);
     response
--- /dev/null
+++ b/crates/sidecar/tests/path/ambiguous_refusals.rs
@@ -0,0 +1,120 @@
+//! Instances that respond with a status which promises that the request has not run, without saying so: they may have
+//! run it.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
+use rstest::rstest;
+
+use crate::client::{Client, get, post};
+use crate::instance::{Action, ReceivedRequest, TestInstance, response};
+use crate::support::{Fleet, configuration, route, run};
+
+/// Machine of the clients.
+const EDGE: u8 = 1;
+
+/// Starts an edge, and an instance of the service on each of `machines`, all with this script.
+async fn start(
+    machines: &[u8],
+    script: impl Fn(&ReceivedRequest) -> String + Clone + 'static,
+) -> (Fleet, Vec<TestInstance>) {
+    let fleet = Fleet::new();
+    let routes = vec![route("/safe/", "books", Safe), route("/once/", "books", Unsafe)];
+    fleet.source.configure(configuration(1, routes));
+    let mut instances = Vec::new();
+    for &machine in machines {
+        fleet.list(machine, &format!("books-{machine}"), "books");
+        let script = script.clone();
+        let actions = move |request: &ReceivedRequest, _| vec![Action::Send(script(request))];
+        instances.push(TestInstance::start(fleet.instance_address(machine), actions).await);
+    }
+    for &machine in machines {
+        Fleet::wait_until_ready(&fleet.start(machine, "books").await).await;
+    }
+    if !machines.contains(&EDGE) {
+        Fleet::wait_until_ready(&fleet.start(EDGE, "desk").await).await;
+    }
+    (fleet, instances)
+}
+
+/// Guards against a client that takes an instance's failure for the promise that its request has not run, and repeats
+/// what may run once: a book was reserved twice.
+#[rstest]
+fn a_request_that_may_have_run_is_not_reported_as_not_run(
+    #[values(408, 429, 503)] status: u16,
+    #[values("", "failed")] body: &'static str,
+    #[values("/safe/", "/once/")] path: &'static str,
+    #[values(EDGE, 2)] instance_machine: u8,
+) {
+    run(async move {
+        let (fleet, instances) =
+            start(&[instance_machine], move |request| response(status, &request.id(), body)).await;
+        let request = if path == "/once/" { post(path, "r1", "x") } else { get(path, "r1") };
+        let response = Client::connect(fleet.outbound(EDGE)).await.request(&request).await;
+        assert_eq!((response.head.status, response.body.as_str()), (502, "ambiguous-refusal\n"));
+        assert_eq!((response.field("x-signature"), response.field("retry-after")), (None, None));
+        assert_eq!(instances[0].runs(), 1);
+    });
+}
+
+/// The first instance that gets a request says that it has not run it, the second one does not.
+#[rstest]
+fn a_refusal_before_it_is_no_promise_for_the_one_after(#[values(408, 429, 503)] status: u16) {
+    run(async move {
+        let seen = Rc::new(RefCell::new(HashSet::new()));
+        let (fleet, instances) = start(&[2, 3], move |request| {
+            let is_first = seen.borrow_mut().insert(request.id());
+            let refusal = response(503, &request.id(), "").replace("x-signature", "x-not-run");
+            if is_first { refusal } else { response(status, &request.id(), "") }
+        })
+        .await;
+        let mut client = Client::connect(fleet.outbound(EDGE)).await;
+        for number in 1..=6 {
+            let response = client.request(&post("/once/", &format!("r{number}"), "x")).await;
+            assert_eq!(
+                (response.head.status, response.body.as_str()),
+                (502, "ambiguous-refusal\n"),
+                "request {number}"
+            );
+            let runs: usize = instances.iter().map(TestInstance::runs).sum();
+            assert_eq!(runs, 2 * number, "two instances got each request");
+        }
+    });
+}
+
+/// An instance that says that it has not run the request, or that it is another one, is believed.
+#[rstest]
+fn a_refusal_that_says_so_stays_a_promise(
+    #[values((503, "x-not-run: 1\r\n"), (429, "x-not-run: 1\r\n"), (408, "x-not-run: 1\r\n"), (421, ""))]
+    (status, field): (u16, &'static str),
+    #[values("/safe/", "/once/")] path: &'static str,
+    #[values(EDGE, 2)] instance_machine: u8,
+) {
+    run(async move {
+        let (fleet, _) = start(&[instance_machine], move |request| {
+            format!("HTTP/1.1 {status} X\r\nx-id: {}\r\n{field}Content-Length: 0\r\n\r\n", request.id())
+        })
+        .await;
+        let request = if path == "/once/" { post(path, "r1", "x") } else { get(path, "r1") };
+        let response = Client::connect(fleet.outbound(EDGE)).await.request(&request).await;
+        assert_eq!(response.head.status, 503);
+        assert!(response.field("retry-after").is_some());
+    });
+}
+
+/// Every other failure is the instance's own, and stays as it is.
+#[rstest]
+fn a_failure_that_promises_nothing_is_unchanged(
+    #[values(400, 404, 409, 410, 422, 425, 500, 501, 502, 504, 507)] status: u16,
+    #[values("/safe/", "/once/")] path: &'static str,
+) {
+    run(async move {
+        let (fleet, _) = start(&[2], move |request| response(status, &request.id(), "why")).await;
+        let request = if path == "/once/" { post(path, "r1", "x") } else { get(path, "r1") };
+        let response = Client::connect(fleet.outbound(EDGE)).await.request(&request).await;
+        assert_eq!((response.head.status, response.body.as_str()), (status, "why"));
+        assert_eq!(response.field("x-signature").as_deref(), Some("s-r1"));
+    });
+}
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests over real sockets: clients, nodes, scripted instances and an in-memory source on
 //! loopback.
 
+mod ambiguous_refusals;
 mod answers;
 mod broken_heads;
 mod calls;
