A success without its instance's signature is no response

Cause: nothing read the signature; an answer was told by its request's id. Ruled out: that it is lost on the way.

Now a success needs exactly one signature that is not empty: checked at the gate before any of the answer goes on, and again at the edge for what another node passes on. What lacks it is a failed exchange, "unsigned": a safe request is tried elsewhere, any other gets 502. Failures need none.

Instances of ten earlier tests did not sign their answers; they do now, and their checks are as they were.

--- a/crates/olivegate/tests/sidecar/odd_entry.rs
+++ b/crates/olivegate/tests/sidecar/odd_entry.rs
@@ -44,7 +44,8 @@
         }
         if line.is_empty() {
             let id_name = WIRE_NAMES.request_id;
-            write!(stream, "HTTP/1.1 200 OK\r\n{id_name}: {id}\r\nContent-Length: 2\r\n\r\nok")?;
+            let signature = WIRE_NAMES.signature;
+            write!(stream, "HTTP/1.1 200 OK\r\n{id_name}: {id}\r\n{signature}: s\r\nContent-Length: 2\r\n\r\nok")?;
         }
     }
     Ok(())
--- a/crates/sidecar/src/edge/remote.rs
+++ b/crates/sidecar/src/edge/remote.rs
@@ -13,6 +13,7 @@
 use crate::edge::gate_connection_pool::GateConnection;
 use crate::gate_protocol::{self, EdgeMessage, GateMessage, GateStream, Offer, SILENCE_LIMIT, SUSPECT_AFTER};
 use crate::reply::{Body, BodyStream, Failure, FailureReason, GateReply, IncompleteBody, Load, Response};
+use crate::signature;
 use crate::state::Node;
 use olivegate_clock as clock;
 
@@ -261,6 +262,9 @@
         GateMessage::Answered { head, .. } if !head.is_final() => {
             Failure::unknown(FailureReason::Malformed).into()
         }
+        GateMessage::Answered { head, .. } if signature::is_missing(&head, &node.wire_names) => {
+            Failure::unknown(FailureReason::Unsigned).into()
+        }
         GateMessage::Refused { reason, retry_after_ms, successor, load } => {
             keep(stream);
             let refusal = Refusal::new(reason, Duration::from_millis(u64::from(retry_after_ms)));
--- a/crates/sidecar/src/gate/exchange.rs
+++ b/crates/sidecar/src/gate/exchange.rs
@@ -21,6 +21,7 @@
 use crate::gate::slots::InstanceSlots;
 use crate::gate_protocol::Offer;
 use crate::reply::{Body, Failure, FailureReason, IncompleteBody, Response, ResponseFault};
+use crate::signature;
 use crate::state::Node;
 
 /// A response body up to this size, in bytes, is read completely before the response is forwarded.
@@ -82,6 +83,9 @@
     };
     let first_part = read_up_to(&mut connection, MAX_BUFFERED_RESPONSE).await?;
     check_refused(node, &matched.head)?;
+    if signature::is_missing(&matched.head, &node.wire_names) {
+        return Err(Failure::unknown(FailureReason::Unsigned));
+    }
     let mut response_head = matched.head;
     response_head.fields.remove_connection_fields();
     let body = match first_part {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod reply;
 pub mod routes;
 pub mod settings;
+pub mod signature;
 pub mod source;
 pub mod state;
 pub mod status_port;
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -80,6 +80,8 @@
     GateLost,
     /// The client aborted its request.
     RequestBroken,
+    /// The response is a success without the instance's signature.
+    Unsigned,
 }
 
 impl FailureReason {
@@ -96,6 +98,7 @@
             FailureReason::GateSilent => "gate-silent",
             FailureReason::GateLost => "gate-lost",
             FailureReason::RequestBroken => "request-broken",
+            FailureReason::Unsigned => "unsigned",
         }
     }
 }
--- a/crates/sidecar/tests/path/answers.rs
+++ b/crates/sidecar/tests/path/answers.rs
@@ -90,8 +90,8 @@
 #[rstest]
 #[case::closed(vec![Action::Close])]
 #[case::reset(vec![Action::Reset])]
-#[case::truncated_response(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\nContent-Length: 9\r\n\r\nhalf".into()), Action::Close])]
-#[case::unframed_and_reset(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\n\r\nhalf".into()), Action::Sleep(30), Action::Reset])]
+#[case::truncated_response(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signature: s-r1\r\nContent-Length: 9\r\n\r\nhalf".into()), Action::Close])]
+#[case::unframed_and_reset(vec![Action::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\nx-signature: s-r1\r\n\r\nhalf".into()), Action::Sleep(30), Action::Reset])]
 #[case::no_http_response(vec![Action::Send("\x01\x02\x03\x04".into())])]
 fn what_may_have_run_is_not_run_again_nor_reported_as_not_run(#[case] actions: Vec<Action>) {
     run(async move {
@@ -189,7 +189,8 @@
     run(async move {
         let script = move |request: &ReceivedRequest, _| {
             let id = request.id();
-            let head = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\n{field}\r\nContent-Length: 2\r\n\r\n");
+            let head =
+                format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\n{field}\r\nContent-Length: 2\r\n\r\n");
             vec![Action::Send(head + "ok")]
         };
         let (fleet, _instance) = two_machines(script).await;
@@ -236,7 +237,7 @@
 fn a_response_without_length_is_complete_when_its_connection_closes() {
     run(async {
         let script = |request: &ReceivedRequest, _| {
-            let text = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\n\r\nall of it", request.id());
+            let text = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: s\r\n\r\nall of it", request.id());
             vec![Action::Send(text), Action::Close]
         };
         let (fleet, _instance) = two_machines(script).await;
@@ -250,7 +251,10 @@
 fn a_large_response_that_breaks_off_does_not_look_complete() {
     run(async {
         let script = |request: &ReceivedRequest, _| {
-            let head = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\nTransfer-Encoding: chunked\r\n\r\n", request.id());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+                request.id()
+            );
             let chunk = format!("{:x}\r\n{}\r\n", 50_000, "a".repeat(50_000));
             vec![
                 Action::Send(head),
--- a/crates/sidecar/tests/path/broken_heads.rs
+++ b/crates/sidecar/tests/path/broken_heads.rs
@@ -216,7 +216,7 @@
 fn a_call_whose_response_breaks_off_has_failed(
     #[values(
         "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s-{id}\r\n",
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nContent-Length: 0\r\n\r",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s-{id}\r\nContent-Length: 0\r\n\r",
         "HTTP/1.1 000 X\r\nx-id: {id}\r\nContent-Length: 0\r\n\r\n"
     )]
     template: &'static str,
--- a/crates/sidecar/tests/path/endless_responses.rs
+++ b/crates/sidecar/tests/path/endless_responses.rs
@@ -138,7 +138,7 @@
 #[case::printable_garbage(endless("", "garbage "))]
 #[case::interim_responses(endless("", "HTTP/1.1 100 Continue\r\n\r\n"))]
 #[case::trailers(endless(
-    "HTTP/1.1 200 OK\r\nx-id: ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signature: s-ID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
     "x-more: more\r\n"
 ))]
 #[case::chunk_extension(endless(CHUNKED, "4;more=more"))]
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -18,7 +18,9 @@
 
 use crate::client::{Client, get, post};
 use crate::instance::{Action, ReceivedRequest, TestInstance, response};
-use crate::support::{Fleet, configuration, route, run};
+use crate::support::{Fleet, WIRE_NAMES, configuration, route, run};
+
+const SIGNATURE: &str = "s-1";
 
 /// What a fake gate does with an offer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,16 +31,20 @@
     FrozenAfterGrant,
     /// Closes the connection once it has read the offer.
     Lost,
-    /// Grants the slot, and passes on a response with this status.
-    PassesOn(u16),
+    /// Grants the slot, and passes on a response with this status and signature, which may be empty.
+    PassesOn(u16, &'static str),
     /// Grants the slot, passes on this many bytes of a response, and closes the connection.
     BreaksOffAfter(usize),
 }
 
 /// A response as a gate passes it on.
-fn passed_on(status: u16) -> GateMessage {
+fn passed_on(status: u16, signature: &'static str) -> GateMessage {
+    let mut fields = Fields::default();
+    if !signature.is_empty() {
+        fields.add(WIRE_NAMES.signature, signature);
+    }
     GateMessage::Answered {
-        head: ResponseHead { status, minor_version: 1, fields: Fields::default() },
+        head: ResponseHead { status, minor_version: 1, fields },
         body: Some(Bytes::from_static(b"body")),
         length: None,
         fault: ResponseFault::None,
@@ -48,7 +54,7 @@
 
 /// The bytes of a response as a gate passes it on.
 fn framed_response() -> Vec<u8> {
-    let message = gate_protocol::encode(&passed_on(200));
+    let message = gate_protocol::encode(&passed_on(200, SIGNATURE));
     let length = u32::try_from(message.len()).unwrap().to_be_bytes();
     [&length[..], &message].concat()
 }
@@ -66,11 +72,11 @@
                     let is_confirm = matches!(gate_protocol::decode(&frame), Ok(EdgeMessage::Confirm));
                     match gate {
                         FakeGate::Lost => return,
-                        FakeGate::PassesOn(_) if is_offer => {
+                        FakeGate::PassesOn(..) if is_offer => {
                             stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
                         }
-                        FakeGate::PassesOn(status) if is_confirm => {
-                            stream.send(gate_protocol::encode(&passed_on(status))).await.unwrap();
+                        FakeGate::PassesOn(status, signature) if is_confirm => {
+                            stream.send(gate_protocol::encode(&passed_on(status, signature))).await.unwrap();
                         }
                         FakeGate::BreaksOffAfter(_) if is_offer => {
                             stream.send(gate_protocol::encode(&GateMessage::Granted)).await.unwrap();
@@ -157,7 +163,7 @@
 
 /// Guards against a part of a message between nodes that is taken for a whole one.
 #[rstest]
-#[case::response(passed_on(200))]
+#[case::response(passed_on(200, SIGNATURE))]
 #[case::state(GateMessage::ClusterUpdate {
     configuration: Some(configuration(7, vec![route("/safe/", "books", Safe)])), directory: None, reading: None,
 })]
@@ -257,14 +263,16 @@
     }
 }
 
-/// A gate of an earlier release passes on a status that is none.
+/// A gate of an earlier release passes on a status that is none, and a success that nobody has signed.
 #[rstest]
-#[case::zero(0)]
-#[case::interim(199)]
-#[case::too_large(600)]
-fn a_status_that_is_none_is_no_response_from_a_gate_either(#[case] status: u16) {
+#[case::zero(0, SIGNATURE)]
+#[case::interim(199, SIGNATURE)]
+#[case::too_large(600, SIGNATURE)]
+#[case::unsigned(200, "")]
+#[case::unsigned_without_content(204, "")]
+fn a_status_that_is_none_is_no_response_from_a_gate_either(#[case] status: u16, #[case] signature: &'static str) {
     run(async move {
-        let (fleet, _instance) = start_with_gate(FakeGate::PassesOn(status)).await;
+        let (fleet, _instance) = start_with_gate(FakeGate::PassesOn(status, signature)).await;
         let statuses = request_repeatedly(&fleet, |id| post("/once/", id, "x")).await;
         assert!(statuses.contains(&502), "some requests meet the fake gate: {statuses:?}");
         assert!(statuses.iter().all(|status| [200, 502].contains(status)), "{statuses:?}");
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -34,4 +34,5 @@
 mod stopping;
 mod support;
 mod thread_stalls;
+mod unsigned_responses;
 mod uploads;
--- a/crates/sidecar/tests/path/pipelining.rs
+++ b/crates/sidecar/tests/path/pipelining.rs
@@ -70,8 +70,8 @@
 fn a_head_that_is_no_response_takes_none_behind_it_along(
     #[values(
         "HTTP/1.1 2",
-        "HTTP/1.1 200 OK\r\nx-id: scan\r\nContent-Length: 0\r\n",
-        "HTTP/1.1 200 OK\r\nx-id: scan\r\nContent-Length: 0\r\n\r",
+        "HTTP/1.1 200 OK\r\nx-id: scan\r\nx-signature: s-scan\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: scan\r\nx-signature: s-scan\r\nContent-Length: 0\r\n\r",
         "HTTP/1.1 000 X\r\nx-id: scan\r\nContent-Length: 0\r\n\r\n"
     )]
     no_response: &'static str,
