--- a/crates/sidecar/src/access/mod.rs
+++ b/crates/sidecar/src/access/mod.rs
@@ -42,7 +42,8 @@
 pub struct QuotaReservation(TenantId);
 
 impl Access {
-    /// Creates the state before the first configuration, until which the node refuses all requests. `secret` and `generation` are drawn at random.
+    /// Creates the state before the first configuration, until which the node refuses all requests. `secret` and
+    /// `generation` are drawn at random.
     pub fn new(secret: HashSecret, generation: u32) -> Self {
         let keys = KeyTable::new(None, secret).expect("a configuration without tenants is valid");
         Access {
--- a/crates/sidecar/src/edge/attempts.rs
+++ b/crates/sidecar/src/edge/attempts.rs
@@ -176,6 +176,7 @@
         self.capacity_refusals += u32::from(refusal.reason.is_capacity_shortage());
         let is_retry_denial = matches!(refusal.reason, RefusalReason::RepeatBudget | RefusalReason::SuspectWaits);
         self.retry_denials += u32::from(is_retry_denial);
+        // A reason without a limit of its own rules out the instance.
         if !refusal.reason.is_capacity_shortage() && !is_retry_denial {
             self.record_shed(false);
         }
