--- a/crates/sidecar/tests/path/broken_heads.rs
+++ b/crates/sidecar/tests/path/broken_heads.rs
@@ -8,7 +8,7 @@
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use rstest::rstest;
 
-use crate::client::{Client, ClientResponse, call, get};
+use crate::client::{Client, ClientResponse, call, get, request_once};
 use crate::instance::{Action, InstanceOptions, ReceivedRequest, TestInstance, response};
 use crate::support::{Fleet, configuration, route, run};
 
@@ -87,14 +87,9 @@
         Deployment { fleet, instance }
     }
 
-    /// Sends a request. Its path is its own: content that is at work when an instance seems to end is held back.
+    /// Sends a request. Its content is its own: content that is at work when an instance seems to end is held back.
     async fn request(&self, method: &str, path: &str, id: &str) -> ClientResponse {
-        let mut client = Client::connect(self.fleet.outbound(EDGE)).await;
-        client.responses.decoder_mut().expect_response_to_head(method == "HEAD");
-        let length = if method == "POST" { "Content-Length: 1\r\n" } else { "" };
-        let body = if method == "POST" { "x" } else { "" };
-        let head = format!("{method} {path}{id} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n");
-        client.request(&format!("{head}{length}\r\n{body}")).await
+        request_once(self.fleet.outbound(EDGE), method, path, id).await
     }
 }
 
--- a/crates/sidecar/tests/path/client.rs
+++ b/crates/sidecar/tests/path/client.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// Sends one request on a connection of its own, with content of its own in its path. A `POST` has a body.
+pub async fn request_once(edge: SocketAddr, method: &str, path: &str, id: &str) -> ClientResponse {
+    let mut client = Client::connect(edge).await;
+    client.responses.decoder_mut().expect_response_to_head(method == "HEAD");
+    let head = format!("{method} {path}{id} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n");
+    let body = if method == "POST" { "Content-Length: 1\r\n\r\nx" } else { "\r\n" };
+    client.request(&(head + body)).await
+}
+
 /// A request without a body.
 pub fn get(path: &str, id: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n\r\n")
--- a/crates/sidecar/tests/path/unsigned_responses.rs
+++ b/crates/sidecar/tests/path/unsigned_responses.rs
@@ -3,7 +3,7 @@
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use rstest::rstest;
 
-use crate::client::{Client, ClientResponse};
+use crate::client::request_once;
 use crate::instance::{Action, ReceivedRequest, TestInstance, response};
 use crate::support::{Fleet, configuration, route, run};
 
@@ -34,14 +34,6 @@
     (fleet, instances)
 }
 
-async fn request(fleet: &Fleet, method: &str, path: &str, id: &str) -> ClientResponse {
-    let mut client = Client::connect(fleet.outbound(EDGE)).await;
-    client.responses.decoder_mut().expect_response_to_head(method == "HEAD");
-    let head = format!("{method} {path}{id} HTTP/1.1\r\nHost: shop\r\nx-id: {id}\r\nx-time: 2000\r\n");
-    let body = if method == "POST" { "Content-Length: 1\r\n\r\nx" } else { "\r\n" };
-    client.request(&(head + body)).await
-}
-
 /// The forms of a body, with their framing.
 const BODIES: [&str; 5] = [
     "Content-Length: 4\r\n\r\nbody",
@@ -68,7 +60,7 @@
         .await;
         let requests = [("POST", "/once/"), ("GET", "/safe/"), ("HEAD", "/safe/")];
         for (number, (method, path)) in requests.into_iter().enumerate() {
-            let response = request(&fleet, method, path, &format!("r{number}")).await;
+            let response = request_once(fleet.outbound(EDGE), method, path, &format!("r{number}")).await;
             assert_eq!(response.head.status, 502, "{method}: {response:?}");
             assert_eq!(response.field("x-signature"), None, "{method}");
             assert_eq!(instances[0].runs(), number + 1, "{method}");
@@ -86,7 +78,11 @@
         })
         .await;
         for (method, path) in [("POST", "/once/"), ("GET", "/safe/")] {
-            assert_eq!(request(&fleet, method, path, "large").await.head.status, 502, "{method}");
+            assert_eq!(
+                request_once(fleet.outbound(EDGE), method, path, "large").await.head.status,
+                502,
+                "{method}"
+            );
         }
     });
 }
@@ -100,7 +96,7 @@
         })
         .await;
         for number in 0..8 {
-            let response = request(&fleet, "GET", "/safe/", &format!("r{number}")).await;
+            let response = request_once(fleet.outbound(EDGE), "GET", "/safe/", &format!("r{number}")).await;
             assert_eq!((response.head.status, response.body.as_str()), (200, "sound"), "request {number}");
         }
         assert!(instances[0].runs() > 0, "the faulty instance got no request");
@@ -120,7 +116,7 @@
             vec![Action::Send(head + "Content-Length: 0\r\n\r\n")]
         })
         .await;
-        let response = request(&fleet, "POST", "/once/", "r1").await;
+        let response = request_once(fleet.outbound(EDGE), "POST", "/once/", "r1").await;
         assert_eq!(response.head.status, status);
         assert_eq!(response.field("x-signature").is_some(), !signature.is_empty());
     });
