Test of stops: requests arrive shortly before the gate refuses, and the test always ends

Cause: its clients sent requests until the gate had refused offers, and beside an instance that refuses everything the admission level may refuse all of them first; nobody then asked the gate before its node had stopped. The product did as it should.

Now eight requests arrive 80 ms before the gate refuses offers, their instances refuse them 160 ms later, and with two attempts there are two instances. The bounds are as they were.

--- a/crates/sidecar/tests/path/stopping.rs
+++ b/crates/sidecar/tests/path/stopping.rs
@@ -8,11 +8,12 @@
 use olivegate_sidecar::model::RetrySafety::{Safe, Unsafe};
 use olivegate_sidecar::model::{Millis, RetrySafety, Route};
 use olivegate_sidecar::state::Node;
+use olivegate_sidecar::stop::CLIENTS_LEAVE_WITHIN;
 use rstest::rstest;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 
-use crate::client::{Client, get, post};
+use crate::client::{Client, get, post, request_once};
 use crate::instance::{Action, ReceivedRequest, TestInstance, response};
 use crate::support::{Fleet, configuration, eventually, route, run};
 
@@ -322,8 +323,11 @@
 const READINESS_LIMIT: Duration = Duration::from_millis(100);
 /// Offers that one request may need: six arrivals, and four refusals.
 const MAX_OFFERS: u64 = 10;
-/// Clients that send requests during the stop.
-const CLIENTS: usize = 4;
+/// Clients that send a request shortly before the gate of the stopping node refuses all offers.
+const CLIENTS: usize = 8;
+/// How long before that they send it, and how long the instances take to refuse it.
+const SENT_BEFORE: Duration = Duration::from_millis(80);
+const REFUSED_AFTER_MS: u64 = 160;
 
 /// Processor time that this thread has used.
 fn processor_time() -> Duration {
@@ -343,70 +347,48 @@
 }
 
 /// Guards against a stopping node that offers a request again and again to a gate which refuses it at once: it kept the
-/// processor for as long as the request had time, and answered nobody. The instance refuses all that it gets, before
-/// the gate does.
+/// processor for as long as the request had time, and answered nobody. As many instances as the route allows refuse
+/// the request; one of them is beside the stopping node.
 #[rstest]
 fn a_request_beside_a_stopping_gate_is_offered_a_few_times(
     #[values(1, 2)] attempts: u32,
-    #[values(1, 2)] instance_machine: u8,
+    #[values(1, 2)] stopping_machine: u8,
 ) {
     run(async move {
         let fleet = Fleet::new();
         let route = Route { attempts, timeout: Some(Millis(1_500)), ..route("/safe/", "books", Safe) };
         fleet.source.configure(configuration(1, vec![route]));
-        fleet.list(instance_machine, "books-1", "books");
-        let script = |request: &ReceivedRequest, _| {
-            let refusal = format!("HTTP/1.1 503 X\r\nx-id: {}\r\nx-not-run: 1\r\n", request.id());
-            vec![Action::Sleep(50), Action::Send(refusal + "Content-Length: 0\r\n\r\n")]
-        };
-        TestInstance::start(fleet.instance_address(instance_machine), script).await;
-        let node = fleet.start(instance_machine, "books").await;
+        let machines: Vec<u8> = [stopping_machine, 3].into_iter().take(attempts as usize).collect();
+        for &machine in &machines {
+            fleet.list(machine, &format!("books-{machine}"), "books");
+            let script = |request: &ReceivedRequest, _| {
+                let refusal = format!("HTTP/1.1 503 X\r\nx-id: {}\r\nx-not-run: 1\r\n", request.id());
+                vec![Action::Sleep(REFUSED_AFTER_MS), Action::Send(refusal + "Content-Length: 0\r\n\r\n")]
+            };
+            TestInstance::start(fleet.instance_address(machine), script).await;
+        }
+        let node = fleet.start(stopping_machine, "books").await;
         Fleet::wait_until_ready(&node).await;
-        if instance_machine != 1 {
-            Fleet::wait_until_ready(&fleet.start(1, "desk").await).await;
+        for machine in [1, 3].into_iter().filter(|machine| *machine != stopping_machine) {
+            let service = if machine == 3 { "books" } else { "desk" };
+            Fleet::wait_until_ready(&fleet.start(machine, service).await).await;
         }
         let longest = Rc::new(Cell::new(Duration::ZERO));
-        let watching = spawn_local(watch_readiness(fleet.readiness(instance_machine), longest.clone()));
+        let watching = spawn_local(watch_readiness(fleet.readiness(stopping_machine), longest.clone()));
         let stopping = spawn_local({
             let node = node.clone();
             async move { node.stop.run(Duration::from_secs(6)).await }
         });
-        let requests = Rc::new(Cell::new(0));
-        let clients: Vec<_> = (0..CLIENTS)
-            .map(|number| {
-                spawn_local(send_until_refused(fleet.outbound(1), number, node.clone(), requests.clone()))
-            })
-            .collect();
-        for client in clients {
-            client.await.unwrap();
+        tokio::time::sleep(CLIENTS_LEAVE_WITHIN - SENT_BEFORE).await;
+        let ids: Vec<String> = (0..CLIENTS).map(|number| format!("r{number}")).collect();
+        let requests = (0..CLIENTS).map(|number| request_once(fleet.outbound(1), "GET", "/safe/", &ids[number]));
+        for response in futures::future::join_all(requests).await {
+            assert_eq!(response.head.status, 503);
         }
         stopping.await.unwrap();
         watching.abort();
         let refused = node.metrics.refusals.with_label_values(&["node-not-ready"]).get();
-        let sent: u64 = requests.get();
-        assert!(refused > 0 && refused <= sent * MAX_OFFERS, "{refused} refusals of {sent} requests");
+        assert!(refused <= CLIENTS as u64 * MAX_OFFERS, "{refused} refusals of {CLIENTS} requests");
         assert!(longest.get() < READINESS_LIMIT, "readiness took {:?}", longest.get());
     });
 }
-
-/// Sends requests until the gate has refused offers for a while because its node stops.
-async fn send_until_refused(outbound: SocketAddr, client: usize, node: Rc<Node>, requests: Rc<Cell<u64>>) {
-    let mut refused_since = None;
-    for number in 0.. {
-        requests.set(requests.get() + 1);
-        let request = get("/safe/", &format!("r{client}-{number}"));
-        let mut connection = Client::connect(outbound).await;
-        connection.send(&request).await;
-        // A request may cross the close of idle connections; it has not been read then.
-        if let Some(response) = connection.next_response().await {
-            assert_eq!(response.head.status, 503);
-        }
-        let refused = node.metrics.refusals.with_label_values(&["node-not-ready"]).get();
-        let since = *refused_since.get_or_insert_with(Instant::now);
-        if refused == 0 {
-            refused_since = None;
-        } else if since.elapsed() > Duration::from_millis(200) {
-            return;
-        }
-    }
-}
