The program tells which commit it was built from

What the users saw: cases that hold here failed again on other machines, and nothing in the log, the record or the program told which code had been played. The scripts of the cases play what lies in the build folder.

The build asks `git`; a library for it (vergen) was weighed: it does not renew the mark when sources change without a commit.

The test the_version_names_the_commit failed before (`olivegate 0.1.0`); the start line is looked at in the test of a process's life.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use olivegate_types::Release;
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::control_loops;
@@ -79,11 +80,14 @@
     }
 
     /// Runs until `stop` completes, then stops gracefully. Returns true when no call in flight was cut off.
-    pub async fn run(self, stop: impl Future<Output = ()>) -> bool {
+    /// `release` names the code of the program.
+    pub async fn run(self, release: Release, stop: impl Future<Output = ()>) -> bool {
         let NodeApp { node, caller, data, control, admin } = self;
         let addresses = node.addresses;
         log::info!(
-            "event=node_started node={} zone={} caller={} data={} control={} admin={}",
+            "event=node_started version={} commit={} node={} zone={} caller={} data={} control={} admin={}",
+            release.version,
+            release.commit,
             node.name(),
             node.settings.zone,
             addresses.caller,
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -9,13 +9,15 @@
 use olivegate_bundle::{SignedBundle, SigningKeyPair};
 use olivegate_node::settings::Overrides;
 use olivegate_node::{NodeApp, NodeSettings};
-use olivegate_types::Digest;
+use olivegate_types::{Digest, Release};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
 pub const CREDENTIAL: &str = "credential-of-readers";
 pub const SECRET: &str = "secret of the test deployment";
+/// What the node of a test says of its code.
+const TEST_RELEASE: Release = Release { version: "0", commit: "test" };
 
 /// What a scripted back end does with each request.
 #[derive(Debug, Clone)]
@@ -171,7 +173,7 @@
         let app = NodeApp::bind(settings).await.unwrap();
         let addresses = app.node().addresses;
         let (stop, stopped) = oneshot::channel();
-        let running = tokio::spawn(app.run(async move { drop(stopped.await) }));
+        let running = tokio::spawn(app.run(TEST_RELEASE, async move { drop(stopped.await) }));
         let node = TestNode {
             caller: addresses.caller,
             data: addresses.data,
--- a/crates/olivegate/src/lib.rs
+++ b/crates/olivegate/src/lib.rs
@@ -20,9 +20,14 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+use olivegate_types::Release;
+
 use crate::command::Command;
 pub use crate::error::CommandError;
 
+/// Which code this program was built from.
+pub const RELEASE: Release = Release { version: env!("CARGO_PKG_VERSION"), commit: env!("OLIVEGATE_COMMIT") };
+
 /// Exit code when a command fails.
 const FAILED: u8 = 1;
 /// Exit code when the command line can't be parsed.
@@ -53,7 +58,7 @@
             Ok(())
         }
         Command::Version => {
-            println!("olivegate {}", env!("CARGO_PKG_VERSION"));
+            println!("olivegate {RELEASE}");
             Ok(())
         }
         Command::Node { settings, overrides, log_level } => node_command::run(&settings, &overrides, log_level),
--- a/crates/olivegate/src/node_command.rs
+++ b/crates/olivegate/src/node_command.rs
@@ -8,6 +8,7 @@
 use simplelog::{ConfigBuilder, WriteLogger};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::RELEASE;
 use crate::error::CommandError;
 
 fn read_settings(file: &Path, overrides: &Overrides) -> Result<NodeSettings, CommandError> {
@@ -60,5 +61,5 @@
             _ = interrupt.recv() => {}
         }
     };
-    if app.run(stop).await { Ok(()) } else { Err(CommandError::CutOff) }
+    if app.run(RELEASE, stop).await { Ok(()) } else { Err(CommandError::CutOff) }
 }
--- a/crates/olivegate/src/sidecar_command.rs
+++ b/crates/olivegate/src/sidecar_command.rs
@@ -8,6 +8,7 @@
 use olivegate_sidecar::{SidecarApp, SidecarSettings};
 use simplelog::{ConfigBuilder, WriteLogger};
 
+use crate::RELEASE;
 use crate::error::CommandError;
 use crate::log_output::QueuedOutput;
 
@@ -43,7 +44,7 @@
     let source = PlatformStore::new(settings.source);
     let path = file.to_path_buf();
     let reload_settings = Box::new(move || read_settings(&path).map_err(|error| error.to_string()));
-    let outcome = SidecarApp::new(settings, WIRE_NAMES, source, reload_settings).run();
+    let outcome = SidecarApp::new(settings, WIRE_NAMES, source, reload_settings).run(RELEASE);
     log::logger().flush();
     match outcome {
         Ok(StopOutcome::Drained) => Ok(()),
--- a/crates/olivegate/tests/command.rs
+++ b/crates/olivegate/tests/command.rs
@@ -38,6 +38,24 @@
     assert_eq!(run(arguments).status.code(), Some(code));
 }
 
+/// What `git` prints about the sources; `None` without `git`, or where they are no checkout.
+fn git(arguments: &[&str]) -> Option<String> {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let output = Command::new("git").arg("-C").arg(root).args(arguments).output().ok()?;
+    output.status.success().then(|| text(&output.stdout).trim_end().to_string())
+}
+
+/// Guards against a program of earlier sources that is run unnoticed: a mended fault was reported again by runs that
+/// could not tell which code they had played.
+#[rstest]
+fn the_version_names_the_commit() {
+    let printed = text(&run(&["--version"]).stdout);
+    let commit = git(&["rev-parse", "--short=12", "HEAD"]).unwrap_or("unknown".into());
+    let expected = format!("olivegate {} (commit {commit}", env!("CARGO_PKG_VERSION"));
+    let mark = printed.trim_end().strip_prefix(&expected).expect(&printed);
+    assert!([")", "-modified)"].contains(&mark), "{printed}");
+}
+
 fn example(path: &str) -> String {
     format!("{}/../../examples/{path}", env!("CARGO_MANIFEST_DIR"))
 }
--- a/crates/olivegate/tests/sidecar/lifecycle.rs
+++ b/crates/olivegate/tests/sidecar/lifecycle.rs
@@ -4,6 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
+use olivegate_types::Release;
 use rstest::rstest;
 
 use crate::support::{
@@ -26,7 +27,9 @@
 fn a_sidecar_starts_reloads_and_stops() {
     let file = settings_file("sidecar.toml", &settings("books"));
     let mut sidecar = Sidecar::start(&file);
-    sidecar.wait_for("event=started");
+    // A log tells which code its process ran.
+    let Release { version, commit } = olivegate::RELEASE;
+    sidecar.wait_for(&format!("event=started version={version} commit={commit} node="));
     sidecar.wait_for("event=source_lost");
     assert!(readiness(IP).starts_with("HTTP/1.1 503"), "without configuration it is not ready");
     sidecar.signal("-HUP");
--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use olivegate_types::Release;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
@@ -61,20 +62,21 @@
         SidecarApp { settings, wire_names, source, read_settings }
     }
 
-    /// Runs until the shutdown after SIGTERM or SIGINT has completed.
-    pub fn run(self) -> Result<StopOutcome, SidecarError> {
+    /// Runs until the shutdown after SIGTERM or SIGINT has completed. `release` names the code of the program.
+    pub fn run(self, release: Release) -> Result<StopOutcome, SidecarError> {
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(SidecarError::Runtime)?;
         // The outer future is polled whenever any local task is, so it must be cheap.
-        let serving = async { spawn_local(self.serve()).await.unwrap_or(Ok(StopOutcome::CutOff)) };
+        let serving = async { spawn_local(self.serve(release)).await.unwrap_or(Ok(StopOutcome::CutOff)) };
         LocalSet::new().block_on(&runtime, serving)
     }
 
-    async fn serve(self) -> Result<StopOutcome, SidecarError> {
+    async fn serve(self, release: Release) -> Result<StopOutcome, SidecarError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(SidecarError::Runtime)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(SidecarError::Runtime)?;
         let mut hang_up = signal(SignalKind::hangup()).map_err(SidecarError::Runtime)?;
         let node = start(self.settings, self.wire_names, self.source).await?;
+        log_start(&node.settings(), release);
         node.set_settings_reader(self.read_settings);
         let mut settings_poll = tokio::time::interval(SETTINGS_INTERVAL);
         settings_poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -100,7 +102,6 @@
     source: S,
 ) -> Result<Rc<Node>, SidecarError> {
     let listeners = Listeners::bind(&settings).await?;
-    log_start(&settings);
     let node = Rc::new(Node::new(settings, wire_names));
     listeners.serve(&node);
     let source = Rc::new(source);
@@ -142,10 +143,11 @@
     transport::listen(address).map_err(|source| SidecarError::Bind { port, address, source })
 }
 
-fn log_start(settings: &SidecarSettings) {
+fn log_start(settings: &SidecarSettings, release: Release) {
     log::info!(
-        "event=started version={} node={} zone={} service={} instance={} outbound={} inbound={} source={}",
-        env!("CARGO_PKG_VERSION"),
+        "event=started version={} commit={} node={} zone={} service={} instance={} outbound={} inbound={} source={}",
+        release.version,
+        release.commit,
         settings.node,
         settings.zone,
         settings.service,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod id;
 pub mod key;
 pub mod outcome;
+pub mod release;
 pub mod time;
 
 pub use context::{ContextError, RequestContext};
@@ -18,6 +19,7 @@
 };
 pub use key::DeploymentKey;
 pub use outcome::{Outcome, Refusal, RefusalReason};
+pub use release::Release;
 pub use time::Moment;
 
 /// Importance of a request; a larger one is shed later.
