Tests: a status that promises 'not run', in every form and place that had none

Looked for a way to the client that does not look at the status.

It asks the instance now which it has received, and demands 502 of exactly those and 503 of the others.

--- a/crates/sidecar/tests/path/early_responses.rs
+++ b/crates/sidecar/tests/path/early_responses.rs
@@ -1,7 +1,9 @@
 //! Responses to uploads that are still being written: they arrive whole, or visibly incomplete.
 
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use olivegate_sidecar::model::RetrySafety::Unsafe;
@@ -28,10 +30,14 @@
     InOrder,
 }
 
+/// The ids of the requests that an instance has received.
+type ReceivedIds = Arc<Mutex<HashSet<String>>>;
+
 /// An instance that responds to each upload as soon as it has read its head.
 #[derive(Debug, Clone, Copy)]
 struct EarlyResponder {
     version: &'static str,
+    status: u16,
     fields: &'static str,
     body_bytes: usize,
     pause: Duration,
@@ -40,23 +46,29 @@
 
 impl EarlyResponder {
     /// Serves `address` on threads of its own, so that a reset may come while a node writes.
-    fn start(self, address: SocketAddr) {
+    /// Returns the ids of the requests that it has received.
+    fn start(self, address: SocketAddr) -> ReceivedIds {
         let listener = TcpListener::bind(address).unwrap();
+        let received = ReceivedIds::default();
+        let returned = received.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
+                let received = received.clone();
                 // The connection may fail while the response is written.
-                std::thread::spawn(move || stream.and_then(|stream| self.respond(stream)));
+                std::thread::spawn(move || stream.and_then(|stream| self.respond(stream, &received)));
             }
         });
+        returned
     }
 
-    fn respond(self, mut stream: TcpStream) -> std::io::Result<()> {
+    fn respond(self, mut stream: TcpStream, received: &ReceivedIds) -> std::io::Result<()> {
         let mut head = vec![0; MAX_HEAD_BYTES];
         let read = stream.read(&mut head)?;
         let text = String::from_utf8_lossy(&head[..read]).into_owned();
         let id = text.lines().find_map(|line| line.strip_prefix("x-id: ")).unwrap_or_default();
-        let (version, fields) = (self.version, self.fields);
-        let head = format!("{version} 200 OK\r\nx-id: {id}\r\nx-signature: s-{id}\r\n{fields}\r\n");
+        received.lock().unwrap().insert(id.to_string());
+        let (version, status, fields) = (self.version, self.status, self.fields);
+        let head = format!("{version} {status} X\r\nx-id: {id}\r\nx-signature: s-{id}\r\n{fields}\r\n");
         stream.write_all(head.as_bytes())?;
         stream.write_all(&vec![b'a'; self.body_bytes])?;
         std::thread::sleep(self.pause);
@@ -88,18 +100,23 @@
 
 /// The responses to uploads through the edge on machine 1 to the instance on machine `machine`.
 async fn responses(machine: u8, instance: EarlyResponder) -> Vec<ClientResponse> {
+    responses_and_received(machine, instance).await.0
+}
+
+/// The same, with the ids of the uploads that the instance has received.
+async fn responses_and_received(machine: u8, instance: EarlyResponder) -> (Vec<ClientResponse>, ReceivedIds) {
     let fleet = Fleet::new();
     fleet.source.configure(configuration(1, vec![route("/upload/", "books", Unsafe)]));
     let mut listed = fleet.list(machine, "books-1", "books");
     listed.slots = UPLOADS as u32;
     fleet.source.list(listed);
-    instance.start(fleet.instance_address(machine));
+    let received = instance.start(fleet.instance_address(machine));
     let mut services = [(1, if machine == 1 { "books" } else { "desk" }), (2, "books")].into_iter();
     for (machine, service) in services.by_ref().take(usize::from(machine)) {
         Fleet::wait_until_ready(&fleet.start(machine, service).await).await;
     }
     let uploads = (0..UPLOADS).map(|number| upload(fleet.outbound(1), number));
-    futures::future::join_all(uploads).await.into_iter().flatten().collect()
+    (futures::future::join_all(uploads).await.into_iter().flatten().collect(), received)
 }
 
 /// Clients got a part of a response as the whole one: the half of the connection that writes took the error of
@@ -116,7 +133,7 @@
 ) {
     run(async move {
         let pause = Duration::from_millis(pause_ms);
-        let instance = EarlyResponder { version, fields, body_bytes, pause, ending: Ending::Reset };
+        let instance = EarlyResponder { version, status: 200, fields, body_bytes, pause, ending: Ending::Reset };
         let responses = responses(machine, instance).await;
         let complete = |response: &&ClientResponse| response.head.status == 200 && response.is_complete;
         let complete = responses.iter().filter(complete).count();
@@ -124,6 +141,31 @@
     });
 }
 
+/// An upload that may have run is not reported as not run, however its response and its connection end. The field
+/// `x-not-run` would say that it has not.
+#[rstest]
+fn an_early_failure_is_no_promise_that_the_upload_has_not_run(
+    #[values(1, 2)] machine: u8,
+    #[values(408, 429, 503)] status: u16,
+    #[values(0, 150 << 10)] body_bytes: usize,
+    #[values(Ending::Reset, Ending::InOrder)] ending: Ending,
+) {
+    run(async move {
+        let pause = Duration::from_millis(20);
+        let instance = EarlyResponder { version: "HTTP/1.1", status, fields: "", body_bytes, pause, ending };
+        let (responses, received) = responses_and_received(machine, instance).await;
+        let received = received.lock().unwrap();
+        for response in &responses {
+            // An upload that waits for too long is refused before the instance gets any of it.
+            let id = response.field("x-id").expect("the id of the upload");
+            let expected = if received.contains(&id) { 502 } else { 503 };
+            assert_eq!(response.head.status, expected, "{response:?}");
+        }
+        assert!(!received.is_empty(), "no upload has arrived");
+        assert!(ending == Ending::Reset || responses.len() == UPLOADS, "{responses:?}");
+    });
+}
+
 /// An instance that does not wait for the rest of an upload has answered it all the same.
 #[rstest]
 #[case::beside_the_node(1, 2 << 10)]
@@ -133,8 +175,14 @@
 fn an_early_response_that_ends_in_order_is_complete(#[case] machine: u8, #[case] body_bytes: usize) {
     run(async move {
         let pause = Duration::ZERO;
-        let instance =
-            EarlyResponder { version: "HTTP/1.1", fields: "", body_bytes, pause, ending: Ending::InOrder };
+        let instance = EarlyResponder {
+            version: "HTTP/1.1",
+            status: 200,
+            fields: "",
+            body_bytes,
+            pause,
+            ending: Ending::InOrder,
+        };
         let responses = responses(machine, instance).await;
         assert_eq!(responses.len(), UPLOADS);
         for response in &responses {
@@ -159,7 +207,7 @@
 ) {
     run(async move {
         let pause = Duration::from_millis(pause_ms);
-        let instance = EarlyResponder { version, fields, body_bytes, pause, ending };
+        let instance = EarlyResponder { version, status: 200, fields, body_bytes, pause, ending };
         for response in responses(machine, instance).await {
             assert_eq!(response.head.status, 502, "{response:?}");
             assert_eq!(response.field("x-signature"), None);
