A safe request is tried elsewhere after a 408 or 429 that promises what it can't

What callers saw: one of two instances answered all with 408 or 429 without the field that says "not run"; clients of requests that may be repeated got 502 (`ambiguous-refusal`) although the other instance was sound. With 503 none failed.

Cause: two places decided whether such a response is a failure. The edge replaced it by 502; the gate, which puts a response down to what it failed for, looked only at 500 and above. So it was tried nowhere else, and the instance's share of failures, by which edges prefer sound ones, stayed at none. Ruled out: the retry budget (503 goes through the same).

Now one function says which statuses promise, and both ask it. It works since the attempts and the balancer go by what the gate reports.

--- a/crates/sidecar/src/edge/local_response.rs
+++ b/crates/sidecar/src/edge/local_response.rs
@@ -12,13 +12,6 @@
 
 /// Status of the response to a request whose key is missing or unknown.
 pub const UNAUTHORIZED: u16 = 401;
-/// Statuses by which a client is told that its request has not run and never will, so that it may repeat it.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-
-/// True for a status that promises a client that its request has not run.
-pub fn promises_not_run(status: u16) -> bool {
-    NOT_RUN_STATUSES.contains(&status)
-}
 
 /// Why the node responds itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/sidecar/src/edge/request_handler.rs
+++ b/crates/sidecar/src/edge/request_handler.rs
@@ -13,14 +13,14 @@
 use crate::edge::admission;
 use crate::edge::call_context::CallContext;
 use crate::edge::dispatch::dispatch;
-use crate::edge::local_response::{LocalResponse, promises_not_run};
+use crate::edge::local_response::LocalResponse;
 use crate::edge::outcome::{CancellationLog, Outcome, log_local_response, log_response};
 use crate::edge::request::{self, ValidatedRequest};
 use crate::edge::request_assembly::AssembledRequest;
 use crate::edge::tenant_checks;
 use crate::lateness;
 use crate::lineage::{ArrivingRequest, ConnectionEvidence, Origin};
-use crate::reply::{Response, ResponseFault};
+use crate::reply::{Response, ResponseFault, promises_not_run};
 use crate::state::Node;
 use olivegate_clock as clock;
 
--- a/crates/sidecar/src/lineage/mod.rs
+++ b/crates/sidecar/src/lineage/mod.rs
@@ -27,7 +27,7 @@
 use olivegate_types::Moment;
 
 use crate::gate_protocol::RootRequest;
-use crate::reply::ResponseFault;
+use crate::reply::{ResponseFault, promises_not_run};
 use evidence::RouteEvidence;
 pub use evidence::{ConnectionEvidence, ConnectionOwner, RequestEvidence};
 
@@ -355,7 +355,8 @@
     /// The fault that an instance's response to the request `key` with this status is attributed to.
     pub fn attribute_fault(&mut self, key: RunningKey, status: u16, now: Moment) -> ResponseFault {
         let Some(running) = self.running.get(&key) else { return ResponseFault::None };
-        if status < 500 {
+        // The request may have run, so its client gets a failure for a status that would promise the opposite.
+        if status < 500 && !promises_not_run(status) {
             return ResponseFault::None;
         }
         if running.first_call_fault != ResponseFault::None {
--- a/crates/sidecar/src/reply.rs
+++ b/crates/sidecar/src/reply.rs
@@ -131,6 +131,15 @@
     }
 }
 
+/// Statuses by which a client is told that its request has not run and never will, so that it may repeat it.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// True for a status that promises a client that its request has not run. An instance that has not run a request
+/// says so in a field as well; without it, the status alone is no such promise.
+pub fn promises_not_run(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// What a failed response is attributed to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, BorshSerialize, BorshDeserialize)]
 pub enum ResponseFault {
--- a/crates/sidecar/tests/decisions/lineage.rs
+++ b/crates/sidecar/tests/decisions/lineage.rs
@@ -316,6 +316,17 @@
     assert_eq!(lineage.attribute_fault(keys["a"], 200, at(400)), ResponseFault::None);
 }
 
+/// A status that promises what its instance does not say is a failure, put down like others.
+#[rstest]
+fn an_ambiguous_refusal_is_attributed_like_a_failure(#[values(408, 429, 503)] status: u16) {
+    let mut lineage = Lineage::default();
+    let [own, of_call] = ["a", "b"].map(|id| lineage.begin(running(id, "check", 1_000, 0.0)));
+    lineage.on_call_failed(Parent::Certain(of_call), at(700), ResponseFault::Capacity, at(20));
+    assert_eq!(lineage.attribute_fault(own, status, at(30)), ResponseFault::Instance);
+    assert_eq!(lineage.attribute_fault(of_call, status, at(30)), ResponseFault::Capacity);
+    assert_eq!(lineage.attribute_fault(own, 404, at(30)), ResponseFault::None, "a status that promises nothing");
+}
+
 #[rstest]
 fn a_failed_call_of_an_unknown_parent_explains_one_failure_right_after_it() {
     let mut lineage = Lineage::default();
--- a/crates/sidecar/tests/path/ambiguous_refusals.rs
+++ b/crates/sidecar/tests/path/ambiguous_refusals.rs
@@ -169,6 +169,25 @@
     });
 }
 
+/// Guards against a client that gets a failure although a sound instance could run its request: 408 and 429 were tried
+/// nowhere else, and their instance went on to get its whole share.
+#[rstest]
+fn a_safe_request_is_tried_elsewhere(#[values(408, 429, 503)] status: u16) {
+    run(async move {
+        let (fleet, instances) = start(&[2, 3], move |request| {
+            let is_sound = request.field("x-expected") == "books-3";
+            response(if is_sound { 200 } else { status }, &request.id(), "body")
+        })
+        .await;
+        for number in 0..40 {
+            let response = request_once(fleet.outbound(EDGE), "GET", "/safe/", &format!("r{number}")).await;
+            assert_eq!((response.head.status, response.body.as_str()), (200, "body"), "request {number}");
+        }
+        let faulty = instances[0].runs();
+        assert!((1..=10).contains(&faulty), "{faulty} of 40 requests were sent to the instance that fails all");
+    });
+}
+
 /// The first instance that gets a request says that it has not run it, the second one does not.
 #[rstest]
 fn a_refusal_before_it_is_no_promise_for_the_one_after(#[values(408, 429, 503)] status: u16) {
