A failure of the member service is no list of machines

What callers saw: the older node's member service answered with a failure whose body was a list without entries, and every call was refused as no-instance from the next read on.

Cause: the read of the list parsed the body whatever the status; the read of the bundle beside it asked for 200. Found while looking for paths on which a status that is none (000 and its like) is read and that had no test.

Now only 200 holds the list; the last one stays in use, and the log names the status.

Evidence: a_failure_of_the_member_service_does_not_empty_the_list failed before for 7 of 9 statuses (302, 404, 429, 500, 503, 600, 999; 000 and 204 held), now none. Heads that break off were handled already on this path (four heads, at each byte): the test stays.

--- a/crates/node/src/control_loops/bundle.rs
+++ b/crates/node/src/control_loops/bundle.rs
@@ -67,7 +67,7 @@
     let limit = olivegate_bundle::sign::MAX_SIGNED_BUNDLE_BYTES;
     let fetched = fetch::get(address, BUNDLE_PATH, limit, FETCH_TIMEOUT).await;
     let fetched = fetched.map_err(|_| BundleError::Malformed)?;
-    if fetched.status != 200 {
+    if fetched.status != fetch::OK {
         return Err(BundleError::Malformed);
     }
     SignedBundle::from_bytes(&fetched.body)
--- a/crates/node/src/control_loops/platform.rs
+++ b/crates/node/src/control_loops/platform.rs
@@ -37,6 +37,9 @@
 
 async fn read(node: &Node) -> Result<MachineList, Report<NodeError>> {
     let fetched = fetch::get(node.settings.platform.members, MEMBERS_PATH, MAX_LIST, TIMEOUT).await?;
+    if fetched.status != fetch::OK {
+        return Err(Report::new(NodeError::Platform).attach(format!("status {}", fetched.status)));
+    }
     serde_json::from_slice(&fetched.body).change_context(NodeError::Platform)
 }
 
--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -12,6 +12,9 @@
 
 use crate::error::NodeError;
 
+/// Status of a response that holds what was asked for.
+pub const OK: u16 = 200;
+
 /// The response to a GET request.
 #[derive(Debug)]
 pub struct Fetched {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -2,4 +2,5 @@
 
 mod bad_input;
 mod calls;
+mod fetch;
 mod support;
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -117,7 +117,10 @@
     )
 }
 
-async fn start_platform(back_ends: &[SocketAddr]) -> SocketAddr {
+/// What the member service sends in place of the list; `None` to send the list.
+type ListResponse = Arc<Mutex<Option<String>>>;
+
+async fn start_platform(back_ends: &[SocketAddr], list_response: ListResponse) -> SocketAddr {
     let key = SigningKeyPair::from_secret([7; 32]);
     let signed = SignedBundle::signed_by(bundle_from_toml(&bundle_text()).unwrap(), &[key]).to_bytes();
     let instances: Vec<String> = back_ends
@@ -137,7 +140,13 @@
             let Some(head) = read_head(&mut stream).await else {
                 continue;
             };
-            let body = if head.starts_with("GET /bundle") { signed.clone() } else { list.clone().into_bytes() };
+            let is_list = head.starts_with("GET /members");
+            let scripted = list_response.lock().unwrap().clone().filter(|_| is_list);
+            if let Some(response) = scripted {
+                let _ = stream.write_all(response.as_bytes()).await;
+                continue;
+            }
+            let body = if is_list { list.clone().into_bytes() } else { signed.clone() };
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", body.len());
             let _ = stream.write_all(head.as_bytes()).await;
             let _ = stream.write_all(&body).await;
@@ -152,6 +161,7 @@
     pub data: SocketAddr,
     pub control: SocketAddr,
     pub admin: SocketAddr,
+    list_response: ListResponse,
     stop: Option<oneshot::Sender<()>>,
     running: tokio::task::JoinHandle<bool>,
 }
@@ -160,7 +170,8 @@
     /// Starts a node in front of these back ends and waits until it is ready.
     pub async fn start(back_ends: &[&BackEnd]) -> Self {
         let addresses: Vec<SocketAddr> = back_ends.iter().map(|back_end| back_end.address).collect();
-        let platform = start_platform(&addresses).await;
+        let list_response = ListResponse::default();
+        let platform = start_platform(&addresses, list_response.clone()).await;
         let public = hex::encode(SigningKeyPair::from_secret([7; 32]).public_key());
         let text = format!(
             "deployment = \"test\"\nnode = \"only\"\nzone = \"a\"\nsecret = \"{SECRET}\"\n\
@@ -179,6 +190,7 @@
             data: addresses.data,
             control: addresses.control,
             admin: addresses.admin,
+            list_response,
             stop: Some(stop),
             running,
         };
@@ -197,6 +209,11 @@
         }
     }
 
+    /// From now on the member service sends this in place of its list.
+    pub fn set_list_response(&self, response: &str) {
+        *self.list_response.lock().unwrap() = Some(response.into());
+    }
+
     /// Starts the planned stop; the task returns true when no call was cut off.
     pub fn stop(mut self) -> tokio::task::JoinHandle<bool> {
         drop(self.stop.take());
--- a/crates/olivegate/src/operator_command.rs
+++ b/crates/olivegate/src/operator_command.rs
@@ -31,7 +31,7 @@
     let response = runtime.block_on(fetch::get(admin, path, MAX_RESPONSE_BYTES, TIMEOUT));
     let response = response.map_err(|_| CommandError::Admin(format!("no answer from {admin}")))?;
     let text = String::from_utf8_lossy(&response.body);
-    if response.status != 200 {
+    if response.status != fetch::OK {
         return Err(CommandError::Admin(text.trim().to_string()));
     }
     println!("{}", text.trim_end());
