The older node takes only 200 to 599 for the status of a response

What callers saw: an instance's 101, which nobody had asked for, reached the caller of the older node as a response with the outcome ok. Services of the platform and health checks passed with 101, 600 and 999, too.

Cause: the library takes three digits that don't begin with 0 and ends an exchange on 101. The dispatch checked upwards only, the fetch not at all. Now one function says which statuses end an exchange, and both ask it.

Evidence: a_response_with_an_invalid_status_is_unknown failed before for 101 (HTTP/1.1 101, outcome ok; 000, 099, 600, 999 held); 6 of 16 cases of a_status_that_is_none_is_no_response failed before (101, 600, 999; the others held). All 55 tests of the node pass. On the sidecar's paths 000 and heads that break off are handled already; their tests stay as they are.

--- a/crates/node/src/fetch.rs
+++ b/crates/node/src/fetch.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use crate::error::NodeError;
+use crate::status;
 
 /// Status of a response that holds what was asked for.
 pub const OK: u16 = 200;
@@ -48,6 +49,9 @@
         .body(Empty::<Bytes>::new())
         .change_context(NodeError::Platform)?;
     let response = sender.send_request(request).await.change_context(NodeError::Platform)?;
+    if !status::is_final(response.status()) {
+        return Err(Report::new(NodeError::Platform).attach(format!("status {}", response.status().as_u16())));
+    }
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, limit).collect().await.map_err(|_| Report::new(NodeError::Platform))?;
     drop(driver);
--- a/crates/node/src/gate/dispatch.rs
+++ b/crates/node/src/gate/dispatch.rs
@@ -15,10 +15,9 @@
 use crate::gate::slots::{InstanceGate, Slot};
 use crate::reply::{header_text, insert};
 use crate::state::Node;
+use crate::status;
 use olivegate_clock as clock;
 
-/// Largest status code of a response; larger ones are invalid, though the parser takes them.
-const MAX_STATUS: u16 = 599;
 /// Connections tried before the instance counts as unreachable: an idle connection may prove stale when
 /// the request is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
@@ -171,7 +170,7 @@
         let response =
             tokio::time::timeout_at(clock::instant_of(call.deadline), connection.try_send_request(request));
         match response.await {
-            Ok(Ok(response)) if response.status().as_u16() > MAX_STATUS => {
+            Ok(Ok(response)) if !status::is_final(response.status()) => {
                 gate.on_failure();
                 return GateResult::Interrupted;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`connections`]: pools of keep-alive connections, reused only after a complete response.
 //! - [`edge`], [`gate`]: the two roles in serving a call.
 //! - [`control_loops`]: background tasks for membership, bundle, seats, platform and health.
+//! - [`fetch`]: GET requests to services of the platform; [`status`]: statuses of responses.
 //! - [`ports`]: the caller, data, control and admin ports.
 
 pub mod app;
@@ -28,6 +29,7 @@
 pub mod reply;
 pub mod settings;
 pub mod state;
+pub mod status;
 pub mod stop;
 
 pub use app::NodeApp;
--- a/crates/node/tests/node/calls.rs
+++ b/crates/node/tests/node/calls.rs
@@ -57,7 +57,7 @@
 
 #[tokio::test]
 async fn a_response_with_an_invalid_status_is_unknown() {
-    for status in ["000", "099", "600", "999"] {
+    for status in ["000", "099", "101", "600", "999"] {
         let odd = answer("a page").replace("200 OK", status);
         let back_end = BackEnd::start(Script::Send(odd)).await;
         let node = TestNode::start(&[&back_end]).await;
--- a/crates/node/tests/node/fetch.rs
+++ b/crates/node/tests/node/fetch.rs
@@ -50,6 +50,15 @@
     assert!(fetch_from_server(head).await.is_some(), "the whole head");
 }
 
+#[rstest]
+#[tokio::test]
+async fn a_status_that_is_none_is_no_response(
+    #[values("000", "001", "099", "101", "600", "999", "20", "abc")] status: &str,
+    #[values("content-length: 2\r\n", "connection: close\r\n")] field: &str,
+) {
+    assert_eq!(fetch_from_server(&format!("HTTP/1.1 {status} X\r\n{field}\r\n{{}}")).await, None);
+}
+
 /// Guards against a node that forgets all instances because the member service fails: what came with the failure was
 /// taken for the list.
 #[rstest]
