Idle connections to a machine are closed when it leaves, and all of them have a limit

Cause: the pool of connections to gates closed one only on taking the next from the same address. For a machine that has left there is no next, so up to 48 descriptors stayed for each. All gates together had no limit either.

Now the pool closes the idle connections to machines without a listed or retained instance when the directory changes, those that were idle for 20 s, and the one idle longest where there is no room: 48 of a gate, as before, and a quarter of the descriptors that aren't reserved for all. It gets the limit and the machines handed in and knows no node. A gauge tells how many there are.

The three tests of the pool's limits were written with it.

--- a/crates/sidecar/src/app.rs
+++ b/crates/sidecar/src/app.rs
@@ -170,6 +170,8 @@
         }
         node.update_directory("expiry", |directory| directory.expire(clock::now()));
         node.gate.quarantine.expire(&node);
+        node.gate_connections.expire();
+        node.metrics.set_state("idle_gate_connections", node.gate_connections.idle_count() as u64);
         if round.is_multiple_of(LEVELS_LOGGED_EVERY) {
             log_levels(&node);
         }
--- a/crates/sidecar/src/directory/local_evidence.rs
+++ b/crates/sidecar/src/directory/local_evidence.rs
@@ -1,8 +1,7 @@
 //! What a node believes in addition to the source's list, and when that expires: retained entries,
 //! attestations of gates, and what was observed while connecting to an instance.
 
-use std::collections::HashSet;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,7 +47,7 @@
         self.expire_tombstones(now);
         let (entries, tombstones) = (&self.entries, &self.tombstones);
         self.leaving_notices.prune(now, |name| entries.contains_key(name) || tombstones.contains_key(name));
-        let listed: HashSet<IpAddr> = self.entries.values().map(|entry| entry.instance.address.ip()).collect();
+        let listed = self.listed_machines();
         self.machines.retain(|ip, machine| listed.contains(ip) || now.since(machine.seen) < MACHINE_MEMORY);
         let source = self.source;
         let is_expired =
--- a/crates/sidecar/src/directory/mod.rs
+++ b/crates/sidecar/src/directory/mod.rs
@@ -28,7 +28,7 @@
 pub mod retention;
 mod source_update;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -178,6 +178,11 @@
         self.machines.keys().copied()
     }
 
+    /// Returns the addresses of machines that have a listed or retained instance.
+    pub fn listed_machines(&self) -> HashSet<IpAddr> {
+        self.entries.values().map(|entry| entry.instance.address.ip()).collect()
+    }
+
     /// Returns the machines of one zone.
     pub fn machines_of_zone(&self, zone: &ZoneName) -> Vec<IpAddr> {
         let in_zone = self.machines.iter().filter(|(_, machine)| machine.zone == *zone);
--- a/crates/sidecar/src/settings.rs
+++ b/crates/sidecar/src/settings.rs
@@ -79,6 +79,12 @@
         usize::try_from(left.max(16)).unwrap_or(usize::MAX)
     }
 
+    /// Returns the maximum number of idle connections to the gates of other machines. The accepted connections of
+    /// both ports and those that they need may take three quarters of the descriptors.
+    pub fn max_idle_gate_connections(&self) -> usize {
+        self.max_connections()
+    }
+
     /// Returns the maximum number of bytes of responses that are held while others wait behind them.
     pub fn max_held_bytes(&self) -> usize {
         usize::try_from((self.memory_mb << 20) / HELD_BYTES_DIVISOR).unwrap_or(usize::MAX)
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -141,6 +141,7 @@
         };
         let cluster = ClusterState { configuration: None, routes: None, directory: Directory::new(retention) };
         let freshness = Freshness::new(settings.ip());
+        let max_idle_gate_connections = settings.machine.max_idle_gate_connections();
         let held_bytes = HeldBytes::new(settings.machine.max_held_bytes());
         Node {
             settings: RefCell::new(Rc::new(settings)),
@@ -157,7 +158,7 @@
             lateness_sampled: Cell::new(Moment::START),
             lineage: RefCell::default(),
             request_limits: Rc::new(Cell::new(UNCONFIGURED_REQUEST_LIMITS)),
-            gate_connections: GateConnectionPool::default(),
+            gate_connections: GateConnectionPool::new(max_idle_gate_connections),
             held_bytes,
             gate: Gate::default(),
             service_machines: RefCell::default(),
@@ -281,6 +282,7 @@
         self.balancer.borrow_mut().retain(|name| is_listed(name) && is_same(name));
         // An instance whose entry was removed may still be alive and be listed again; the rate that it
         // declared then still applies.
+        self.gate_connections.retain_machines(&cluster.directory.listed_machines());
         let is_known = |name: &InstanceName| cluster.directory.status(name) != InstanceStatus::Unknown;
         self.declared_rates.borrow_mut().retain(|name| is_known(name) && is_same(name));
         drop(cluster);
--- a/crates/sidecar/tests/path/main.rs
+++ b/crates/sidecar/tests/path/main.rs
@@ -17,6 +17,7 @@
 mod gates;
 mod identity_checks;
 mod idle_connections;
+mod idle_gate_connections;
 mod instance;
 mod keys;
 mod leaving;
