Routes that are gone have no series in the metrics

What operators saw: each route that was ever configured stayed in /metrics until the process ended, with its counts and its twelve latency buckets; a deployment whose configurations rename routes adds to it with each of them.

Cause: series are made when a route answers, and nothing removed them; what else is kept by route follows the configuration. Found while looking through what is keyed by peer, instance, route, tenant or service. Ruled out, by reading: the balancer, declared rates, levels, lineage and the gates' slots (they follow the directory or the configuration), tenants' series (at most 129), machines of the service and skipped collectors (they expire).

Now a configuration that comes into force drops the series of the routes that it lacks. A route that stays keeps its counts.

Evidence: routes_that_are_gone_have_no_series failed before (six routes told, two configured) and passes.

--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -10,6 +10,7 @@
 use crate::edge::request::ValidatedRequest;
 use crate::event::{LogClass, display_id};
 use crate::lineage::Origin;
+use crate::metrics::NO_ROUTE;
 use crate::model::{Instance, Route};
 use crate::reply::{Failure, Response};
 use crate::state::Node;
@@ -43,7 +44,7 @@
 
     /// Name of its route, for log lines and metrics.
     pub fn route_name(&self) -> &str {
-        self.route.as_ref().map_or("none", |route| route.name.as_str())
+        self.route.as_ref().map_or(NO_ROUTE, |route| route.name.as_str())
     }
 
     /// Counts its response in the metrics.
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -1,12 +1,13 @@
 //! Counters and histograms in the Prometheus text format.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use olivegate_overload::DeclaredRate;
 use olivegate_types::TenantName;
 
+use prometheus::core::Collector;
 use prometheus::{
     Counter, Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -20,6 +21,11 @@
 /// Label shared by all further tenants.
 const OTHER_TENANTS: &str = "(other)";
 
+/// Label of metrics of one route.
+const ROUTE: &str = "route";
+/// Its value for requests that no route matches.
+pub const NO_ROUTE: &str = "none";
+
 const NO_LABELS: &[&str] = &[];
 
 /// All metrics of a sidecar; docs/OPERATIONS.md describes each.
@@ -85,23 +91,30 @@
     metric
 }
 
+/// The labels of each series of a metric.
+fn label_sets(metric: &impl Collector) -> Vec<HashMap<String, String>> {
+    let families = metric.collect();
+    let series = families.iter().flat_map(|family| family.get_metric());
+    let labels = series.map(|series| series.get_label().iter());
+    labels.map(|labels| labels.map(|label| (label.name().into(), label.value().into())).collect()).collect()
+}
+
+fn borrowed(labels: &HashMap<String, String>) -> HashMap<&str, &str> {
+    labels.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect()
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
         let latency_options = HistogramOpts::new("olivegate_sidecar_latency_seconds", "Time to the answer")
             .buckets(LATENCY_BUCKETS.to_vec());
-        let latency = HistogramVec::new(latency_options, &["route"]).expect("constant metric names are valid");
+        let latency = HistogramVec::new(latency_options, &[ROUTE]).expect("constant metric names are valid");
         registry.register(Box::new(latency.clone())).expect("metric names are distinct");
         let state_options = Opts::new("olivegate_sidecar_state", "Values of the moment");
         let state = IntGaugeVec::new(state_options, &["value"]).expect("constant metric names are valid");
         registry.register(Box::new(state.clone())).expect("metric names are distinct");
         Metrics {
-            answers: counters(
-                &registry,
-                "olivegate_sidecar_answers_total",
-                "Answers given",
-                &["route", "outcome"],
-            ),
+            answers: counters(&registry, "olivegate_sidecar_answers_total", "Answers given", &[ROUTE, "outcome"]),
             tenants: counters(
                 &registry,
                 "olivegate_sidecar_tenant_answers_total",
@@ -172,6 +185,20 @@
         self.latency.with_label_values(&[route]).observe(latency.as_secs_f64());
     }
 
+    /// Drops the series of routes that are not configured any more.
+    pub fn retain_routes(&self, is_configured: impl Fn(&str) -> bool) {
+        let is_gone = |labels: &HashMap<String, String>| {
+            labels.get(ROUTE).is_some_and(|route| route != NO_ROUTE && !is_configured(route))
+        };
+        // A series that is dropped was there a moment ago.
+        for labels in label_sets(&self.answers).into_iter().filter(is_gone) {
+            let _ = self.answers.remove(&borrowed(&labels));
+        }
+        for labels in label_sets(&self.latency).into_iter().filter(is_gone) {
+            let _ = self.latency.remove(&borrowed(&labels));
+        }
+    }
+
     /// Counts a response to a tenant's request.
     pub fn on_tenant_answer(&self, tenant: &TenantName, outcome: &str) {
         self.tenants.with_label_values(&[self.label_of(tenant), outcome]).inc();
--- a/crates/sidecar/src/state.rs
+++ b/crates/sidecar/src/state.rs
@@ -244,6 +244,7 @@
         let is_configured = |name: &str| configuration.routes.iter().any(|route| route.name == name);
         self.levels.borrow_mut().retain(|class| is_configured(class.root_kind.as_str()));
         self.lineage.borrow_mut().retain(is_configured);
+        self.metrics.retain_routes(is_configured);
         let limits = configuration.limits;
         self.request_limits.set(RequestLimits {
             max_head_bytes: limits.max_head_bytes as usize,
--- a/crates/sidecar/tests/path/configuration.rs
+++ b/crates/sidecar/tests/path/configuration.rs
@@ -1,5 +1,6 @@
 //! How nodes get the configuration and the instance list: from the source, from other nodes, or from neither.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use olivegate_sidecar::model::InstanceState;
@@ -131,3 +132,33 @@
         assert_eq!((first.runs(), second.runs()), (before, 5));
     });
 }
+
+/// Guards against series of routes that are gone for good: they were told until the process ended, more with each
+/// configuration that renamed its routes.
+#[rstest]
+fn routes_that_are_gone_have_no_series() {
+    run(async {
+        let fleet = Fleet::new();
+        fleet.list(1, "books-1", "books");
+        let _instance = start_instance(&fleet, 1).await;
+        let node = fleet.start(1, "books").await;
+        let mut client = Client::connect(fleet.outbound(1)).await;
+        for version in 1..=5 {
+            let path = format!("/v{version}/");
+            fleet
+                .source
+                .configure(configuration(version, vec![route("/", "books", Safe), route(&path, "books", Safe)]));
+            eventually("the version is in force", || node.known_state().configuration.0 == version).await;
+            Fleet::wait_until_ready(&node).await;
+            for path in ["/", &path, "/"] {
+                assert_eq!(client.request(&get(path, "r1")).await.head.status, 200);
+            }
+        }
+        let text = String::from_utf8(node.metrics.text()).unwrap();
+        let routes: BTreeSet<&str> =
+            text.lines().filter_map(|line| line.split_once("route=\"")?.1.split('"').next()).collect();
+        assert_eq!(routes, ["to-books/", "to-books/v5/"].into());
+        let answered = "answers_total{outcome=\"answered\",route=\"to-books/\"} 10";
+        assert!(text.contains(answered), "a route that stays keeps its counts: {text}");
+    });
+}
