Soak: instances that promise wrongly, leave responses unsigned, or refuse every way

The soak drew none of what the reviews found in instances' responses, and judged "not run" only by the node's own answers, so a signed 503 of an instance that had run the request passed. Now each plan has each of the three once at least, drawn apart from the other faults (whose draw does not change), and the promise goes by the status, whoever set it.

The case instance_refused_and_ran failed before (a signed 429 passed); a_plan_has_each_kind_of_odd_response was written with it.

--- a/crates/bench/src/soak/checker.rs
+++ b/crates/bench/src/soak/checker.rs
@@ -9,7 +9,7 @@
 const MIN_SERVED_FRACTION: f64 = 0.9;
 /// Length of the recovery window at the end of a soak, in seconds.
 pub const RECOVERY_WINDOW_S: f64 = 5.0;
-/// Statuses of a node's own responses that say that the request was not run and will not be.
+/// Statuses that say that the request was not run and will not be.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// The promises that are checked.
@@ -211,8 +211,12 @@
                 let detail = format!("{}, {} allowed", self.describe_runs(runs), call.max_attempts);
                 violations.push(call_violation(Promise::AttemptsBounded, call, detail));
             }
-            let is_reported_not_run =
-                matches!(call.end, CallEnd::NodeFailed { status, .. } if NOT_RUN_STATUSES.contains(&status));
+            // A client goes by the status, whoever has set it.
+            let is_reported_not_run = matches!(
+                call.end,
+                CallEnd::NodeFailed { status, .. } | CallEnd::InstanceFailed(status)
+                    if NOT_RUN_STATUSES.contains(&status)
+            );
             if is_reported_not_run && !runs.is_empty() {
                 violations.push(call_violation(
                     Promise::NotRunDidNotRun,
--- a/crates/bench/src/soak/instance.rs
+++ b/crates/bench/src/soak/instance.rs
@@ -12,6 +12,7 @@
 use olivegate_platform::WIRE_NAMES;
 use olivegate_sidecar::model::Incarnation;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +38,10 @@
 const QUEUE_PER_SLOT: u32 = 1;
 /// Probability that a fault affects an exchange.
 const FAULT_PROBABILITY: f64 = 0.3;
+/// Statuses with which an instance refuses a request without running it.
+const REFUSALS: [u16; 3] = [503, 429, 400];
+/// Statuses by which a client is told that its request has not run; an instance that has run it says so wrongly.
+const WRONG_PROMISES: [u16; 3] = [503, 429, 408];
 /// A slow instance takes this many times as long for its work.
 const SLOW_FACTOR: u32 = 6;
 /// Idle time after which an instance with `ForgetsConnections` resets a connection at its next request.
@@ -229,6 +234,10 @@
         let status = if instance.is_draining.get() { 503 } else { 200 };
         return write(responses, response_head(instance, status, &id), Bytes::new()).await;
     }
+    if fault == Some(InstanceFault::Refusing) && harness.random(|random| random.random_bool(FAULT_PROBABILITY)) {
+        let status = harness.random(|random| REFUSALS.choose(random).copied());
+        return write(responses, rejection(instance, status.unwrap_or(503), &id), Bytes::new()).await;
+    }
     record_run(instance, harness, head, body, &id);
     if is_deadly_target(&String::from_utf8_lossy(&head.target)) {
         return crash(instance, harness).await;
@@ -239,13 +248,22 @@
     if fault == Some(InstanceFault::AnswersLost) {
         return false;
     }
-    let status = if fault == Some(InstanceFault::Failing) { 500 } else { status };
+    let status = match fault {
+        Some(InstanceFault::Failing) => 500,
+        Some(InstanceFault::PromisesWrongly) => {
+            harness.random(|random| WRONG_PROMISES.choose(random).copied()).unwrap_or(status)
+        }
+        _ => status,
+    };
     if fault == Some(InstanceFault::SurplusAnswers) {
         let (head, body) = response(instance, harness, head, "surplus", 200);
         write(responses, head, body).await;
     }
     instance.record_self_report(harness, &id);
-    let (head, body) = response(instance, harness, head, &id, status);
+    let (mut head, body) = response(instance, harness, head, &id, status);
+    if fault == Some(InstanceFault::LeavesUnsigned) {
+        head.fields.remove(WIRE_NAMES.signature);
+    }
     if fault == Some(InstanceFault::BreaksOff) {
         return write_partial(responses, head, body).await;
     }
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -66,6 +66,12 @@
     Hanging,
     /// Resets idle connections when the next request arrives.
     ForgetsConnections,
+    /// Runs requests and responds with a status which promises that they have not run.
+    PromisesWrongly,
+    /// Responds to requests with a success that it does not sign.
+    LeavesUnsigned,
+    /// Refuses requests that are meant for it without running them, and says so, with each status that it may use.
+    Refusing,
 }
 
 /// One kind of fault.
@@ -194,6 +200,17 @@
 /// Range of their durations, in seconds.
 const CONCURRENT_S: std::ops::Range<f64> = 0.2..1.5;
 
+/// Kinds of odd responses of instances; drawn separately from the other faults.
+const RESPONSE_KINDS: [(FaultKind, u32); 3] = [
+    (FaultKind::Instance(InstanceFault::PromisesWrongly), 1),
+    (FaultKind::Instance(InstanceFault::LeavesUnsigned), 1),
+    (FaultKind::Instance(InstanceFault::Refusing), 1),
+];
+/// Combined with the seed to draw odd responses.
+const RESPONSE_SEED: u64 = 0x0a5e;
+/// Maximum number of times with odd responses in a soak; the minimum is one of each kind.
+const MAX_RESPONSES: usize = 5;
+
 /// Combined with the seed to draw times at which open connections fall silent.
 const SILENT_SEED: u64 = 0x051e;
 /// Maximum number of such times in a soak; the minimum is one.
@@ -291,6 +308,7 @@
             draw_deaf(&mut faults, seed, length_s, machines);
             draw_self_reports(&mut faults, seed, length_s, machines);
             draw_silent_connections(&mut faults, seed, length_s, machines);
+            draw_responses(&mut faults, seed, length_s, machines);
         }
         Plan { faults, length_s }
     }
@@ -300,7 +318,11 @@
     /// overlap.
     pub fn draw_kinds(seed: u64, length_s: f64, machines: usize, names: &[String], mean_gap_s: f64) -> Self {
         let is_named = |kind: &FaultKind| names.iter().any(|name| format!("{kind:?}").starts_with(name.as_str()));
-        let all = KINDS.into_iter().chain(SELF_REPORT_KINDS).chain([(FaultKind::OpenConnectionsSilent, 2)]);
+        let all = KINDS
+            .into_iter()
+            .chain(SELF_REPORT_KINDS)
+            .chain(RESPONSE_KINDS)
+            .chain([(FaultKind::OpenConnectionsSilent, 2)]);
         let kinds: Vec<(FaultKind, u32)> = all.filter(|(kind, _)| is_named(kind)).collect();
         let mut random = StdRng::seed_from_u64(seed);
         let faults = draw_weighted(&kinds, &mut random, Timing { length_s, mean_gap_s }, machines);
@@ -406,6 +428,19 @@
     }
 }
 
+/// Draws times with odd responses, each kind once before any comes again.
+fn draw_responses(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
+    let mut random = StdRng::seed_from_u64(seed ^ RESPONSE_SEED);
+    let end_s = length_s - FAULT_FREE_END_S;
+    let count = random.random_range(RESPONSE_KINDS.len()..=MAX_RESPONSES);
+    for (kind, _) in RESPONSE_KINDS.into_iter().cycle().take(count) {
+        let at_s = random.random_range(FAULT_FREE_START_S..end_s.max(FAULT_FREE_START_S + 1.0));
+        let for_s = random.random_range(DURATION_S).min(end_s - at_s).max(0.1);
+        let machine = random.random_range(0..machines.max(1));
+        faults.push(Fault { number: faults.len(), at_s, for_s, kind, machine });
+    }
+}
+
 /// Draws what instances report about themselves, and concurrent faults of their machines' processes.
 fn draw_self_reports(faults: &mut Vec<Fault>, seed: u64, length_s: f64, machines: usize) {
     let mut random = StdRng::seed_from_u64(seed ^ SELF_REPORT_SEED);
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -2,7 +2,9 @@
 
 use olivegate_bench::soak::BOUNDS;
 use olivegate_bench::soak::checker::{Promise, check, last_run_after_leaving_s};
-use olivegate_bench::soak::plan::{FAULT_FREE_END_S, FAULT_FREE_START_S, Fault, FaultKind, LinkFault, Plan};
+use olivegate_bench::soak::plan::{
+    FAULT_FREE_END_S, FAULT_FREE_START_S, Fault, FaultKind, InstanceFault, LinkFault, Plan,
+};
 use olivegate_bench::soak::record::{
     Call, CallEnd, CallPurpose, Crash, Disturbance, InstanceLifetime, Leaving, Record, Run, Stop, TimerLag,
 };
@@ -88,6 +90,15 @@
     assert!(leaves_in(store_deaf.at_s, store_deaf.at_s + store_deaf.for_s) >= 1, "{plan:?}");
 }
 
+/// Each plan has instances that refuse, that promise wrongly and that leave responses unsigned.
+#[rstest]
+fn a_plan_has_each_kind_of_odd_response(#[values(1, 7, 501)] seed: u64) {
+    let plan = Plan::draw(seed, LENGTH_S, 12, false);
+    for odd in [InstanceFault::PromisesWrongly, InstanceFault::LeavesUnsigned, InstanceFault::Refusing] {
+        assert!(plan.faults.iter().any(|fault| fault.kind == FaultKind::Instance(odd)), "{odd:?}: {plan:?}");
+    }
+}
+
 /// Counts runs that undisturbed machines forwarded after the instance's announcement.
 #[rstest]
 fn the_last_run_after_a_leaving_is_measured() {
@@ -244,6 +255,7 @@
 #[case::wrong_answer(Promise::OwnWholeAnswer, |record: &mut Record| record.calls[0].end = CallEnd::WrongAnswer)]
 #[case::ran_twice(Promise::AtMostOnce, |record: &mut Record| record.runs.push(run_of("r1", 10.2)))]
 #[case::refused_and_ran(Promise::NotRunDidNotRun, |record: &mut Record| record.calls[0].end = REFUSED)]
+#[case::instance_refused_and_ran(Promise::NotRunDidNotRun, |record: &mut Record| record.calls[0].end = CallEnd::InstanceFailed(429))]
 #[case::too_many(Promise::AttemptsBounded, |record: &mut Record| {
     record.calls[0].retry_safe = true;
     record.runs.extend([run_of("r1", 10.1), run_of("r1", 10.2)]);
