Soak: the kinds of faults stand apart from their draw

What a fault is (fault_kind.rs) and how faults are drawn from a seed (plan.rs) are read for different reasons.

--- a/crates/bench/src/soak/fault_injection.rs
+++ b/crates/bench/src/soak/fault_injection.rs
@@ -12,9 +12,10 @@
 use tokio::task::spawn_local;
 
 use super::exchange::deadly_path;
+use super::fault_kind::{FaultKind, StoreFault};
 use super::harness::Harness;
 use super::instance::Instance;
-use super::plan::{Fault, FaultKind, StoreFault};
+use super::plan::Fault;
 use super::record::{Crash, Disturbance, Outage, OutageKind, Stop};
 use super::traffic::{CallSpec, ConnectionPool};
 use crate::error::BenchError;
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! A randomized fault soak: runs the real sidecar programs as processes on one machine, injects faults from
 //! outside them, and checks the promises against what callers and instances observed.
 //!
-//! - [`plan`]: draws the faults and their times from a seed; pure.
+//! - [`fault_kind`]: the kinds of faults. [`plan`]: draws faults and their times from a seed; pure.
 //! - [`fault_injection`]: injects the faults of a plan.
 //! - [`harness`]: emulated machines, store and shared state; [`processes`]: the sidecar processes.
 //! - [`proxy`]: the network links of the machines. [`instance`]: emulated instances.
@@ -21,6 +21,7 @@
 pub mod declared_checks;
 pub mod exchange;
 pub mod fault_injection;
+pub mod fault_kind;
 pub mod harness;
 pub mod instance;
 pub mod plan;
--- a/crates/bench/src/soak/proxy.rs
+++ b/crates/bench/src/soak/proxy.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-use super::plan::LinkFault;
+use super::fault_kind::LinkFault;
 
 /// Size of a copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -2,9 +2,8 @@
 
 use olivegate_bench::soak::BOUNDS;
 use olivegate_bench::soak::checker::{Promise, check, last_run_after_leaving_s};
-use olivegate_bench::soak::plan::{
-    FAULT_FREE_END_S, FAULT_FREE_START_S, Fault, FaultKind, InstanceFault, LinkFault, Plan,
-};
+use olivegate_bench::soak::fault_kind::{FaultKind, InstanceFault, LinkFault};
+use olivegate_bench::soak::plan::{FAULT_FREE_END_S, FAULT_FREE_START_S, Fault, Plan};
 use olivegate_bench::soak::record::{
     Call, CallEnd, CallPurpose, Crash, Disturbance, InstanceLifetime, Leaving, Record, Run, Stop, TimerLag,
 };
--- a/crates/bench/tests/soak_declared.rs
+++ b/crates/bench/tests/soak_declared.rs
@@ -3,7 +3,8 @@
 
 use olivegate_bench::soak::BOUNDS;
 use olivegate_bench::soak::checker::{Promise, check};
-use olivegate_bench::soak::plan::{FaultKind, Plan};
+use olivegate_bench::soak::fault_kind::FaultKind;
+use olivegate_bench::soak::plan::Plan;
 use olivegate_bench::soak::record::{
     Arrival, Call, CallEnd, CallPurpose, DeclaredRate, Outage, OutageKind, Record, Run, SelfReport,
 };
