The build asks git for the commit without taking its locks

A build beside a commit in the same checkout could make that commit fail on the lock of the index. A comment of the older node's statuses is reworded. Neither changes the program, but for the commit that it names.

--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -6,7 +6,7 @@
 /// which nobody asks here.
 const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 
-/// True for a status with which a response is one.
+/// True for a status that ends an exchange. A message with any other status is no response.
 pub fn is_final(status: StatusCode) -> bool {
     FINAL_STATUSES.contains(&status.as_u16())
 }
--- a/crates/olivegate/build.rs
+++ b/crates/olivegate/build.rs
@@ -37,9 +37,11 @@
     Some(if changes.is_empty() { commit } else { commit + MODIFIED })
 }
 
-/// What `git` prints, without the line end; `None` if it fails.
+/// What `git` prints, without the line end; `None` if it fails. Without its optional locks it disturbs no other `git`
+/// command in the same checkout.
 fn git(root: &Path, arguments: &[&str]) -> Option<String> {
-    let output = Command::new("git").arg("-C").arg(root).args(arguments).output().ok()?;
+    let output =
+        Command::new("git").arg("--no-optional-locks").arg("-C").arg(root).args(arguments).output().ok()?;
     let text = String::from_utf8(output.stdout).ok()?;
     output.status.success().then(|| text.trim_end().to_string())
 }
