A gate withholds a promise that its instance does not make

So a rolling upgrade, or one machine whose program was not renewed, went on promising "not run" as before.

Now the gate replaces the response by 502 ambiguous-refusal, unsigned, and keeps what the failure is put down to, so attempts elsewhere go on as before. The edge keeps its check for gates of earlier releases. Responses that the node generates are no longer a part of the edge (local_response.rs), since both sides make them.

Three cases for the edge's own check were written with it.

--- a/crates/sidecar/src/edge/admission.rs
+++ b/crates/sidecar/src/edge/admission.rs
@@ -6,9 +6,9 @@
 use olivegate_types::{Moment, RefusalReason};
 use rand::RngExt;
 
-use crate::edge::local_response::LocalResponse;
 use crate::gate_protocol::{RootRequest, class_of};
 use crate::importance::importance_of;
+use crate::local_response::LocalResponse;
 use crate::model::{RetrySafety, Route};
 use crate::state::Node;
 
--- a/crates/sidecar/src/edge/connection.rs
+++ b/crates/sidecar/src/edge/connection.rs
@@ -21,11 +21,11 @@
 
 use crate::closing::{self, Closing};
 use crate::connection_limit::ConnectionPermit;
-use crate::edge::local_response::LocalResponse;
 use crate::edge::ready_response::{ReadyResponse, respond};
 use crate::edge::request_assembly::{AssembledRequest, RequestAssembler};
 use crate::edge::response_writer::{WriteError, write_response};
 use crate::lineage::ConnectionEvidence;
+use crate::local_response::LocalResponse;
 use crate::state::Node;
 
 /// Maximum number of requests of one connection that are read ahead.
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -15,7 +15,6 @@
 //! - [`remote`], [`gate_connection_pool`] and [`connection_check`]: offers to gates on other machines.
 //! - [`body_deadline`]: ends a response whose body doesn't end in time.
 //! - [`outcome`]: result of a request, and its log lines.
-//! - [`local_response`]: responses that the node generates itself.
 
 pub mod admission;
 pub mod attempts;
@@ -26,7 +25,6 @@
 pub mod dispatch;
 pub mod gate_connection_pool;
 pub mod held_response;
-pub mod local_response;
 pub mod outcome;
 pub mod ready_response;
 pub mod remote;
--- a/crates/sidecar/src/edge/outcome.rs
+++ b/crates/sidecar/src/edge/outcome.rs
@@ -6,10 +6,10 @@
 use olivegate_authentication::Tenant;
 use olivegate_types::Moment;
 
-use crate::edge::local_response::LocalResponse;
 use crate::edge::request::ValidatedRequest;
 use crate::event::{LogClass, display_id};
 use crate::lineage::Origin;
+use crate::local_response::LocalResponse;
 use crate::metrics::NO_ROUTE;
 use crate::model::{Instance, Route};
 use crate::reply::{Failure, Response};
--- a/crates/sidecar/src/edge/ready_response.rs
+++ b/crates/sidecar/src/edge/ready_response.rs
@@ -6,10 +6,10 @@
 use tokio::sync::oneshot;
 
 use crate::edge::held_response::{self, HeldBytesGuard, HeldResponse};
-use crate::edge::local_response::LocalResponse;
 use crate::edge::request_assembly::{AssembledRequest, Rejection};
 use crate::edge::request_handler;
 use crate::lineage::ConnectionEvidence;
+use crate::local_response::LocalResponse;
 use crate::reply::{Body, IncompleteBody, Response};
 use crate::state::Node;
 use crate::stop::InFlightGuard;
--- a/crates/sidecar/src/edge/request.rs
+++ b/crates/sidecar/src/edge/request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use olivegate_http1::RequestHead;
 
-use crate::edge::local_response::LocalResponse;
+use crate::local_response::LocalResponse;
 use crate::model::Route;
 use crate::routes::RouteTable;
 use crate::wire_names::WireNames;
--- a/crates/sidecar/src/edge/request_assembly.rs
+++ b/crates/sidecar/src/edge/request_assembly.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 use crate::body_channel::{BodySender, body_channel};
-use crate::edge::local_response::LocalResponse;
+use crate::local_response::LocalResponse;
 use crate::reply::Body;
 
 /// A body up to this size is buffered completely before the request is handled.
--- a/crates/sidecar/src/edge/request_handler.rs
+++ b/crates/sidecar/src/edge/request_handler.rs
@@ -13,13 +13,13 @@
 use crate::edge::admission;
 use crate::edge::call_context::CallContext;
 use crate::edge::dispatch::dispatch;
-use crate::edge::local_response::LocalResponse;
 use crate::edge::outcome::{CancellationLog, Outcome, log_local_response, log_response};
 use crate::edge::request::{self, ValidatedRequest};
 use crate::edge::request_assembly::AssembledRequest;
 use crate::edge::tenant_checks;
 use crate::lateness;
 use crate::lineage::{ArrivingRequest, ConnectionEvidence, Origin};
+use crate::local_response::LocalResponse;
 use crate::reply::{Response, ResponseFault, promises_not_run};
 use crate::state::Node;
 use olivegate_clock as clock;
@@ -48,8 +48,8 @@
         local.to_response(&node.wire_names, id.as_ref())
     };
     let response = match result {
-        // An instance that has not run a request says so, and its gate then reports a failure. Whatever else has
-        // such a status may have run.
+        // A gate of an earlier release passes on a status that promises "not run" although its instance does not
+        // say so.
         Ok(response) if promises_not_run(response.head.status) => {
             Response { fault: response.fault, ..local_response(LocalResponse::AmbiguousRefusal) }
         }
--- a/crates/sidecar/src/edge/tenant_checks.rs
+++ b/crates/sidecar/src/edge/tenant_checks.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 
 use crate::access::QuotaReservation;
-use crate::edge::local_response::{LocalResponse, UNAUTHORIZED};
+use crate::local_response::{LocalResponse, UNAUTHORIZED};
 use crate::model::Route;
 use crate::state::Node;
 
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -14,6 +14,7 @@
 //! - [`declared_rate`]: the rate limit that the instance declares.
 //! - [`exchange`]: one request and its response on a connection.
 //! - [`notice`]: what an instance declares about itself in a response.
+//! - [`promise`]: withholds a status that promises what the instance does not.
 //! - [`running`]: registers a request while the instance runs it.
 //! - [`shedding`]: admission levels for call chains while the instance sheds load.
 //! - [`retries`]: budget of retries that the gate lets through.
@@ -34,6 +35,7 @@
 pub mod instance_end;
 pub mod notice;
 pub mod presence;
+pub mod promise;
 pub mod quarantine;
 pub mod retries;
 pub mod running;
@@ -263,7 +265,8 @@
             node.metrics.exchanges.with_label_values(&["answered"]).inc();
             slot.note_response(&offer, response.fault, time_in_instance);
             node.gate.retries.on_response(node, &offer, response.fault, clock::now());
-            GateReply::Answered(slot::hold_until_read(watched.on_response(response), slot))
+            let response = promise::withhold(node, &offer, watched.on_response(response));
+            GateReply::Answered(slot::hold_until_read(response, slot))
         }
         Err(mut failure) => {
             failure.reason = watched.on_failure(failure.reason).await;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`declared`]: the rates that instances declare in their responses.
 //! - [`importance`]: how important a request is.
 //! - [`lineage`]: which requests are calls of the instance beside the node.
+//! - [`local_response`]: responses that the node generates itself.
 //! - [`edge::attempts`]: what happens when an attempt gave no response.
 //! - [`suspension`]: detects that the machine was suspended.
 //! - [`peers::freshness`]: which nodes read the source, and when another takes over.
@@ -47,6 +48,7 @@
 pub mod importance;
 pub mod lateness;
 pub mod lineage;
+pub mod local_response;
 pub mod metrics;
 pub mod model;
 pub mod peers;
--- a/crates/sidecar/tests/path/gates.rs
+++ b/crates/sidecar/tests/path/gates.rs
@@ -263,13 +263,17 @@
     }
 }
 
-/// A gate of an earlier release passes on a status that is none, and a success that nobody has signed.
+/// A gate of an earlier release passes on a status that is none, a success that nobody has signed, and a promise that its
+/// instance does not make.
 #[rstest]
 #[case::zero(0, SIGNATURE)]
 #[case::interim(199, SIGNATURE)]
 #[case::too_large(600, SIGNATURE)]
 #[case::unsigned(200, "")]
 #[case::unsigned_without_content(204, "")]
+#[case::time_out_as_promise(408, SIGNATURE)]
+#[case::limit_as_promise(429, SIGNATURE)]
+#[case::refusal_as_promise(503, SIGNATURE)]
 fn a_status_that_is_none_is_no_response_from_a_gate_either(#[case] status: u16, #[case] signature: &'static str) {
     run(async move {
         let (fleet, _instance) = start_with_gate(FakeGate::PassesOn(status, signature)).await;
@@ -278,3 +282,39 @@
         assert!(statuses.iter().all(|status| [200, 502].contains(status)), "{statuses:?}");
     });
 }
+
+/// Guards against a rolling upgrade in which clients are promised "not run" for what has run: edges of earlier releases
+/// pass on the status that a gate gives them, whatever it is.
+#[rstest]
+fn a_gate_passes_on_no_promise_that_its_instance_does_not_make(
+    #[values(408, 429, 503)] status: u16,
+    #[values(0, 6, 300_000)] body_bytes: usize,
+) {
+    run(async move {
+        let fleet = Fleet::new();
+        fleet.source.configure(configuration(1, vec![route("/once/", "books", Unsafe)]));
+        fleet.list(2, "books-2", "books");
+        let script = move |request: &ReceivedRequest, _| {
+            vec![Action::Send(response(status, &request.id(), &"x".repeat(body_bytes)))]
+        };
+        let instance = TestInstance::start(fleet.instance_address(2), script).await;
+        Fleet::wait_until_ready(&fleet.start(2, "books").await).await;
+        let head = gate_protocol::Offer { needs_confirmation: false, ..offer() }.head;
+        let fields = [(WIRE_NAMES.request_id, "r1")].into_iter().fold(head.fields, |mut fields, (name, value)| {
+            fields.add(name, value);
+            fields
+        });
+        let head = olivegate_http1::RequestHead { fields, ..head };
+        let offer = gate_protocol::Offer { head, needs_confirmation: false, ..offer() };
+        let mut stream = gate_protocol::framed(tokio::net::TcpStream::connect(fleet.inbound(2)).await.unwrap());
+        stream.send(gate_protocol::encode(&EdgeMessage::Offer(Box::new(offer)))).await.unwrap();
+        let frame = stream.next().await.unwrap().unwrap();
+        let GateMessage::Answered { head, body, fault, .. } = gate_protocol::decode(&frame).unwrap() else {
+            panic!("no response");
+        };
+        assert_eq!((head.status, fault), (502, ResponseFault::Instance));
+        assert_eq!(head.fields.get(WIRE_NAMES.signature), None);
+        assert_eq!(body.as_deref(), Some("ambiguous-refusal\n".as_bytes()));
+        assert_eq!(instance.runs(), 1);
+    });
+}
