--- a/crates/sidecar/tests/path/broken_heads.rs
+++ b/crates/sidecar/tests/path/broken_heads.rs
@@ -133,6 +133,34 @@
     });
 }
 
+/// Guards against a part of a head on a connection that is reused, whose end is taken for that of an idle connection:
+/// the request would count as not sent, and run again or be reported as not run.
+#[rstest]
+fn a_head_that_breaks_off_on_a_reused_connection_is_no_response(
+    #[values("H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 X\r\nx-id: {id}\r\nx-not-run: 1\r\n")] part: &'static str,
+    #[values(Ending::Close, Ending::CloseAfterTwoWrites, Ending::LateReset)] ending: Ending,
+    #[values(EDGE, 2)] instance_machine: u8,
+) {
+    run(async move {
+        let script = move |request: &ReceivedRequest, before: usize| match before % 2 {
+            0 => vec![Action::Send(response(200, &request.id(), "whole"))],
+            _ => ending.actions(&from_template(part, &request.id())),
+        };
+        let deployment = Deployment::start(instance_machine, script).await;
+        let methods = [("GET", "/safe/"), ("POST", "/once/"), ("HEAD", "/safe/"), ("POST", "/once/")];
+        for (number, (method, path)) in methods.into_iter().enumerate() {
+            let whole = deployment.request(method, path, &format!("w{number}")).await;
+            assert_eq!(whole.head.status, 200, "{method} {path}");
+            let broken = deployment.request(method, path, &format!("b{number}")).await;
+            assert_eq!(broken.head.status, 502, "{method} {path}: {broken:?}");
+            assert_eq!(deployment.instance.runs(), 2 * (number + 1), "{method} {path}");
+        }
+        let received = deployment.instance.received.borrow();
+        let reused = received.iter().filter(|request| request.idle_for.is_some()).count();
+        assert!(reused > 0, "no connection was reused");
+    });
+}
+
 /// Guards against a client that gets the status 000 as an instance's response, in each form of body and framing.
 #[rstest]
 fn a_status_of_000_is_no_response(
