--- a/crates/bench/src/soak/exchange.rs
+++ b/crates/bench/src/soak/exchange.rs
@@ -84,7 +84,7 @@
 }
 
 /// Reasons in a node's own response that mean that no instance was available to run the request.
-const NO_INSTANCE_REASONS: [&[u8]; 2] = [b"no-instance", b"instance-leaving"];
+const NO_INSTANCE_REASONS: [&str; 2] = ["no-instance", "instance-leaving"];
 
 /// The expected body of a request: different for each id, except for deadly contents, which are always the
 /// same.
@@ -229,7 +229,8 @@
         None if is_success => CallEnd::WrongAnswer,
         None => {
             let names_return = head.fields.get(WIRE_NAMES.retry_after).is_some();
-            let lacks_instance = NO_INSTANCE_REASONS.contains(&body.trim_ascii());
+            let is_named = |reason: &&str| reason.as_bytes() == body.trim_ascii();
+            let lacks_instance = NO_INSTANCE_REASONS.into_iter().find(is_named);
             CallEnd::NodeFailed { status: head.status, names_return, lacks_instance }
         }
     }
--- a/crates/bench/src/soak/record.rs
+++ b/crates/bench/src/soak/record.rs
@@ -17,8 +17,8 @@
         status: u16,
         /// It says when to retry.
         names_return: bool,
-        /// It says that no instance was available to run the request.
-        lacks_instance: bool,
+        /// The reason that it names, if this is that no instance was available to run the request.
+        lacks_instance: Option<&'static str>,
     },
     /// The connection ended before the complete response.
     Cut,
--- a/crates/bench/src/soak/refusal_checks.rs
+++ b/crates/bench/src/soak/refusal_checks.rs
@@ -7,7 +7,7 @@
     /// Requests of clients and instances that were refused for lack of an instance despite a healthy one.
     pub(super) fn check_no_instance_refusals(&self) -> Vec<Violation> {
         let is_checked = |call: &&Call| matches!(call.purpose, CallPurpose::Client | CallPurpose::OnBehalf);
-        let is_refused = |call: &&Call| matches!(call.end, CallEnd::NodeFailed { lacks_instance: true, .. });
+        let is_refused = |call: &&Call| matches!(call.end, CallEnd::NodeFailed { lacks_instance: Some(_), .. });
         let refused = self.record.calls.iter().filter(is_checked).filter(is_refused);
         refused.filter_map(|call| self.healthy_instance_violation(call)).collect()
     }
--- a/crates/bench/tests/soak.rs
+++ b/crates/bench/tests/soak.rs
@@ -129,7 +129,7 @@
 #[case::over_the_limit(false, 0)]
 fn only_proper_transfers_must_not_be_denied(#[case] is_proper: bool, #[case] expected: usize) {
     let mut record = sound();
-    let end = CallEnd::NodeFailed { status: 413, names_return: false, lacks_instance: false };
+    let end = CallEnd::NodeFailed { status: 413, names_return: false, lacks_instance: None };
     record.calls.push(Call { purpose: CallPurpose::Transfer { is_proper }, ..call("upload", 10.0, end) });
     let denied =
         check(&record, &BOUNDS).iter().filter(|violation| violation.promise == Promise::NotDenied).count();
@@ -197,9 +197,10 @@
     record
 }
 
-const NOT_FOUND: CallEnd = CallEnd::NodeFailed { status: 404, names_return: false, lacks_instance: false };
-const REFUSED: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: false };
-const NO_INSTANCE: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: true };
+const NOT_FOUND: CallEnd = CallEnd::NodeFailed { status: 404, names_return: false, lacks_instance: None };
+const REFUSED: CallEnd = CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: None };
+const NO_INSTANCE: CallEnd =
+    CallEnd::NodeFailed { status: 503, names_return: true, lacks_instance: Some("no-instance") };
 
 fn broken(change: impl FnOnce(&mut Record)) -> Vec<Promise> {
     let mut record = sound();
@@ -287,7 +288,7 @@
 })]
 #[case::no_return(Promise::RefusalSaysWhen, |record: &mut Record| {
     record.runs.remove(0);
-    record.calls[0].end = CallEnd::NodeFailed { status: 503, names_return: false, lacks_instance: false };
+    record.calls[0].end = CallEnd::NodeFailed { status: 503, names_return: false, lacks_instance: None };
 })]
 #[case::denied(Promise::NotDenied, |record: &mut Record| record.calls[0].end = NOT_FOUND)]
 #[case::not_recovered(Promise::Recovers, |record: &mut Record| record.calls[1].end = CallEnd::TimedOut)]
