The build asks about the checkout that it is run in, also with a build folder from another one

That is the very case that the commit is told for.

Cause: the build script held the path of the checkout in which it was compiled, and cargo reused it (the copied folder made it look fresh) and watched the other checkout's files. Now it goes by its working directory, which cargo sets to the package's folder, and prints paths relative to it. Only the commit that is told changes.

--- a/crates/olivegate/build.rs
+++ b/crates/olivegate/build.rs
@@ -8,17 +8,20 @@
 const UNKNOWN: &str = "unknown";
 /// Marks a commit whose sources were changed before the build.
 const MODIFIED: &str = "-modified";
+/// Root of the sources, relative to this package. Cargo starts this program in the package's folder and takes the
+/// paths that it prints relative to it, so a build folder that was copied to another checkout asks about that one.
+const ROOT: &str = "../..";
 /// What the program is built from, relative to the root of the sources.
 const SOURCES: [&str; 4] = ["Cargo.toml", "Cargo.lock", "crates", "platform"];
 
 fn main() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    println!("cargo::rustc-env=OLIVEGATE_COMMIT={}", commit(&root).unwrap_or(UNKNOWN.into()));
+    let root = Path::new(ROOT);
+    println!("cargo::rustc-env=OLIVEGATE_COMMIT={}", commit(root).unwrap_or(UNKNOWN.into()));
     for path in SOURCES {
         println!("cargo::rerun-if-changed={}", root.join(path).display());
     }
     // Each commit and each checkout adds a line to this log.
-    if let Some(log) = git(&root, &["rev-parse", "--git-path", "logs/HEAD"]) {
+    if let Some(log) = git(root, &["rev-parse", "--git-path", "logs/HEAD"]) {
         println!("cargo::rerun-if-changed={}", root.join(log).display());
     }
 }
